--- /dev/null
+++ b/crates/bench/src/demo.rs
@@ -0,0 +1,195 @@
+//! A small co-op deployment with online and batch traffic.
+
+use std::io::Write;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cv_runtime::ServingThread;
+use cv_runtime::run_to_end;
+use cv_standin::EngineSettings;
+
+use crate::deployment::DeploymentSpec;
+use crate::deployment::ModelSpec;
+use crate::deployment::PlainSpec;
+use crate::deployment::SmallDeployment;
+use crate::load::CompletionCall;
+use crate::load::LoadPlan;
+use crate::load::LoadReport;
+use crate::load::PromptSource;
+use crate::load::ServiceCall;
+use crate::load::run_open_load;
+
+/// Deadline of the demo's requests.
+const DEADLINE: Duration = Duration::from_secs(5);
+
+/// Questions to the assistant, per second.
+const QUESTION_RATE: f64 = 20.0;
+
+/// Orders, per second.
+const ORDER_RATE: f64 = 5.0;
+
+/// What the demo does.
+#[derive(Clone, Copy, Debug)]
+pub struct DemoOptions {
+    /// Whether it goes on serving at the end.
+    pub keep: bool,
+    /// Time for which it makes traffic.
+    pub seconds: u64,
+    /// Seed of the traffic.
+    pub seed: u64,
+}
+
+/// Runs the demo and writes its progress and summary; tells whether every promise was kept.
+///
+/// # Errors
+/// Fails if the output cannot be written.
+pub fn run_demo(options: DemoOptions, output: &mut impl Write) -> std::io::Result<bool> {
+    writeln!(
+        output,
+        "starting 4 assistants, 2 order desks, 2 entries and the platform …"
+    )?;
+    let deployment = SmallDeployment::start(demo_spec());
+    let addresses = deployment.entry_addresses();
+    writeln!(output, "entries: {addresses:?}")?;
+    writeln!(output, "online traffic for {} s …", options.seconds)?;
+    let questions = spawn_questions(&deployment, options);
+    let orders = spawn_orders(&deployment, options);
+    for second in 1..=options.seconds {
+        std::thread::sleep(Duration::from_secs(1));
+        writeln!(output, "  {second} s")?;
+    }
+    let (questions, orders) = (questions(), orders());
+    summarise(output, "questions to the assistant", &questions)?;
+    summarise(output, "orders", &orders)?;
+    let duplicated = deployment
+        .executions
+        .snapshot()
+        .values()
+        .filter(|count| **count > 1)
+        .count();
+    writeln!(output, "orders that ran twice: {duplicated}")?;
+    let broken = [questions.promises.broken(), orders.promises.broken()].concat();
+    if options.keep {
+        keep_serving(&deployment, output)?;
+    }
+    Ok(broken.is_empty() && duplicated == 0)
+}
+
+/// Returns the demo's deployment.
+fn demo_spec() -> DeploymentSpec {
+    let engine = EngineSettings::builder()
+        .model("assist-llm".to_owned())
+        .build();
+    let assistants = ModelSpec::builder()
+        .engine(engine)
+        .name("assist-llm")
+        .replicas(4)
+        .build();
+    let desks = PlainSpec::builder().name("orders-app").replicas(2).build();
+    DeploymentSpec::builder()
+        .models(vec![assistants])
+        .plains(vec![desks])
+        .build()
+}
+
+/// Starts the questions; the returned function waits for their report.
+fn spawn_questions(
+    deployment: &SmallDeployment,
+    options: DemoOptions,
+) -> impl FnOnce() -> LoadReport + use<> {
+    let plan = plan_of(deployment, options, QUESTION_RATE);
+    let mut prompts = PromptSource::new(options.seed, 4, 64, 16);
+    spawn_load(move || {
+        run_to_end(run_open_load(&plan, |_, pool: Rc<_>, address| {
+            let call = CompletionCall {
+                deadline: DEADLINE,
+                model: "assist-llm".to_owned(),
+                organisation: "members".to_owned(),
+                prompt: prompts.next_prompt(),
+                tokens: 24,
+            };
+            async move { call.run(&pool, address).await }
+        }))
+    })
+}
+
+/// Starts the orders; the returned function waits for their report.
+fn spawn_orders(
+    deployment: &SmallDeployment,
+    options: DemoOptions,
+) -> impl FnOnce() -> LoadReport + use<> {
+    let plan = plan_of(deployment, options, ORDER_RATE);
+    spawn_load(move || {
+        run_to_end(run_open_load(&plan, |count, pool: Rc<_>, address| {
+            let call = ServiceCall {
+                body: format!("{{\"netting\":{count}}}"),
+                deadline: DEADLINE,
+                key: format!("order-{count}"),
+                path: "/services/orders-app/orders".to_owned(),
+            };
+            async move { call.run(&pool, address).await }
+        }))
+    })
+}
+
+/// Runs a load on a thread of its own.
+fn spawn_load<L>(load: L) -> impl FnOnce() -> LoadReport
+where
+    L: FnOnce() -> Result<LoadReport, cv_runtime::RuntimeFault> + Send + 'static,
+{
+    let thread = std::thread::spawn(load);
+    move || {
+        thread
+            .join()
+            .expect("the load ends")
+            .expect("the load runs")
+    }
+}
+
+/// Returns the plan of one kind of traffic.
+fn plan_of(deployment: &SmallDeployment, options: DemoOptions, rate: f64) -> LoadPlan {
+    LoadPlan {
+        addresses: deployment.entry_addresses(),
+        deadline: DEADLINE,
+        duration: Duration::from_secs(options.seconds),
+        rate,
+        seed: options.seed,
+    }
+}
+
+/// Writes what became of one kind of traffic.
+fn summarise(output: &mut impl Write, name: &str, report: &LoadReport) -> std::io::Result<()> {
+    writeln!(
+        output,
+        "{name}: {} sent, {} answered in time, {} refused, {} unknown; first response p50 {:.1} ms, \
+         p99 {:.1} ms",
+        report.sent,
+        report.in_time,
+        report.promises.refused,
+        report.unknown,
+        report.first_ms(0.5),
+        report.first_ms(0.99),
+    )
+}
+
+/// Goes on serving until the process is asked to end.
+fn keep_serving(deployment: &SmallDeployment, output: &mut impl Write) -> std::io::Result<()> {
+    let address = deployment.entry_addresses()[0];
+    writeln!(output, "serving; try:")?;
+    writeln!(
+        output,
+        "  curl -N http://{address}/v1/completions -d '{{\"model\":\"assist-llm\",\"prompt\":\"which \
+         shade for blueberries\",\"max_tokens\":8,\"stream\":true}}'"
+    )?;
+    writeln!(
+        output,
+        "  curl http://{address}/services/orders-app/orders -d '{{\"netting\":7}}'"
+    )?;
+    writeln!(output, "Ctrl-C ends it")?;
+    let waiting = ServingThread::spawn("signals", |shutdown| async move {
+        let _ = cv_runtime::watch_termination(shutdown.clone());
+        shutdown.given().await;
+    });
+    waiting.wait();
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/experiment/mod.rs
@@ -0,0 +1,1 @@
+//! Named experiments.
--- /dev/null
+++ b/crates/bench/src/load/mod.rs
@@ -0,0 +1,19 @@
+//! Load against a deployment, with every answer checked.
+
+mod call_outcome;
+mod completion_call;
+mod load_report;
+mod open_load;
+mod prompt_source;
+mod service_call;
+
+pub use self::call_outcome::CallOutcome;
+pub use self::call_outcome::CallRecord;
+pub use self::completion_call::CompletionCall;
+pub use self::load_report::LoadReport;
+pub use self::load_report::PromiseCounts;
+pub use self::open_load::LoadPlan;
+pub use self::open_load::run_closed_load;
+pub use self::open_load::run_open_load;
+pub use self::prompt_source::PromptSource;
+pub use self::service_call::ServiceCall;
--- /dev/null
+++ b/crates/control/src/entry_peer.rs
@@ -0,0 +1,31 @@
+//! The calls that an entry answers to its peers.
+
+use cv_policy::config::ConfigDocument;
+
+use crate::AppendAnswer;
+use crate::CancelAnswer;
+use crate::EntryStatus;
+use crate::JournalPage;
+use crate::PeerStamp;
+
+/// Calls between entries.
+#[tarpc::service]
+pub trait EntryPeer {
+    /// Appends records to a job's journal and syncs them.
+    async fn append(stamp: PeerStamp, job: String, records: Vec<Vec<u8>>) -> AppendAnswer;
+
+    /// Reads a part of a job's journal from a position on.
+    async fn read(stamp: PeerStamp, job: String, position: u64) -> Option<JournalPage>;
+
+    /// Removes a job's journal.
+    async fn remove(stamp: PeerStamp, job: String) -> bool;
+
+    /// Stops a job that the peer owns.
+    async fn cancel(stamp: PeerStamp, job: String) -> CancelAnswer;
+
+    /// Waits for a configuration newer than a revision; `None` if there was none for a while.
+    async fn wait_config(stamp: PeerStamp, revision: u64) -> Option<ConfigDocument>;
+
+    /// Tells how the entry is.
+    async fn status(stamp: PeerStamp) -> Option<EntryStatus>;
+}
--- /dev/null
+++ b/crates/control/src/sidecar_control.rs
@@ -0,0 +1,29 @@
+//! The calls that a sidecar answers.
+
+use cv_policy::RequestKey;
+use cv_policy::config::ConfigDocument;
+
+use crate::OrderAnswer;
+use crate::PeerStamp;
+use crate::ResolveAnswer;
+use crate::TargetOrder;
+use crate::TargetStatus;
+
+/// Calls to the process beside a target.
+#[tarpc::service]
+pub trait SidecarControl {
+    /// Tells how the target is; the caller offers its configuration's revision.
+    async fn status(stamp: PeerStamp) -> Option<TargetStatus>;
+
+    /// Tells what became of an attempt and keeps it from starting if it has not.
+    async fn resolve(stamp: PeerStamp, key: RequestKey, attempt: u32) -> Option<ResolveAnswer>;
+
+    /// Gives the target an order.
+    async fn order(stamp: PeerStamp, order: TargetOrder) -> OrderAnswer;
+
+    /// Offers a configuration; returns the revision in force afterwards.
+    async fn offer_config(stamp: PeerStamp, document: ConfigDocument) -> u64;
+
+    /// Tells the target to take no new work.
+    async fn drain(stamp: PeerStamp) -> bool;
+}
--- /dev/null
+++ b/crates/entry/src/batch/mod.rs
@@ -0,0 +1,1 @@
+//! Batch jobs.
--- /dev/null
+++ b/crates/entry/src/entry_server.rs
@@ -0,0 +1,148 @@
+//! Starts, runs and shuts down an entry.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cv_control::EntryPeer;
+use cv_control::accept_calls;
+use cv_http::HttpLimits;
+use cv_http::HttpServer;
+use cv_http::bind_listener;
+use cv_runtime::ShutdownSignal;
+use cv_settings::EntrySection;
+use cv_settings::ServerSettings;
+use cv_timeline::EventKind;
+use cv_timeline::EventLog;
+use cv_timer::ProcessClock;
+use cv_timer::TimerService;
+use monoio::net::TcpListener;
+
+use crate::api_router::ApiRouter;
+use crate::entry_metrics::EntryMetrics;
+use crate::entry_state::EntryState;
+use crate::peer_service::PeerService;
+use crate::watch::watch_config;
+use crate::watch::watch_instances;
+use crate::watch::watch_targets;
+
+/// Time for which a leaving entry goes on accepting, so that the balancer notices.
+const FAREWELL: Duration = Duration::from_millis(500);
+
+/// Why an entry could not start.
+#[derive(Debug)]
+pub struct EntryFault(String);
+
+impl fmt::Display for EntryFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "the entry cannot start: {}", self.0)
+    }
+}
+
+impl std::error::Error for EntryFault {}
+
+/// An entry that is bound to its addresses.
+pub struct EntryServer {
+    control: TcpListener,
+    data: TcpListener,
+    state: Rc<EntryState>,
+    timers: TimerService,
+}
+
+impl EntryServer {
+    /// Binds an entry's addresses; call it on the runtime that will run it.
+    ///
+    /// # Errors
+    /// Fails if an address is taken or a file cannot be opened.
+    pub fn bind(settings: ServerSettings, section: EntrySection) -> Result<Self, EntryFault> {
+        let fault = |error: &dyn fmt::Display| EntryFault(error.to_string());
+        let data = bind_listener(settings.listen).map_err(|error| fault(&error))?;
+        let control = bind_listener(settings.control_listen).map_err(|error| fault(&error))?;
+        let events = match &settings.events {
+            Some(path) => EventLog::open(&settings.name, path).map_err(|error| fault(&error))?,
+            None => EventLog::disabled(&settings.name),
+        };
+        let metrics = EntryMetrics::new().map_err(|error| fault(&error))?;
+        let clock = ProcessClock::new();
+        let timers = TimerService::start(clock);
+        let state = Rc::new(EntryState::new(settings, section, events, metrics, clock));
+        Ok(Self {
+            control,
+            data,
+            state,
+            timers,
+        })
+    }
+
+    /// Returns where requests arrive.
+    ///
+    /// # Errors
+    /// Fails if the socket does not tell.
+    pub fn data_address(&self) -> std::io::Result<SocketAddr> {
+        self.data.local_addr()
+    }
+
+    /// Returns where control calls arrive.
+    ///
+    /// # Errors
+    /// Fails if the socket does not tell.
+    pub fn control_address(&self) -> std::io::Result<SocketAddr> {
+        self.control.local_addr()
+    }
+
+    /// Serves until the signal is given, then drains and returns.
+    pub async fn run(self, shutdown: ShutdownSignal) {
+        let Self {
+            control,
+            data,
+            state,
+            timers,
+        } = self;
+        let finished = ShutdownSignal::new();
+        state.events.record(
+            EventKind::Started,
+            "",
+            format!("zone={}", state.settings.zone),
+        );
+        let disk = if state.section.data_folder.is_some() {
+            "with"
+        } else {
+            "without"
+        };
+        log::info!(
+            "entry {} serves in {}, {disk} disk",
+            state.settings.name,
+            state.settings.zone
+        );
+        monoio::spawn(watch_instances(Rc::clone(&state), timers.clone()));
+        monoio::spawn(watch_targets(Rc::clone(&state), timers));
+        monoio::spawn(watch_config(Rc::clone(&state)));
+        let ended = finished.clone();
+        let service = PeerService::new(Rc::clone(&state)).serve();
+        monoio::spawn(accept_calls(control, service, async move {
+            ended.given().await;
+        }));
+        let router = Rc::new(ApiRouter::new(Rc::clone(&state)));
+        let server = HttpServer::new(data, router, state.gate.clone(), HttpLimits::default());
+        monoio::spawn(server.run());
+        shutdown.given().await;
+        drain(&state).await;
+        state.events.record(EventKind::Stopped, "", String::new());
+        finished.give();
+    }
+}
+
+/// Lets the balancer notice and lets what runs finish.
+async fn drain(state: &EntryState) {
+    state
+        .events
+        .record(EventKind::DrainStarted, "", String::new());
+    let limit = state.settings.drain_limit;
+    state.leaving.set(true);
+    monoio::time::sleep(FAREWELL.min(limit)).await;
+    state.gate.start_drain();
+    if !state.gate.wait_until_idle(limit).await {
+        log::warn!("the drain limit cut off {} request(s)", state.gate.active());
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry_state.rs
@@ -0,0 +1,185 @@
+//! What the parts of an entry share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use cv_control::EntryPeerDirectory;
+use cv_control::PeerStamp;
+use cv_control::SidecarDirectory;
+use cv_http::ConnectionPool;
+use cv_http::DrainGate;
+use cv_http::HttpLimits;
+use cv_platform::InstanceRecord;
+use cv_platform::KeyValueClient;
+use cv_policy::RequestKey;
+use cv_policy::SeededRandom;
+use cv_policy::TargetId;
+use cv_policy::config::ConfigDocument;
+use cv_policy::config::ConfigRegister;
+use cv_policy::routing::OutlierDetector;
+use cv_policy::routing::RetryBudget;
+use cv_policy::routing::TargetRouter;
+use cv_policy::routing::TargetTable;
+use cv_settings::EntrySection;
+use cv_settings::ServerSettings;
+use cv_timeline::EventKind;
+use cv_timeline::EventLog;
+use cv_timer::ProcessClock;
+use tokio::sync::Notify;
+
+use crate::entry_metrics::EntryMetrics;
+
+/// Calls a second to the key-value service that one entry allows itself.
+const KEY_VALUE_CALLS: u32 = 100;
+
+/// All state of an entry besides its jobs; the parts are borrowed for the length of one decision.
+pub(crate) struct EntryState {
+    pub budget: RefCell<RetryBudget>,
+    pub clock: ProcessClock,
+    pub config: RefCell<ConfigRegister>,
+    /// Wakes whoever waits for a newer configuration.
+    pub config_changed: Notify,
+    pub events: EventLog,
+    pub gate: DrainGate,
+    pub instances: RefCell<Vec<InstanceRecord>>,
+    pub key_value: Option<KeyValueClient>,
+    /// Set when the shutdown begins, so that the balancer looks elsewhere.
+    pub leaving: Cell<bool>,
+    pub metrics: EntryMetrics,
+    next_request: Cell<u64>,
+    pub outliers: OutlierDetector,
+    pub peers: EntryPeerDirectory,
+    pub pool: ConnectionPool,
+    pub random: RefCell<SeededRandom>,
+    pub router: RefCell<TargetRouter>,
+    pub section: EntrySection,
+    pub settings: ServerSettings,
+    pub sidecars: SidecarDirectory,
+    start: u64,
+    pub table: RefCell<TargetTable>,
+    /// Wakes whoever waits on a target that may have been lost.
+    pub target_lost: Notify,
+}
+
+impl EntryState {
+    /// Creates the state of an entry that has just started.
+    pub fn new(
+        settings: ServerSettings,
+        section: EntrySection,
+        events: EventLog,
+        metrics: EntryMetrics,
+        clock: ProcessClock,
+    ) -> Self {
+        let start = clock.wall_millis();
+        // Entries must not draw the same numbers, and need not draw them again.
+        let seed = cv_policy::stable_hash(&[&settings.name, &start.to_string()]);
+        let key_value = (!settings.platform.key_value.is_empty()).then(|| {
+            KeyValueClient::new(settings.platform.key_value.clone(), KEY_VALUE_CALLS, seed)
+        });
+        let router = TargetRouter::new(section.routing, &settings.zone, seed);
+        Self {
+            budget: RefCell::default(),
+            clock,
+            config: RefCell::default(),
+            config_changed: Notify::new(),
+            events,
+            gate: DrainGate::default(),
+            instances: RefCell::default(),
+            key_value,
+            leaving: Cell::new(false),
+            metrics,
+            next_request: Cell::new(1),
+            outliers: OutlierDetector,
+            peers: EntryPeerDirectory::default(),
+            pool: ConnectionPool::new(HttpLimits::default()),
+            random: RefCell::new(SeededRandom::new(seed)),
+            router: RefCell::new(router),
+            section,
+            settings,
+            sidecars: SidecarDirectory::default(),
+            start,
+            table: RefCell::default(),
+            target_lost: Notify::new(),
+        }
+    }
+
+    /// Returns an id for a request or job whose caller names none; no other process makes it.
+    pub fn new_id(&self) -> String {
+        let count = self.next_request.replace(self.next_request.get() + 1);
+        let key = RequestKey::derive(&self.settings.name, &format!("{}/{count}", self.start));
+        format!("{:024x}", key.0 >> 32)
+    }
+
+    /// Returns what calls to the system's own processes carry.
+    pub fn stamp(&self) -> PeerStamp {
+        PeerStamp {
+            clock: self.events.stamp(),
+            secret: self.settings.secret.clone(),
+        }
+    }
+
+    /// Tells whether a caller belongs to the system, and takes its clock.
+    pub fn accepts(&self, stamp: &PeerStamp) -> bool {
+        self.events.observe(stamp.clock);
+        stamp.secret == self.settings.secret
+    }
+
+    /// Brings a configuration into force if it is newer; tells whether it did.
+    pub fn offer_config(&self, document: ConfigDocument) -> bool {
+        if !self.config.borrow_mut().offer(document) {
+            return false;
+        }
+        let revision = self.config.borrow().revision();
+        self.metrics.config_revision.set(revision.cast_signed());
+        self.events
+            .record(EventKind::ConfigInForce, "", format!("revision={revision}"));
+        self.config_changed.notify_waiters();
+        true
+    }
+
+    /// Returns the other entries that the platform lists.
+    pub fn other_entries(&self) -> Vec<InstanceRecord> {
+        let instances = self.instances.borrow();
+        let others = instances
+            .iter()
+            .filter(|record| record.role == "entry" && record.name != self.settings.name);
+        others.cloned().collect()
+    }
+
+    /// Counts a request at its target until the returned guard is dropped.
+    pub fn enter_target(self: &Rc<Self>, target: TargetId) -> InFlightGuard {
+        if let Some(row) = self.table.borrow_mut().get_mut(target) {
+            row.in_flight += 1;
+        }
+        InFlightGuard {
+            state: Rc::clone(self),
+            target,
+        }
+    }
+
+    /// Resolves when a target is known to be lost.
+    pub async fn lost(&self, target: TargetId) {
+        loop {
+            let changed = self.target_lost.notified();
+            if !self.table.borrow().get(target).is_some_and(|row| row.ready) {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+/// Holds one request's place in its target's count.
+pub(crate) struct InFlightGuard {
+    state: Rc<EntryState>,
+    target: TargetId,
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        if let Some(row) = self.state.table.borrow_mut().get_mut(self.target) {
+            row.in_flight = row.in_flight.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/watch/instance_watch.rs
@@ -0,0 +1,41 @@
+//! Follows the platform's list of instances, which only proposes.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cv_platform::InstanceClient;
+use cv_platform::InstanceRecord;
+use cv_policy::routing::TargetListing;
+use cv_timer::TimerService;
+
+use crate::entry_state::EntryState;
+
+/// Time between two reads of the list.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Follows the list for as long as the entry runs.
+pub(crate) async fn watch_instances(state: Rc<EntryState>, timers: TimerService) {
+    let Some(address) = state.settings.platform.instances else {
+        return;
+    };
+    let client = InstanceClient::new(address);
+    let ticks = timers.subscribe(PERIOD);
+    loop {
+        // Without an answer the last list stays; the targets themselves tell whether they live.
+        if let Some(records) = client.list().await {
+            apply(&state, records);
+        }
+        ticks.next().await;
+    }
+}
+
+/// Takes a new list.
+fn apply(state: &EntryState, records: Vec<InstanceRecord>) {
+    let listings: Vec<TargetListing> = records
+        .iter()
+        .filter_map(InstanceRecord::target_listing)
+        .collect();
+    state.table.borrow_mut().apply(state.clock.now(), &listings);
+    *state.instances.borrow_mut() = records;
+    state.target_lost.notify_waiters();
+}
--- /dev/null
+++ b/crates/entry/src/watch/mod.rs
@@ -0,0 +1,10 @@
+//! Keeps the entry's view of instances, targets and configuration up to date.
+
+mod config_watch;
+mod instance_watch;
+mod target_watch;
+
+pub(crate) use self::config_watch::CONFIG_KEY;
+pub(crate) use self::config_watch::watch_config;
+pub(crate) use self::instance_watch::watch_instances;
+pub(crate) use self::target_watch::watch_targets;
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,180 @@
+//! A client's side of a connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+use http::header::CONNECTION;
+use http::response::Parts as ResponseHead;
+use monoio::io::OwnedReadHalf;
+use monoio::io::OwnedWriteHalf;
+use monoio::io::Splitable;
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+
+use crate::BodyFraming;
+use crate::HttpFault;
+use crate::HttpLimits;
+use crate::HttpReader;
+use crate::HttpWriter;
+
+/// A request to send, with its whole body.
+#[derive(Clone, Debug)]
+pub struct ClientRequest {
+    /// The body; its length frames it.
+    pub body: Bytes,
+    /// Header fields, without those that frame the body.
+    pub headers: HeaderMap,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+}
+
+impl ClientRequest {
+    /// Creates a request without headers.
+    pub fn new(method: Method, path: impl Into<String>, body: impl Into<Bytes>) -> Self {
+        Self {
+            body: body.into(),
+            headers: HeaderMap::new(),
+            method,
+            path: path.into(),
+        }
+    }
+
+    /// Adds a header; a value that is not printable ASCII is left out.
+    #[must_use]
+    pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
+        if let Ok(value) = http::HeaderValue::from_str(value) {
+            self.headers.insert(name, value);
+        }
+        self
+    }
+}
+
+/// A response with its whole body.
+#[derive(Clone, Debug)]
+pub struct ClientResponse {
+    /// The body.
+    pub body: Bytes,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// The status.
+    pub status: StatusCode,
+}
+
+/// One connection to a server.
+pub struct ClientConnection {
+    framing: BodyFraming,
+    reader: HttpReader<OwnedReadHalf<TcpStream>>,
+    reusable: bool,
+    writer: HttpWriter<OwnedWriteHalf<TcpStream>>,
+}
+
+impl ClientConnection {
+    /// Connects within `patience`.
+    ///
+    /// # Errors
+    /// Fails if the peer refuses or does not answer in time; no request byte has been sent then.
+    pub async fn connect(
+        address: SocketAddr,
+        patience: Duration,
+        limits: HttpLimits,
+    ) -> Result<Self, HttpFault> {
+        let stream = match timeout(patience, TcpStream::connect_addr(address)).await {
+            Err(_) => return Err(HttpFault::TimedOut("connect")),
+            Ok(result) => result?,
+        };
+        // Without it, small requests wait for the acknowledgement of earlier ones.
+        let _ = stream.set_nodelay(true);
+        let (read_half, write_half) = stream.into_split();
+        Ok(Self {
+            framing: BodyFraming::Empty,
+            reader: HttpReader::new(read_half, limits),
+            reusable: true,
+            writer: HttpWriter::new(write_half, limits.write_timeout),
+        })
+    }
+
+    /// Sends a request.
+    ///
+    /// # Errors
+    /// Faults of the connection; the server may have received the request all the same.
+    pub async fn send(&mut self, request: &ClientRequest) -> Result<(), HttpFault> {
+        self.reusable = false;
+        let ClientRequest {
+            body,
+            headers,
+            method,
+            path,
+        } = request;
+        self.writer.write_request(method, path, headers, body).await
+    }
+
+    /// Reads the head of the response to a request with `method`, which begins within `patience`.
+    ///
+    /// # Errors
+    /// Faults of the connection, `TimedOut` among them.
+    pub async fn read_head(
+        &mut self,
+        method: &Method,
+        patience: Duration,
+    ) -> Result<ResponseHead, HttpFault> {
+        let mut head = self.reader.read_response_head(patience).await?;
+        while head.status.is_informational() {
+            head = self.reader.read_response_head(patience).await?;
+        }
+        self.framing = BodyFraming::of_response(method, head.status, &head.headers)?;
+        let closes = matches!(self.framing, BodyFraming::UntilClose)
+            || head
+                .headers
+                .get(CONNECTION)
+                .is_some_and(|value| value == "close");
+        self.reusable = !closes;
+        Ok(head)
+    }
+
+    /// Reads the next piece of the response, or `None` at its end.
+    ///
+    /// # Errors
+    /// `Truncated` if the connection ended first.
+    pub async fn read_piece(&mut self) -> Result<Option<Bytes>, HttpFault> {
+        let result = self.reader.read_piece(&mut self.framing).await;
+        if result.is_err() {
+            self.reusable = false;
+        }
+        result
+    }
+
+    /// Sends a request and reads the whole response of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// Faults of the connection; `BodyTooLarge` over the limit.
+    pub async fn exchange(
+        &mut self,
+        request: &ClientRequest,
+        patience: Duration,
+        limit: usize,
+    ) -> Result<ClientResponse, HttpFault> {
+        self.send(request).await?;
+        let head = self.read_head(&request.method, patience).await?;
+        let body = self.reader.read_body(&mut self.framing, limit).await;
+        if body.is_err() {
+            self.reusable = false;
+        }
+        Ok(ClientResponse {
+            body: body?,
+            headers: head.headers,
+            status: head.status,
+        })
+    }
+
+    /// Tells whether another request may be sent.
+    #[must_use]
+    pub fn is_reusable(&self) -> bool {
+        self.reusable && self.framing.is_finished()
+    }
+}
--- /dev/null
+++ b/crates/http/src/exchange.rs
@@ -0,0 +1,211 @@
+//! One request and its response, as a server sees them.
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header::CONNECTION;
+use http::request::Parts as RequestHead;
+use monoio::io::OwnedReadHalf;
+use monoio::io::OwnedWriteHalf;
+use monoio::net::TcpStream;
+
+use crate::BodyFraming;
+use crate::HttpFault;
+use crate::HttpReader;
+use crate::HttpWriter;
+
+/// How far the response has been written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ResponseStage {
+    /// Nothing has been written.
+    Waiting,
+    /// The head and perhaps some chunks have been written.
+    Streaming,
+    /// The response is whole.
+    Finished,
+}
+
+/// A request being answered on a server connection.
+pub struct ServerExchange<'a> {
+    expects_continue: bool,
+    framing: BodyFraming,
+    head: RequestHead,
+    keep_alive: bool,
+    reader: &'a mut HttpReader<OwnedReadHalf<TcpStream>>,
+    stage: ResponseStage,
+    writer: &'a mut HttpWriter<OwnedWriteHalf<TcpStream>>,
+}
+
+impl<'a> ServerExchange<'a> {
+    /// Starts an exchange for a request whose head has been read.
+    pub(crate) fn new(
+        head: RequestHead,
+        framing: BodyFraming,
+        reader: &'a mut HttpReader<OwnedReadHalf<TcpStream>>,
+        writer: &'a mut HttpWriter<OwnedWriteHalf<TcpStream>>,
+    ) -> Self {
+        let keep_alive = wants_keep_alive(&head);
+        let expects_continue = head.headers.contains_key(http::header::EXPECT);
+        let stage = ResponseStage::Waiting;
+        Self {
+            expects_continue,
+            framing,
+            head,
+            keep_alive,
+            reader,
+            stage,
+            writer,
+        }
+    }
+
+    /// Returns the request's head.
+    #[must_use]
+    pub fn head(&self) -> &RequestHead {
+        &self.head
+    }
+
+    /// Returns the value of a request header as text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head
+            .headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    }
+
+    /// Tells whether the connection may serve another request afterwards.
+    #[must_use]
+    pub fn is_reusable(&self) -> bool {
+        self.keep_alive && self.stage == ResponseStage::Finished && self.framing.is_finished()
+    }
+
+    /// Tells whether the head of a response has been written.
+    #[must_use]
+    pub fn has_responded(&self) -> bool {
+        self.stage != ResponseStage::Waiting
+    }
+
+    /// Closes the connection after this exchange.
+    pub fn close_afterwards(&mut self) {
+        self.keep_alive = false;
+    }
+
+    /// Reads the whole body of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// `BodyTooLarge` over the limit; faults of the connection.
+    pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, HttpFault> {
+        if self
+            .framing
+            .declared_length()
+            .is_some_and(|length| length > limit as u64)
+        {
+            return Err(HttpFault::BodyTooLarge);
+        }
+        self.invite_body().await?;
+        self.reader.read_body(&mut self.framing, limit).await
+    }
+
+    /// Reads the next piece of the body, or `None` at its end.
+    ///
+    /// # Errors
+    /// Faults of the connection, `Truncated` among them.
+    pub async fn read_piece(&mut self) -> Result<Option<Bytes>, HttpFault> {
+        self.invite_body().await?;
+        self.reader.read_piece(&mut self.framing).await
+    }
+
+    /// Resolves when the caller has gone away; call it only after the body has been read.
+    pub async fn closed(&mut self) {
+        self.reader.closed().await;
+    }
+
+    /// Answers with a whole body.
+    ///
+    /// # Errors
+    /// Faults of the connection.
+    pub async fn respond(
+        &mut self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        body: &Bytes,
+    ) -> Result<(), HttpFault> {
+        let headers = self.response_headers(headers);
+        let bodiless = self.head.method == Method::HEAD;
+        self.writer
+            .write_response(status, &headers, body, bodiless)
+            .await?;
+        self.stage = ResponseStage::Finished;
+        Ok(())
+    }
+
+    /// Begins an answer whose body follows in pieces.
+    ///
+    /// # Errors
+    /// Faults of the connection; `Malformed` for a caller that cannot read chunks.
+    pub async fn start_stream(
+        &mut self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<(), HttpFault> {
+        if self.head.version != http::Version::HTTP_11 {
+            return Err(HttpFault::Malformed("streamed answers need HTTP/1.1"));
+        }
+        let headers = self.response_headers(headers);
+        self.writer.write_stream_head(status, &headers).await?;
+        self.stage = ResponseStage::Streaming;
+        Ok(())
+    }
+
+    /// Sends one piece of the answer.
+    ///
+    /// # Errors
+    /// Faults of the connection.
+    pub async fn send_piece(&mut self, piece: &Bytes) -> Result<(), HttpFault> {
+        self.writer.write_chunk(piece).await
+    }
+
+    /// Ends the answer's body; without this call the caller sees a truncated message.
+    ///
+    /// # Errors
+    /// Faults of the connection.
+    pub async fn finish_stream(&mut self) -> Result<(), HttpFault> {
+        self.writer.write_last_chunk().await?;
+        self.stage = ResponseStage::Finished;
+        Ok(())
+    }
+
+    /// Sends `100 Continue` once if the caller waits for it.
+    async fn invite_body(&mut self) -> Result<(), HttpFault> {
+        if std::mem::take(&mut self.expects_continue) && !self.framing.is_finished() {
+            self.writer.write_continue().await?;
+        }
+        Ok(())
+    }
+
+    /// Adds the connection's own header to those of the answer.
+    fn response_headers(&self, headers: &HeaderMap) -> HeaderMap {
+        let mut headers = headers.clone();
+        // A body that nobody read would be taken for the next request.
+        if !self.keep_alive || !self.framing.is_finished() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        headers
+    }
+}
+
+/// Tells whether the request leaves the connection open.
+fn wants_keep_alive(head: &RequestHead) -> bool {
+    let connection = head
+        .headers
+        .get(CONNECTION)
+        .map_or(&b""[..], HeaderValue::as_bytes);
+    if head.version == http::Version::HTTP_11 {
+        !connection.eq_ignore_ascii_case(b"close")
+    } else {
+        // The writer answers in HTTP/1.1 framing, so an older peer gets one request a connection.
+        false
+    }
+}
--- /dev/null
+++ b/crates/http/src/gate.rs
@@ -0,0 +1,92 @@
+//! Counts running exchanges and tells idle connections to end.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::timeout;
+use tokio::sync::Notify;
+
+/// Shared state of a server's graceful shutdown; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct DrainGate {
+    state: Rc<GateState>,
+}
+
+/// What the clones of a gate share.
+#[derive(Debug, Default)]
+struct GateState {
+    active: Cell<usize>,
+    changed: Notify,
+    draining: Cell<bool>,
+}
+
+impl DrainGate {
+    /// Tells whether the shutdown has begun.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.state.draining.get()
+    }
+
+    /// Begins the shutdown: idle connections end, no new ones are accepted.
+    pub fn start_drain(&self) {
+        self.state.draining.set(true);
+        self.state.changed.notify_waiters();
+    }
+
+    /// Returns the number of exchanges that are being answered.
+    #[must_use]
+    pub fn active(&self) -> usize {
+        self.state.active.get()
+    }
+
+    /// Resolves when the shutdown begins.
+    pub async fn draining(&self) {
+        loop {
+            let changed = self.state.changed.notified();
+            if self.is_draining() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits until no exchange runs, at most for `limit`; tells whether none is left.
+    pub async fn wait_until_idle(&self, limit: Duration) -> bool {
+        timeout(limit, self.idle()).await.is_ok()
+    }
+
+    /// Counts an exchange until the returned guard is dropped.
+    #[must_use]
+    pub fn enter(&self) -> ExchangeGuard {
+        self.state.active.set(self.state.active.get() + 1);
+        ExchangeGuard { gate: self.clone() }
+    }
+
+    /// Resolves when no exchange runs.
+    async fn idle(&self) {
+        loop {
+            let changed = self.state.changed.notified();
+            if self.active() == 0 {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+/// Holds one exchange open in its gate.
+#[derive(Debug)]
+pub struct ExchangeGuard {
+    gate: DrainGate,
+}
+
+impl Drop for ExchangeGuard {
+    fn drop(&mut self) {
+        let state = &self.gate.state;
+        state.active.set(state.active.get() - 1);
+        if state.active.get() == 0 {
+            state.changed.notify_waiters();
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,31 @@
+//! HTTP/1.1 connections with bounds.
+//!
+//! The message grammar comes from `monoio-http`'s decoders. This crate adds what they leave to
+//! their caller: bounds on heads and bodies, time limits, refusal of ambiguous framing, detection
+//! of truncated messages, and connection reuse.
+
+mod client;
+mod exchange;
+mod fault;
+mod framing;
+mod gate;
+mod limits;
+mod pool;
+mod reader;
+mod server;
+mod writer;
+
+pub use crate::client::ClientConnection;
+pub use crate::client::ClientRequest;
+pub use crate::client::ClientResponse;
+pub use crate::exchange::ServerExchange;
+pub use crate::fault::HttpFault;
+pub use crate::framing::BodyFraming;
+pub use crate::gate::DrainGate;
+pub use crate::limits::HttpLimits;
+pub use crate::pool::ConnectionPool;
+pub use crate::reader::HttpReader;
+pub use crate::server::HttpServer;
+pub use crate::server::RequestHandler;
+pub use crate::server::bind_listener;
+pub use crate::writer::HttpWriter;
--- /dev/null
+++ b/crates/http/src/reader.rs
@@ -0,0 +1,285 @@
+//! The receiving half of a connection.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::request::Parts as RequestHead;
+use http::response::Parts as ResponseHead;
+use monoio::io::AsyncReadRent;
+use monoio::time::timeout;
+use monoio_codec::Decoded;
+use monoio_codec::Decoder;
+use monoio_http::h1::codec::decoder::DecodeError;
+use monoio_http::h1::codec::decoder::RequestHeadDecoder;
+use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
+
+use crate::BodyFraming;
+use crate::HttpFault;
+use crate::HttpLimits;
+
+/// Bytes asked of the socket while a head is awaited; small, since most connections are idle.
+const HEAD_READ_BYTES: usize = 4 * 1024;
+
+/// Bytes asked of the socket inside a body.
+const BODY_READ_BYTES: usize = 32 * 1024;
+
+/// Longest accepted chunk of a chunked body, in bytes.
+const CHUNK_BYTES: usize = 4 * 1024 * 1024;
+
+/// Bytes that a peer may send ahead while its current request is being answered.
+const READ_AHEAD_BYTES: usize = 64 * 1024;
+
+/// Reads messages from one half of a connection.
+pub struct HttpReader<R> {
+    buffer: BytesMut,
+    half: R,
+    limits: HttpLimits,
+}
+
+impl<R: AsyncReadRent> HttpReader<R> {
+    /// Wraps the receiving half of a connection.
+    pub fn new(half: R, limits: HttpLimits) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            half,
+            limits,
+        }
+    }
+
+    /// Waits until the first byte of the next message is there.
+    ///
+    /// # Errors
+    /// `Closed` if the peer ends the connection or stays idle for too long.
+    pub async fn wait_for_message(&mut self) -> Result<(), HttpFault> {
+        if !self.buffer.is_empty() {
+            return Ok(());
+        }
+        match timeout(self.limits.idle_timeout, self.fill(HEAD_READ_BYTES)).await {
+            Err(_) | Ok(Ok(0)) => Err(HttpFault::Closed),
+            Ok(result) => result.map(|_| ()),
+        }
+    }
+
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    /// Refuses heads that are too large, too slow or not HTTP/1.
+    pub async fn read_request_head(&mut self) -> Result<RequestHead, HttpFault> {
+        self.fill_head().await?;
+        self.check_head()?;
+        finish_head(RequestHeadDecoder.decode(&mut self.buffer))
+    }
+
+    /// Reads the head of a response, which has to begin within `patience`.
+    ///
+    /// # Errors
+    /// `TimedOut` when no byte came in time; else as for a request's head.
+    pub async fn read_response_head(
+        &mut self,
+        patience: Duration,
+    ) -> Result<ResponseHead, HttpFault> {
+        if self.buffer.is_empty() {
+            match timeout(patience, self.fill(HEAD_READ_BYTES)).await {
+                Err(_) => return Err(HttpFault::TimedOut("response head")),
+                Ok(Ok(0)) => return Err(HttpFault::Closed),
+                Ok(result) => result?,
+            };
+        }
+        self.fill_head().await?;
+        self.check_head()?;
+        finish_head(ResponseHeadDecoder.decode(&mut self.buffer))
+    }
+
+    /// Reads the next piece of a body, or `None` at its end.
+    ///
+    /// # Errors
+    /// `Truncated` if the connection ends before the body does.
+    pub async fn read_piece(
+        &mut self,
+        framing: &mut BodyFraming,
+    ) -> Result<Option<Bytes>, HttpFault> {
+        match framing {
+            BodyFraming::Empty => Ok(None),
+            BodyFraming::Fixed(left) => {
+                let piece = self.fixed_piece(*left).await?;
+                *left -= piece.len() as u64;
+                if *left == 0 {
+                    *framing = BodyFraming::Empty;
+                }
+                Ok(Some(piece))
+            }
+            BodyFraming::Chunked(decoder) => {
+                let mut decoder = std::mem::take(decoder);
+                let piece = self.chunked_piece(&mut decoder).await?;
+                *framing = match piece {
+                    Some(_) => BodyFraming::Chunked(decoder),
+                    None => BodyFraming::Empty,
+                };
+                Ok(piece)
+            }
+            BodyFraming::UntilClose => {
+                let piece = self.closing_piece().await?;
+                if piece.is_none() {
+                    *framing = BodyFraming::Empty;
+                }
+                Ok(piece)
+            }
+        }
+    }
+
+    /// Reads a whole body of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// `BodyTooLarge` over the limit, before the excess is buffered.
+    pub async fn read_body(
+        &mut self,
+        framing: &mut BodyFraming,
+        limit: usize,
+    ) -> Result<Bytes, HttpFault> {
+        if framing
+            .declared_length()
+            .is_some_and(|length| length > limit as u64)
+        {
+            return Err(HttpFault::BodyTooLarge);
+        }
+        let mut body = BytesMut::new();
+        while let Some(piece) = self.read_piece(framing).await? {
+            if framing.is_finished() && body.is_empty() {
+                return Ok(piece);
+            }
+            if body.len() + piece.len() > limit {
+                return Err(HttpFault::BodyTooLarge);
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body.freeze())
+    }
+
+    /// Resolves when the peer has gone away; keeps a bounded amount of what it sends meanwhile.
+    pub async fn closed(&mut self) {
+        while self.buffer.len() < READ_AHEAD_BYTES {
+            if let Ok(0) | Err(_) = self.fill(HEAD_READ_BYTES).await {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Reads until the buffer holds a whole head.
+    async fn fill_head(&mut self) -> Result<(), HttpFault> {
+        let limit = self.limits.head_timeout;
+        match timeout(limit, self.fill_head_untimed()).await {
+            Err(_) => Err(HttpFault::TimedOut("message head")),
+            Ok(result) => result,
+        }
+    }
+
+    /// Reads until the buffer holds a whole head, however long that takes.
+    async fn fill_head_untimed(&mut self) -> Result<(), HttpFault> {
+        let mut searched = 0;
+        loop {
+            if find_head_end(&self.buffer, searched).is_some() {
+                return Ok(());
+            }
+            if self.buffer.len() >= self.limits.head_bytes {
+                return Err(HttpFault::HeadTooLarge);
+            }
+            searched = self.buffer.len().saturating_sub(3);
+            if self.fill(HEAD_READ_BYTES).await? == 0 {
+                return Err(HttpFault::Truncated);
+            }
+        }
+    }
+
+    /// Checks the size of the buffered head before it is decoded.
+    fn check_head(&self) -> Result<(), HttpFault> {
+        let end = find_head_end(&self.buffer, 0).unwrap_or(self.buffer.len());
+        if end > self.limits.head_bytes {
+            return Err(HttpFault::HeadTooLarge);
+        }
+        let lines = memchr::memchr_iter(b'\n', &self.buffer[..end]).count();
+        if lines > self.limits.header_fields + 2 {
+            return Err(HttpFault::HeadTooLarge);
+        }
+        Ok(())
+    }
+
+    /// Takes at most `left` bytes of a body with a declared length.
+    async fn fixed_piece(&mut self, left: u64) -> Result<Bytes, HttpFault> {
+        if self.buffer.is_empty() {
+            self.fill_body().await?;
+        }
+        let length = left.min(self.buffer.len() as u64);
+        Ok(self.buffer.split_to(length as usize).freeze())
+    }
+
+    /// Takes the next chunk of a chunked body.
+    async fn chunked_piece(
+        &mut self,
+        decoder: &mut monoio_http::h1::codec::decoder::ChunkedBodyDecoder,
+    ) -> Result<Option<Bytes>, HttpFault> {
+        loop {
+            match decoder.decode(&mut self.buffer) {
+                Ok(Decoded::Some(piece)) => return Ok(piece),
+                Ok(_) => {}
+                Err(_) => return Err(HttpFault::Malformed("invalid chunk")),
+            }
+            if self.buffer.len() > CHUNK_BYTES {
+                return Err(HttpFault::BodyTooLarge);
+            }
+            self.fill_body().await?;
+        }
+    }
+
+    /// Takes the next bytes of a body that ends with the connection.
+    async fn closing_piece(&mut self) -> Result<Option<Bytes>, HttpFault> {
+        if self.buffer.is_empty() && self.timed_fill().await? == 0 {
+            return Ok(None);
+        }
+        Ok(Some(self.buffer.split().freeze()))
+    }
+
+    /// Reads more of a body that has to go on.
+    async fn fill_body(&mut self) -> Result<(), HttpFault> {
+        match self.timed_fill().await? {
+            0 => Err(HttpFault::Truncated),
+            _ => Ok(()),
+        }
+    }
+
+    /// Reads within the body's time limit and returns the number of bytes.
+    async fn timed_fill(&mut self) -> Result<usize, HttpFault> {
+        let limit = self.limits.body_timeout;
+        match timeout(limit, self.fill(BODY_READ_BYTES)).await {
+            Err(_) => Err(HttpFault::TimedOut("message body")),
+            Ok(result) => result,
+        }
+    }
+
+    /// Reads once into the buffer and returns the number of bytes, 0 at the end.
+    async fn fill(&mut self, capacity: usize) -> Result<usize, HttpFault> {
+        let scratch = Vec::with_capacity(capacity);
+        let (result, scratch) = self.half.read(scratch).await;
+        let length = result?;
+        self.buffer.extend_from_slice(&scratch[..length]);
+        Ok(length)
+    }
+}
+
+/// Finds the end of a message head in `buffer`, searching from `from`.
+fn find_head_end(buffer: &[u8], from: usize) -> Option<usize> {
+    let found = memchr::memmem::find(&buffer[from..], b"\r\n\r\n");
+    found.map(|position| from + position + 4)
+}
+
+/// Turns the decoder's answer on a whole head into ours.
+fn finish_head<T>(decoded: Result<Decoded<T>, DecodeError>) -> Result<T, HttpFault> {
+    match decoded {
+        Ok(Decoded::Some(head)) => Ok(head),
+        Ok(_) => Err(HttpFault::Malformed("incomplete head")),
+        Err(DecodeError::Method(_)) => Err(HttpFault::Malformed("invalid method")),
+        Err(DecodeError::Uri(_)) => Err(HttpFault::Malformed("invalid request target")),
+        Err(_) => Err(HttpFault::Malformed("invalid head")),
+    }
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,169 @@
+//! The accept loop and the life of a server connection.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::header::CONNECTION;
+use http::header::CONTENT_TYPE;
+use http::header::EXPECT;
+use monoio::io::OwnedWriteHalf;
+use monoio::io::Splitable;
+use monoio::net::ListenerOpts;
+use monoio::net::TcpListener;
+use monoio::net::TcpStream;
+
+use crate::BodyFraming;
+use crate::DrainGate;
+use crate::HttpFault;
+use crate::HttpLimits;
+use crate::HttpReader;
+use crate::HttpWriter;
+use crate::ServerExchange;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 4096;
+
+/// Answers the requests of a server.
+pub trait RequestHandler: 'static {
+    /// Answers one request; an error ends its connection.
+    fn handle(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+    ) -> impl Future<Output = Result<(), HttpFault>>;
+}
+
+/// Accepts connections and hands their requests to a handler.
+pub struct HttpServer<H> {
+    gate: DrainGate,
+    handler: Rc<H>,
+    limits: HttpLimits,
+    listener: TcpListener,
+}
+
+impl<H: RequestHandler> HttpServer<H> {
+    /// Creates a server on a bound listener.
+    pub fn new(listener: TcpListener, handler: Rc<H>, gate: DrainGate, limits: HttpLimits) -> Self {
+        Self {
+            gate,
+            handler,
+            limits,
+            listener,
+        }
+    }
+
+    /// Serves until the gate drains; running exchanges go on after that.
+    pub async fn run(self) {
+        loop {
+            monoio::select! {
+                () = self.gate.draining() => return,
+                accepted = self.listener.accept() => match accepted {
+                    Ok((stream, _)) => self.spawn_connection(stream),
+                    Err(error) => {
+                        log::warn!("accept failed: {error}");
+                        // Descriptors may have run out; a pause lets some connections end.
+                        monoio::time::sleep(std::time::Duration::from_millis(20)).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Serves one connection in a task of its own.
+    fn spawn_connection(&self, stream: TcpStream) {
+        let handler = Rc::clone(&self.handler);
+        let gate = self.gate.clone();
+        let limits = self.limits;
+        monoio::spawn(async move {
+            // Without it, small token messages wait for the acknowledgement of earlier ones.
+            let _ = stream.set_nodelay(true);
+            let (read_half, write_half) = stream.into_split();
+            let mut reader = HttpReader::new(read_half, limits);
+            let mut writer = HttpWriter::new(write_half, limits.write_timeout);
+            while serve_next(&*handler, &gate, &mut reader, &mut writer).await {}
+            writer.shutdown().await;
+        });
+    }
+}
+
+/// Binds a listener with address reuse.
+///
+/// # Errors
+/// Fails if the address is taken or not of this machine.
+pub fn bind_listener(address: SocketAddr) -> io::Result<TcpListener> {
+    let options = ListenerOpts::new()
+        .reuse_port(false)
+        .reuse_addr(true)
+        .backlog(BACKLOG);
+    TcpListener::bind_with_config(address, &options)
+}
+
+/// Serves the next request of a connection; tells whether another may follow.
+async fn serve_next<H: RequestHandler>(
+    handler: &H,
+    gate: &DrainGate,
+    reader: &mut HttpReader<monoio::io::OwnedReadHalf<TcpStream>>,
+    writer: &mut HttpWriter<OwnedWriteHalf<TcpStream>>,
+) -> bool {
+    // A request that has arrived is served even while draining, so arrival is checked first.
+    let arrived = monoio::select! {
+        biased;
+        result = reader.wait_for_message() => result.is_ok(),
+        () = gate.draining() => false,
+    };
+    if !arrived {
+        return false;
+    }
+    let _guard = gate.enter();
+    let head = match reader.read_request_head().await {
+        Ok(head) => head,
+        Err(fault) => return refuse(writer, &fault).await,
+    };
+    let framing = match check_request(&head.headers) {
+        Ok(framing) => framing,
+        Err(fault) => return refuse(writer, &fault).await,
+    };
+    let mut exchange = ServerExchange::new(head, framing, reader, writer);
+    if gate.is_draining() {
+        exchange.close_afterwards();
+    }
+    let result = handler.handle(&mut exchange).await;
+    let answered = exchange.has_responded();
+    let reusable = exchange.is_reusable();
+    match result {
+        Ok(()) => reusable && !gate.is_draining(),
+        Err(fault) if !answered => refuse(writer, &fault).await,
+        Err(_) => false,
+    }
+}
+
+/// Checks what the decoder leaves unchecked and finds the body's framing.
+fn check_request(headers: &HeaderMap) -> Result<BodyFraming, HttpFault> {
+    if let Some(expectation) = headers.get(EXPECT)
+        && !expectation.as_bytes().eq_ignore_ascii_case(b"100-continue")
+    {
+        return Err(HttpFault::ExpectationFailed);
+    }
+    BodyFraming::of_request(headers)
+}
+
+/// Tells the caller about a fault, if it can still hear, and ends the connection.
+async fn refuse(writer: &mut HttpWriter<OwnedWriteHalf<TcpStream>>, fault: &HttpFault) -> bool {
+    if let Some(status) = fault.status() {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let body = format!(
+            "{{\"error\":{{\"message\":\"{fault}\",\"reason\":\"{}\",\"run\":\"not_run\"}}}}",
+            fault.reason()
+        );
+        let _ = writer
+            .write_response(status, &headers, &Bytes::from(body), false)
+            .await;
+    }
+    false
+}
--- /dev/null
+++ b/crates/http/src/writer.rs
@@ -0,0 +1,180 @@
+//! The sending half of a connection.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
+use monoio::io::AsyncWriteRent;
+use monoio::io::AsyncWriteRentExt;
+use monoio::time::timeout;
+
+use crate::HttpFault;
+
+/// Pieces up to this size are copied behind their chunk header to save a system call, in bytes.
+const COPY_BYTES: usize = 16 * 1024;
+
+/// Writes messages to one half of a connection.
+///
+/// The library's encoder holds back the pieces of a stream until eight kilobytes have come
+/// together, which would delay tokens, so heads and chunks are written here.
+pub struct HttpWriter<W> {
+    half: W,
+    write_timeout: Duration,
+}
+
+impl<W: AsyncWriteRent> HttpWriter<W> {
+    /// Wraps the sending half of a connection.
+    pub fn new(half: W, write_timeout: Duration) -> Self {
+        Self {
+            half,
+            write_timeout,
+        }
+    }
+
+    /// Writes a request with its whole body.
+    ///
+    /// # Errors
+    /// Fails if the connection does, or if the peer does not take the bytes in time.
+    pub async fn write_request(
+        &mut self,
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: &Bytes,
+    ) -> Result<(), HttpFault> {
+        let mut head = BytesMut::with_capacity(256 + body.len().min(COPY_BYTES));
+        head.extend_from_slice(method.as_str().as_bytes());
+        head.extend_from_slice(b" ");
+        head.extend_from_slice(path.as_bytes());
+        head.extend_from_slice(b" HTTP/1.1\r\n");
+        put_headers(&mut head, headers);
+        put_length(&mut head, body.len());
+        self.write_with_body(head, body).await
+    }
+
+    /// Writes a response with its whole body.
+    ///
+    /// # Errors
+    /// Fails if the connection does, or if the peer does not take the bytes in time.
+    pub async fn write_response(
+        &mut self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        body: &Bytes,
+        bodiless: bool,
+    ) -> Result<(), HttpFault> {
+        let mut head = BytesMut::with_capacity(256 + body.len().min(COPY_BYTES));
+        put_status(&mut head, status);
+        put_headers(&mut head, headers);
+        put_length(&mut head, body.len());
+        let empty = Bytes::new();
+        self.write_with_body(head, if bodiless { &empty } else { body })
+            .await
+    }
+
+    /// Writes the head of a response whose body follows in chunks.
+    ///
+    /// # Errors
+    /// Fails if the connection does, or if the peer does not take the bytes in time.
+    pub async fn write_stream_head(
+        &mut self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<(), HttpFault> {
+        let mut head = BytesMut::with_capacity(256);
+        put_status(&mut head, status);
+        put_headers(&mut head, headers);
+        head.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
+        self.write(head.freeze()).await
+    }
+
+    /// Writes one chunk of a body; an empty piece writes nothing.
+    ///
+    /// # Errors
+    /// Fails if the connection does, or if the peer does not take the bytes in time.
+    pub async fn write_chunk(&mut self, piece: &Bytes) -> Result<(), HttpFault> {
+        if piece.is_empty() {
+            return Ok(());
+        }
+        let mut chunk = BytesMut::with_capacity(piece.len() + 16);
+        chunk.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+        chunk.extend_from_slice(piece);
+        chunk.extend_from_slice(b"\r\n");
+        self.write(chunk.freeze()).await
+    }
+
+    /// Writes the chunk that ends a body.
+    ///
+    /// # Errors
+    /// Fails if the connection does, or if the peer does not take the bytes in time.
+    pub async fn write_last_chunk(&mut self) -> Result<(), HttpFault> {
+        self.write(Bytes::from_static(b"0\r\n\r\n")).await
+    }
+
+    /// Invites the body of a request that waits for `100-continue`.
+    ///
+    /// # Errors
+    /// Fails if the connection does.
+    pub async fn write_continue(&mut self) -> Result<(), HttpFault> {
+        self.write(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"))
+            .await
+    }
+
+    /// Ends the sending direction.
+    pub async fn shutdown(&mut self) {
+        // The peer may be gone already, which is what a shutdown wants.
+        let _ = self.half.shutdown().await;
+    }
+
+    /// Writes a head and a body, together if the body is small.
+    async fn write_with_body(&mut self, mut head: BytesMut, body: &Bytes) -> Result<(), HttpFault> {
+        if body.len() <= COPY_BYTES {
+            head.extend_from_slice(body);
+            return self.write(head.freeze()).await;
+        }
+        self.write(head.freeze()).await?;
+        self.write(body.clone()).await
+    }
+
+    /// Writes all bytes within the time limit.
+    async fn write(&mut self, bytes: Bytes) -> Result<(), HttpFault> {
+        match timeout(self.write_timeout, self.half.write_all(bytes)).await {
+            Err(_) => Err(HttpFault::TimedOut("peer does not read")),
+            Ok((result, _)) => result.map(|_| ()).map_err(HttpFault::Io),
+        }
+    }
+}
+
+/// Appends a status line.
+fn put_status(head: &mut BytesMut, status: StatusCode) {
+    head.extend_from_slice(b"HTTP/1.1 ");
+    head.extend_from_slice(status.as_str().as_bytes());
+    head.extend_from_slice(b" ");
+    head.extend_from_slice(status.canonical_reason().unwrap_or("Status").as_bytes());
+    head.extend_from_slice(b"\r\n");
+}
+
+/// Appends header fields, except those that frame the body.
+fn put_headers(head: &mut BytesMut, headers: &HeaderMap) {
+    for (name, value) in headers {
+        if name == CONTENT_LENGTH || name == TRANSFER_ENCODING {
+            continue;
+        }
+        head.extend_from_slice(name.as_str().as_bytes());
+        head.extend_from_slice(b": ");
+        head.extend_from_slice(value.as_bytes());
+        head.extend_from_slice(b"\r\n");
+    }
+}
+
+/// Appends the body's length and the end of the head.
+fn put_length(head: &mut BytesMut, length: usize) {
+    head.extend_from_slice(b"content-length: ");
+    head.extend_from_slice(length.to_string().as_bytes());
+    head.extend_from_slice(b"\r\n\r\n");
+}
--- /dev/null
+++ b/crates/policy/src/batch/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,41 @@
+//! Every decision of the system, as deterministic state machines.
+//!
+//! Nothing here reads a clock, opens a socket, starts a thread or draws unseeded randomness. An
+//! input is a typed event with its time, an output is a list of typed commands. The runtime crates
+//! translate sockets and timers into events, and commands into calls, so tests and benches drive
+//! the same code that serves.
+
+pub mod admission;
+pub mod batch;
+pub mod config;
+pub mod flow;
+pub mod headers;
+pub mod lease;
+pub mod routing;
+
+mod execution_log;
+mod hybrid_clock;
+mod identity;
+mod load_reading;
+mod monotonic_time;
+mod outcome;
+mod random;
+
+pub use crate::execution_log::AdmitDecision;
+pub use crate::execution_log::ExecutionLog;
+pub use crate::execution_log::ExecutionState;
+pub use crate::hybrid_clock::ClockReading;
+pub use crate::hybrid_clock::HybridClock;
+pub use crate::identity::OrganisationId;
+pub use crate::identity::RequestKey;
+pub use crate::identity::TargetId;
+pub use crate::identity::TicketId;
+pub use crate::identity::WorkClass;
+pub use crate::identity::hash_token;
+pub use crate::identity::stable_hash;
+pub use crate::load_reading::LoadReading;
+pub use crate::monotonic_time::MonotonicTime;
+pub use crate::outcome::NotRunProof;
+pub use crate::outcome::RefusalReason;
+pub use crate::outcome::RunOutcome;
+pub use crate::random::SeededRandom;
--- /dev/null
+++ b/crates/policy/src/routing/mod.rs
@@ -0,0 +1,16 @@
+//! An entry's choice of the target for each request.
+
+mod outlier_detector;
+mod retry_budget;
+mod route_request;
+mod target_router;
+mod target_table;
+
+pub use self::outlier_detector::OutlierDetector;
+pub use self::retry_budget::RetryBudget;
+pub use self::route_request::RouteRequest;
+pub use self::route_request::RoutingPolicy;
+pub use self::target_router::TargetRouter;
+pub use self::target_table::TargetListing;
+pub use self::target_table::TargetRow;
+pub use self::target_table::TargetTable;
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,13 @@
+//! Starts the asynchronous runtime of a thread.
+//!
+//! Every serving thread runs one `monoio` runtime on epoll. The other driver of the library is
+//! never built, not even to look whether the kernel offers it.
+
+mod serving_thread;
+mod shutdown_signal;
+
+pub use crate::serving_thread::RuntimeFault;
+pub use crate::serving_thread::ServingThread;
+pub use crate::serving_thread::run_to_end;
+pub use crate::shutdown_signal::ShutdownSignal;
+pub use crate::shutdown_signal::watch_termination;
--- /dev/null
+++ b/crates/runtime/src/serving_thread.rs
@@ -0,0 +1,124 @@
+//! Threads with a runtime of their own.
+
+use std::fmt;
+use std::future::Future;
+use std::io;
+use std::sync::OnceLock;
+use std::thread::JoinHandle;
+
+use monoio::LegacyDriver;
+use monoio::RuntimeBuilder;
+use tokio::runtime::Handle;
+
+use crate::ShutdownSignal;
+
+/// The runtime that drives the timers of the remote-call library, one for all threads.
+static TIMER_RUNTIME: OnceLock<tokio::runtime::Runtime> = OnceLock::new();
+
+/// Why a runtime could not be started.
+#[derive(Debug)]
+pub struct RuntimeFault(io::Error);
+
+impl fmt::Display for RuntimeFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "the runtime cannot be started: {}", self.0)
+    }
+}
+
+impl std::error::Error for RuntimeFault {}
+
+/// Runs a future to its end on the current thread.
+///
+/// # Errors
+/// Fails if the machine gives the runtime no event queue or thread.
+pub fn run_to_end<F: Future>(future: F) -> Result<F::Output, RuntimeFault> {
+    let handle = timer_handle().map_err(RuntimeFault)?;
+    let _guard = handle.enter();
+    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
+    let mut runtime = builder.build().map_err(RuntimeFault)?;
+    Ok(runtime.block_on(future))
+}
+
+/// Returns a handle of the timer runtime, which one thread drives.
+fn timer_handle() -> io::Result<Handle> {
+    if let Some(runtime) = TIMER_RUNTIME.get() {
+        return Ok(runtime.handle().clone());
+    }
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let runtime = builder
+        .worker_threads(1)
+        .thread_name("timers")
+        .enable_time()
+        .build()?;
+    Ok(TIMER_RUNTIME.get_or_init(|| runtime).handle().clone())
+}
+
+/// A thread that serves until its shutdown signal is given.
+#[derive(Debug)]
+pub struct ServingThread {
+    join: Option<JoinHandle<()>>,
+    shutdown: ShutdownSignal,
+}
+
+impl ServingThread {
+    /// Starts a thread that runs the future which `start` makes of the shutdown signal.
+    ///
+    /// # Panics
+    /// Panics if the machine gives no thread.
+    pub fn spawn<S, F>(name: &str, start: S) -> Self
+    where
+        S: FnOnce(ShutdownSignal) -> F + Send + 'static,
+        F: Future<Output = ()>,
+    {
+        let shutdown = ShutdownSignal::new();
+        let given = shutdown.clone();
+        let body = move || {
+            if let Err(fault) = run_to_end(start(given)) {
+                log::error!("{fault}");
+            }
+        };
+        let join = std::thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(body);
+        Self {
+            join: Some(join.expect("the machine gives no thread")),
+            shutdown,
+        }
+    }
+
+    /// Asks the thread to end.
+    pub fn request_shutdown(&self) {
+        self.shutdown.give();
+    }
+
+    /// Waits until the thread ends by itself or by its signal.
+    pub fn wait(mut self) {
+        self.join_thread();
+    }
+
+    /// Asks the thread to end and waits until it has.
+    pub fn join(mut self) {
+        self.stop();
+    }
+
+    /// Gives the signal and waits.
+    fn stop(&mut self) {
+        self.shutdown.give();
+        self.join_thread();
+    }
+
+    /// Waits for the thread.
+    fn join_thread(&mut self) {
+        if let Some(join) = self.join.take()
+            && join.join().is_err()
+        {
+            log::error!("a serving thread panicked");
+        }
+    }
+}
+
+impl Drop for ServingThread {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,21 @@
+//! Settings and configuration documents: reading, checking, and findings with their place.
+//!
+//! A document is checked as a whole. Every finding names its file, line and column and says what
+//! to do, and all findings are reported together.
+
+mod document_reader;
+mod finding;
+mod fleet_document;
+mod server_settings;
+
+pub use crate::document_reader::DocumentReader;
+pub use crate::document_reader::SettingsDocument;
+pub use crate::finding::Finding;
+pub use crate::finding::FindingList;
+pub use crate::fleet_document::check_fleet_document;
+pub use crate::server_settings::AdmissionSection;
+pub use crate::server_settings::EntrySection;
+pub use crate::server_settings::PlatformSection;
+pub use crate::server_settings::RoleSection;
+pub use crate::server_settings::ServerSettings;
+pub use crate::server_settings::SidecarSection;
--- /dev/null
+++ b/crates/sidecar/src/request_handler.rs
@@ -0,0 +1,577 @@
+//! The life of one request at the sidecar.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use cv_http::ClientRequest;
+use cv_http::HttpFault;
+use cv_http::RequestHandler;
+use cv_http::ServerExchange;
+use cv_policy::AdmitDecision;
+use cv_policy::ExecutionState;
+use cv_policy::RefusalReason;
+use cv_policy::TicketId;
+use cv_policy::WorkClass;
+use cv_policy::admission::AdmissionEvent;
+use cv_policy::headers;
+use cv_settings::SidecarSection;
+use cv_timeline::EventKind;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::CONTENT_TYPE;
+use http::response::Parts as ResponseHead;
+use serde_json::json;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::message_labels::MessageLabels;
+use crate::sidecar_state::SidecarState;
+use crate::sidecar_state::TicketSignal;
+use crate::target_exchange::TargetExchange;
+use crate::target_exchange::TargetLink;
+use crate::target_exchange::end_to_end_headers;
+
+/// Answers up to this size are read whole before the first byte is passed on, in bytes.
+const WHOLE_ANSWER_BYTES: u64 = 256 * 1024;
+
+/// Words of the rest of a prompt that count as one unit of cost.
+const BYTES_PER_COST: usize = 64;
+
+/// Time that a target has beyond the deadline before its answer is given up.
+const DEADLINE_GRACE: Duration = Duration::from_millis(250);
+
+/// The event that ends the stream of a preempted batch request.
+const PREEMPTED_EVENT: &[u8] = b"event: preempted\ndata: {}\n\n";
+
+/// Answers the requests that entries send to the sidecar.
+pub(crate) struct SidecarHandler {
+    link: TargetLink,
+    max_body: usize,
+    state: Rc<SidecarState>,
+}
+
+/// How the target's part of a request ended.
+enum TargetEnd {
+    /// The whole answer was passed on.
+    Answered,
+    /// The batch request gave its slot back.
+    Preempted,
+    /// Nobody waits any more.
+    Cancelled,
+    /// The target could not be reached, so it got nothing.
+    NotReached,
+    /// The request was voided before the hand-over.
+    Voided,
+    /// The target got the request and its answer is not whole; says whether a part was passed on.
+    Lost(HttpFault),
+}
+
+impl SidecarHandler {
+    /// Creates the handler of a sidecar.
+    pub fn new(state: Rc<SidecarState>, max_body: usize) -> Self {
+        let link = TargetLink::new(state.section.target);
+        Self {
+            link,
+            max_body,
+            state,
+        }
+    }
+
+    /// Queues a request, runs it when its turn comes and answers it.
+    async fn serve(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        labels: &MessageLabels,
+        body: Bytes,
+    ) -> Result<(), HttpFault> {
+        if !labels.repeatable {
+            let decision = self.state.log.borrow_mut().admit(
+                self.state.clock.now(),
+                labels.key,
+                labels.attempt,
+            );
+            if let AdmitDecision::Duplicate(state) = decision {
+                return self.answer_duplicate(exchange, labels, state).await;
+            }
+        }
+        self.record(EventKind::AttemptQueued, labels, || {
+            format!("attempt={}", labels.attempt)
+        });
+        let queued = Instant::now();
+        let cost = 1 + (body.len() / BYTES_PER_COST) as u32;
+        let (ticket, mut signals) =
+            self.state
+                .enqueue(labels, cost, is_preemptible(&self.state.section, labels));
+        let signal = monoio::select! {
+            biased;
+            signal = signals.recv() => signal,
+            () = exchange.closed() => {
+                self.state.handle(AdmissionEvent::Abandoned(ticket));
+                Some(TicketSignal::Cancel)
+            }
+        };
+        let result = match signal {
+            Some(TicketSignal::Start) => {
+                self.state
+                    .metrics
+                    .wait
+                    .observe(queued.elapsed().as_secs_f64());
+                self.run(exchange, labels, body, ticket, &mut signals).await
+            }
+            Some(TicketSignal::Refuse(reason, after)) => {
+                self.refuse(exchange, labels, reason, after).await
+            }
+            _ => {
+                self.refuse_silently(labels);
+                Err(HttpFault::Closed)
+            }
+        };
+        self.state.handle(AdmissionEvent::Finished(ticket));
+        self.state.release(ticket);
+        result
+    }
+
+    /// Hands a request to the target and passes the answer on.
+    async fn run(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        labels: &MessageLabels,
+        body: Bytes,
+        ticket: TicketId,
+        signals: &mut UnboundedReceiver<TicketSignal>,
+    ) -> Result<(), HttpFault> {
+        let request = target_request(exchange, labels, body);
+        let end = self
+            .exchange_with_target(exchange, labels, &request, ticket, signals)
+            .await;
+        let outcome = match &end {
+            TargetEnd::Answered => "completed",
+            TargetEnd::Preempted => "preempted",
+            TargetEnd::Cancelled => "cancelled",
+            TargetEnd::NotReached | TargetEnd::Voided => "not_run",
+            TargetEnd::Lost(_) => "lost",
+        };
+        self.count(labels, outcome);
+        match end {
+            TargetEnd::Answered => {
+                self.finish(labels, true);
+                Ok(())
+            }
+            TargetEnd::Preempted => {
+                self.record(EventKind::Preempted, labels, String::new);
+                Ok(())
+            }
+            TargetEnd::Cancelled => {
+                self.finish(labels, false);
+                Err(HttpFault::Closed)
+            }
+            TargetEnd::NotReached | TargetEnd::Voided => {
+                self.refuse(exchange, labels, RefusalReason::TargetDown, None)
+                    .await
+            }
+            // A part of the answer has gone out: only a cut connection says that the rest is lost.
+            TargetEnd::Lost(fault) if exchange.has_responded() => Err(fault),
+            TargetEnd::Lost(fault) => {
+                let headers = self.answer_headers(labels, "unknown", fault.reason());
+                self.answer_error(exchange, StatusCode::BAD_GATEWAY, &headers, "unknown")
+                    .await
+            }
+        }
+    }
+
+    /// Makes the exchange with the target.
+    async fn exchange_with_target(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        labels: &MessageLabels,
+        request: &ClientRequest,
+        ticket: TicketId,
+        signals: &mut UnboundedReceiver<TicketSignal>,
+    ) -> TargetEnd {
+        let Ok(mut target) = self.link.open(labels.repeatable).await else {
+            return TargetEnd::NotReached;
+        };
+        if !labels.repeatable && !self.state.log.borrow_mut().hand_over(labels.key) {
+            return TargetEnd::Voided;
+        }
+        self.record(EventKind::HandedOver, labels, String::new);
+        let patience = labels.deadline + DEADLINE_GRACE;
+        let answer = async {
+            target.send(request).await?;
+            target.read_head(patience).await
+        };
+        let head = monoio::select! {
+            head = answer => head,
+            () = exchange.closed() => return TargetEnd::Cancelled,
+            signal = signals.recv() => return self.give_back(exchange, labels, signal).await,
+        };
+        let head = match head {
+            Ok(head) => head,
+            Err(fault) => return TargetEnd::Lost(fault),
+        };
+        let end = if is_whole(&head) {
+            self.pass_whole(exchange, labels, &mut target, head, ticket)
+                .await
+        } else {
+            self.pass_stream(exchange, labels, &mut target, head, ticket, signals)
+                .await
+        };
+        if matches!(end, TargetEnd::Answered) {
+            self.link.close(target);
+        }
+        end
+    }
+
+    /// Passes on an answer of known and moderate length, once it is whole.
+    async fn pass_whole(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        labels: &MessageLabels,
+        target: &mut TargetExchange,
+        head: ResponseHead,
+        ticket: TicketId,
+    ) -> TargetEnd {
+        let mut body = BytesMut::new();
+        loop {
+            let piece = monoio::select! {
+                piece = target.read_piece() => piece,
+                () = exchange.closed() => return TargetEnd::Cancelled,
+            };
+            match piece {
+                Ok(Some(piece)) => body.extend_from_slice(&piece),
+                Ok(None) => break,
+                Err(fault) => return TargetEnd::Lost(fault),
+            }
+        }
+        self.state.handle(AdmissionEvent::Responded(ticket));
+        let headers = self.pass_headers(labels, &head);
+        match exchange
+            .respond(head.status, &headers, &body.freeze())
+            .await
+        {
+            Ok(()) => TargetEnd::Answered,
+            Err(_) => TargetEnd::Cancelled,
+        }
+    }
+
+    /// Passes on an answer piece by piece.
+    async fn pass_stream(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        labels: &MessageLabels,
+        target: &mut TargetExchange,
+        head: ResponseHead,
+        ticket: TicketId,
+        signals: &mut UnboundedReceiver<TicketSignal>,
+    ) -> TargetEnd {
+        let headers = self.pass_headers(labels, &head);
+        if exchange.start_stream(head.status, &headers).await.is_err() {
+            return TargetEnd::Cancelled;
+        }
+        let mut tokens = 0;
+        loop {
+            let piece = monoio::select! {
+                biased;
+                signal = signals.recv() => return self.give_back(exchange, labels, signal).await,
+                piece = target.read_piece() => piece,
+                () = exchange.closed() => return TargetEnd::Cancelled,
+            };
+            match piece {
+                Ok(Some(piece)) => {
+                    if tokens == 0 {
+                        self.state.handle(AdmissionEvent::Responded(ticket));
+                    }
+                    tokens += count_events(&piece).max(1);
+                    if labels.class == WorkClass::Batch {
+                        self.state
+                            .handle(AdmissionEvent::Progressed(ticket, tokens));
+                    }
+                    if exchange.send_piece(&piece).await.is_err() {
+                        return TargetEnd::Cancelled;
+                    }
+                }
+                Ok(None) => break,
+                Err(fault) => return TargetEnd::Lost(fault),
+            }
+        }
+        match exchange.finish_stream().await {
+            Ok(()) => TargetEnd::Answered,
+            Err(_) => TargetEnd::Cancelled,
+        }
+    }
+
+    /// Ends a batch request's answer where it is, so that its entry can continue it later.
+    async fn give_back(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        labels: &MessageLabels,
+        signal: Option<TicketSignal>,
+    ) -> TargetEnd {
+        if signal != Some(TicketSignal::Preempt) {
+            return TargetEnd::Cancelled;
+        }
+        if !exchange.has_responded() {
+            let headers = self.answer_headers(labels, "not_run", RefusalReason::NoSlack.as_str());
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return match self
+                .answer_error(exchange, status, &headers, "not_run")
+                .await
+            {
+                Ok(()) => TargetEnd::Preempted,
+                Err(_) => TargetEnd::Cancelled,
+            };
+        }
+        let sent = exchange
+            .send_piece(&Bytes::from_static(PREEMPTED_EVENT))
+            .await;
+        if sent.is_ok() && exchange.finish_stream().await.is_ok() {
+            TargetEnd::Preempted
+        } else {
+            TargetEnd::Cancelled
+        }
+    }
+
+    /// Tells what became of the first request with this key.
+    async fn answer_duplicate(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        labels: &MessageLabels,
+        state: ExecutionState,
+    ) -> Result<(), HttpFault> {
+        let run = match state {
+            ExecutionState::Completed => "completed",
+            ExecutionState::Failed => "failed",
+            // A voided attempt may have been followed by another one elsewhere.
+            ExecutionState::Voided
+            | ExecutionState::Queued
+            | ExecutionState::HandedOver
+            | ExecutionState::Refused => "unknown",
+        };
+        self.count(labels, "duplicate");
+        let headers = self.answer_headers(labels, run, RefusalReason::Duplicate.as_str());
+        self.answer_error(exchange, StatusCode::CONFLICT, &headers, run)
+            .await
+    }
+
+    /// Refuses a request that was not handed over.
+    async fn refuse(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        labels: &MessageLabels,
+        reason: RefusalReason,
+        after: Option<Duration>,
+    ) -> Result<(), HttpFault> {
+        self.refuse_silently(labels);
+        self.count(labels, "refused");
+        self.record(EventKind::Refused, labels, || {
+            format!("reason={}", reason.as_str())
+        });
+        let mut headers = self.answer_headers(labels, "not_run", reason.as_str());
+        if let Some(after) = after {
+            put(
+                &mut headers,
+                headers::RETRY_AFTER_MS,
+                &after.as_millis().to_string(),
+            );
+        }
+        self.answer_error(
+            exchange,
+            StatusCode::SERVICE_UNAVAILABLE,
+            &headers,
+            "not_run",
+        )
+        .await
+    }
+
+    /// Notes in the log that a request was not handed over.
+    fn refuse_silently(&self, labels: &MessageLabels) {
+        if !labels.repeatable {
+            self.state.log.borrow_mut().refuse(labels.key);
+        }
+    }
+
+    /// Notes in the log how a request that was handed over ended.
+    fn finish(&self, labels: &MessageLabels, completed: bool) {
+        if !labels.repeatable {
+            self.state.log.borrow_mut().finish(labels.key, completed);
+        }
+    }
+
+    /// Answers with an error in JSON.
+    async fn answer_error(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        status: StatusCode,
+        headers: &HeaderMap,
+        run: &str,
+    ) -> Result<(), HttpFault> {
+        let reason = headers
+            .get(headers::REASON)
+            .and_then(|value| value.to_str().ok());
+        let body = json!({"error": {"reason": reason, "run": run}}).to_string();
+        exchange.respond(status, headers, &Bytes::from(body)).await
+    }
+
+    /// Returns the headers of an answer that comes from the target.
+    fn pass_headers(&self, labels: &MessageLabels, head: &ResponseHead) -> HeaderMap {
+        let mut headers = end_to_end_headers(&head.headers);
+        self.put_own_headers(&mut headers, labels, "completed");
+        headers
+    }
+
+    /// Returns the headers of an answer that comes from the sidecar.
+    fn answer_headers(&self, labels: &MessageLabels, run: &str, reason: &str) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        self.put_own_headers(&mut headers, labels, run);
+        put(&mut headers, headers::REASON, reason);
+        headers
+    }
+
+    /// Adds what every answer of the sidecar carries.
+    fn put_own_headers(&self, headers: &mut HeaderMap, labels: &MessageLabels, run: &str) {
+        put(headers, headers::RUN, run);
+        put(headers, headers::LOAD, &self.state.reading().encode());
+        put(headers, headers::CLOCK, &self.state.events.stamp().encode());
+        put(
+            headers,
+            headers::INCARNATION,
+            &self.state.incarnation.to_string(),
+        );
+        put(headers, headers::REQUEST_ID, &labels.request_id);
+    }
+
+    /// Counts a request's outcome.
+    fn count(&self, labels: &MessageLabels, outcome: &str) {
+        let class = if labels.class == WorkClass::Batch {
+            "batch"
+        } else {
+            "online"
+        };
+        self.state
+            .metrics
+            .outcomes
+            .with_label_values(&[class, outcome])
+            .inc();
+    }
+
+    /// Records an event about a request.
+    fn record(&self, kind: EventKind, labels: &MessageLabels, detail: impl FnOnce() -> String) {
+        if self.state.events.is_enabled() {
+            self.state.events.record(kind, &labels.request_id, detail());
+        }
+    }
+
+    /// Answers the paths that are about the sidecar itself.
+    async fn serve_own(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        path: &str,
+    ) -> Result<(), HttpFault> {
+        let empty = HeaderMap::new();
+        match path {
+            "/-/metrics" => {
+                let text = self.state.metrics.render(&self.state.reading());
+                exchange
+                    .respond(StatusCode::OK, &empty, &Bytes::from(text))
+                    .await
+            }
+            "/-/ready" if !self.state.target_up.get() || self.state.is_leaving() => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                exchange
+                    .respond(status, &empty, &Bytes::from_static(b"not ready\n"))
+                    .await
+            }
+            "/-/ready" | "/-/health" => {
+                exchange
+                    .respond(StatusCode::OK, &empty, &Bytes::from_static(b"ok\n"))
+                    .await
+            }
+            _ => {
+                exchange
+                    .respond(StatusCode::NOT_FOUND, &empty, &Bytes::new())
+                    .await
+            }
+        }
+    }
+}
+
+impl RequestHandler for SidecarHandler {
+    async fn handle(&self, exchange: &mut ServerExchange<'_>) -> Result<(), HttpFault> {
+        let path = exchange.head().uri.path().to_owned();
+        if path.starts_with("/-/") {
+            exchange.read_body(0).await?;
+            return self.serve_own(exchange, &path).await;
+        }
+        let labels = MessageLabels::read(exchange);
+        if let Some(clock) = labels.clock {
+            self.state.events.observe(clock);
+        }
+        let known = exchange.header(headers::SECRET).unwrap_or_default() == self.state.secret;
+        let body = exchange.read_body(self.max_body).await?;
+        if !known {
+            let headers = self.answer_headers(&labels, "not_run", "not_authorised");
+            return self
+                .answer_error(exchange, StatusCode::FORBIDDEN, &headers, "not_run")
+                .await;
+        }
+        if !self.state.target_up.get() {
+            return self
+                .refuse(exchange, &labels, RefusalReason::TargetDown, None)
+                .await;
+        }
+        self.serve(exchange, &labels, body).await
+    }
+}
+
+/// Makes the request that the target gets.
+fn target_request(
+    exchange: &ServerExchange<'_>,
+    labels: &MessageLabels,
+    body: Bytes,
+) -> ClientRequest {
+    let head = exchange.head();
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut request = ClientRequest::new(head.method.clone(), path, body);
+    request.headers = end_to_end_headers(&head.headers);
+    put(
+        &mut request.headers,
+        headers::REQUEST_ID,
+        &labels.request_id,
+    );
+    request
+}
+
+/// Tells whether a request may give its slot back: a batch stream of a model can be continued.
+fn is_preemptible(section: &SidecarSection, labels: &MessageLabels) -> bool {
+    let model = section.kind == cv_policy::config::ServiceKind::Model;
+    labels.class == WorkClass::Batch && labels.repeatable && model
+}
+
+/// Tells whether an answer is short enough to be read whole before it is passed on.
+fn is_whole(head: &ResponseHead) -> bool {
+    let length = head
+        .headers
+        .get(CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok());
+    length
+        .and_then(|text| text.parse::<u64>().ok())
+        .is_some_and(|bytes| bytes <= WHOLE_ANSWER_BYTES)
+}
+
+/// Counts the events that end in a piece of a stream; each carries one token.
+fn count_events(piece: &[u8]) -> u32 {
+    piece.windows(2).filter(|window| *window == b"\n\n").count() as u32
+}
+
+/// Sets a header; a value that no header can hold is left out.
+fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/sidecar_server.rs
@@ -0,0 +1,151 @@
+//! Starts, runs and shuts down a sidecar.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cv_control::SidecarControl;
+use cv_control::accept_calls;
+use cv_http::DrainGate;
+use cv_http::HttpLimits;
+use cv_http::HttpServer;
+use cv_http::bind_listener;
+use cv_runtime::ShutdownSignal;
+use cv_settings::ServerSettings;
+use cv_settings::SidecarSection;
+use cv_timeline::EventKind;
+use cv_timeline::EventLog;
+use cv_timer::ProcessClock;
+use cv_timer::TimerService;
+use monoio::net::TcpListener;
+
+use crate::control_service::ControlService;
+use crate::request_handler::SidecarHandler;
+use crate::sidecar_metrics::SidecarMetrics;
+use crate::sidecar_state::SidecarState;
+use crate::target_probe::probe_target;
+
+/// Time between two runs of the systems that depend on time.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Time for which a leaving sidecar goes on answering that it leaves, so that entries learn it.
+const FAREWELL: Duration = Duration::from_millis(1_500);
+
+/// Why a sidecar could not start.
+#[derive(Debug)]
+pub struct SidecarFault(String);
+
+impl fmt::Display for SidecarFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "the sidecar cannot start: {}", self.0)
+    }
+}
+
+impl std::error::Error for SidecarFault {}
+
+/// A sidecar that is bound to its addresses.
+pub struct SidecarServer {
+    control: TcpListener,
+    data: TcpListener,
+    settings: ServerSettings,
+    state: Rc<SidecarState>,
+    timers: TimerService,
+}
+
+impl SidecarServer {
+    /// Binds a sidecar's addresses; call it on the runtime that will run it.
+    ///
+    /// # Errors
+    /// Fails if an address is taken or the event file cannot be opened.
+    pub fn bind(settings: ServerSettings, section: SidecarSection) -> Result<Self, SidecarFault> {
+        let fault = |error: &dyn fmt::Display| SidecarFault(error.to_string());
+        let data = bind_listener(settings.listen).map_err(|error| fault(&error))?;
+        let control = bind_listener(settings.control_listen).map_err(|error| fault(&error))?;
+        let events = match &settings.events {
+            Some(path) => EventLog::open(&settings.name, path).map_err(|error| fault(&error))?,
+            None => EventLog::disabled(&settings.name),
+        };
+        let metrics = SidecarMetrics::new().map_err(|error| fault(&error))?;
+        let clock = ProcessClock::new();
+        let timers = TimerService::start(clock);
+        let secret = settings.secret.clone();
+        let state = Rc::new(SidecarState::new(section, secret, clock, events, metrics));
+        Ok(Self {
+            control,
+            data,
+            settings,
+            state,
+            timers,
+        })
+    }
+
+    /// Returns where requests arrive.
+    ///
+    /// # Errors
+    /// Fails if the socket does not tell.
+    pub fn data_address(&self) -> std::io::Result<SocketAddr> {
+        self.data.local_addr()
+    }
+
+    /// Returns where control calls arrive.
+    ///
+    /// # Errors
+    /// Fails if the socket does not tell.
+    pub fn control_address(&self) -> std::io::Result<SocketAddr> {
+        self.control.local_addr()
+    }
+
+    /// Serves until the signal is given, then drains and returns.
+    pub async fn run(self, shutdown: ShutdownSignal) {
+        let Self {
+            control,
+            data,
+            settings,
+            state,
+            timers,
+        } = self;
+        let finished = ShutdownSignal::new();
+        state
+            .events
+            .record(EventKind::Started, "", format!("zone={}", settings.zone));
+        log::info!("sidecar {} serves {}", settings.name, state.section.service);
+        monoio::spawn(probe_target(Rc::clone(&state), timers.clone()));
+        monoio::spawn(tick(Rc::clone(&state), timers));
+        let service = ControlService::new(Rc::clone(&state));
+        let ended = finished.clone();
+        monoio::spawn(accept_calls(control, service.serve(), async move {
+            ended.given().await;
+        }));
+        let handler = Rc::new(SidecarHandler::new(Rc::clone(&state), settings.max_body));
+        let limits = HttpLimits::default();
+        let server = HttpServer::new(data, handler, state.gate.clone(), limits);
+        monoio::spawn(server.run());
+        shutdown.given().await;
+        drain(&state, &state.gate.clone(), settings.drain_limit).await;
+        state.events.record(EventKind::Stopped, "", String::new());
+        finished.give();
+    }
+}
+
+/// Refuses new work, lets entries notice, and lets what runs finish.
+async fn drain(state: &SidecarState, gate: &DrainGate, limit: Duration) {
+    state
+        .events
+        .record(EventKind::DrainStarted, "", String::new());
+    state.start_drain();
+    monoio::time::sleep(FAREWELL.min(limit)).await;
+    gate.start_drain();
+    if !gate.wait_until_idle(limit).await {
+        log::warn!("the drain limit cut off {} request(s)", gate.active());
+    }
+}
+
+/// Runs the systems that depend on time.
+async fn tick(state: Rc<SidecarState>, timers: TimerService) {
+    let ticks = timers.subscribe(TICK);
+    loop {
+        let now = ticks.next().await;
+        state.tick(now);
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/target_orders.rs
@@ -0,0 +1,61 @@
+//! Orders to the target, fenced by epoch.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use cv_control::OrderAnswer;
+use cv_control::TargetOrder;
+use cv_http::ClientRequest;
+use cv_http::ConnectionPool;
+use cv_http::HttpFault;
+use cv_http::HttpLimits;
+use cv_settings::SidecarSection;
+use http::Method;
+use http::StatusCode;
+use serde_json::json;
+
+/// Longest time that an order may take.
+const ORDER_PATIENCE: Duration = Duration::from_mins(1);
+
+/// Longest answer to an order, in bytes.
+const ANSWER_BYTES: usize = 64 * 1024;
+
+/// Passes orders on, none with a lower epoch than one seen before.
+///
+/// Where the target ignores fencing numbers this check is the only one, which suffices because
+/// the sidecar is the target's only source of orders.
+pub(crate) struct OrderGate {
+    epoch: Cell<u64>,
+    pool: ConnectionPool,
+}
+
+impl OrderGate {
+    /// Creates a gate that has seen no order.
+    pub fn new() -> Self {
+        Self {
+            epoch: Cell::new(0),
+            pool: ConnectionPool::new(HttpLimits::default()),
+        }
+    }
+
+    /// Gives an order to the target, unless its epoch is old.
+    pub async fn pass(&self, section: &SidecarSection, order: &TargetOrder) -> OrderAnswer {
+        if order.epoch < self.epoch.get() {
+            return OrderAnswer::Fenced(self.epoch.get());
+        }
+        self.epoch.set(order.epoch);
+        let body = json!({"fence": order.epoch, "model": order.model, "order": order.order});
+        let request = ClientRequest::new(Method::POST, "/orders", body.to_string());
+        let answer = self
+            .pool
+            .exchange(section.target, &request, ORDER_PATIENCE, ANSWER_BYTES);
+        match answer.await {
+            Ok(response) if response.status == StatusCode::OK => OrderAnswer::Done,
+            Ok(response) if response.status == StatusCode::CONFLICT => {
+                OrderAnswer::Fenced(self.epoch.get())
+            }
+            Ok(_) | Err(HttpFault::TimedOut("connect")) => OrderAnswer::Refused,
+            Err(_) => OrderAnswer::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,25 @@
+//! Stand-ins for everything outside the system, for tests, experiments and the demo.
+//!
+//! Each speaks the published protocol of what it stands for over loopback sockets: a model engine,
+//! a plain service, the platform's key-value service and list of instances. A fault-injecting proxy
+//! can stand between any two processes.
+
+mod engine;
+mod fault_proxy;
+mod instance_list;
+mod json_answer;
+mod key_value;
+mod plain_service;
+
+pub use crate::engine::EngineReport;
+pub use crate::engine::EngineSettings;
+pub use crate::engine::EngineStandin;
+pub use crate::engine::expected_text;
+pub use crate::fault_proxy::FaultMode;
+pub use crate::fault_proxy::FaultProxy;
+pub use crate::instance_list::InstanceListStandin;
+pub use crate::instance_list::ListedInstance;
+pub use crate::key_value::KeyValueFaults;
+pub use crate::key_value::KeyValueStandin;
+pub use crate::plain_service::ExecutionCounter;
+pub use crate::plain_service::PlainServiceStandin;
--- /dev/null
+++ b/crates/timeline/src/event_record.rs
@@ -0,0 +1,66 @@
+//! One event.
+
+use cv_policy::ClockReading;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What happened.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EventKind {
+    /// The process began to serve.
+    Started,
+    /// The process began to shut down.
+    DrainStarted,
+    /// The process has ended its last exchange.
+    Stopped,
+    /// An entry took a request.
+    RequestReceived,
+    /// An entry sent an attempt to a sidecar.
+    AttemptSent,
+    /// A sidecar took an attempt into its queue.
+    AttemptQueued,
+    /// A sidecar handed an attempt to its target.
+    HandedOver,
+    /// A sidecar refused an attempt.
+    Refused,
+    /// A sidecar took a slot back from a batch request.
+    Preempted,
+    /// A sidecar was asked what became of an attempt.
+    Resolved,
+    /// An entry concluded a request.
+    RequestConcluded,
+    /// A target was ejected or let return.
+    TargetChanged,
+    /// A job was accepted.
+    JobAccepted,
+    /// An instance took over a job.
+    JobClaimed,
+    /// A job's chunk was committed.
+    ChunkCommitted,
+    /// A job reached its last state.
+    JobEnded,
+    /// A configuration came into force.
+    ConfigInForce,
+    /// A lease was won.
+    LeaseAcquired,
+    /// A lease was lost.
+    LeaseLost,
+}
+
+/// One event of one process.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EventRecord {
+    /// When it happened, by the hybrid logical clock.
+    pub clock: ClockReading,
+    /// Details as `key=value` words.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub detail: String,
+    /// What happened.
+    pub kind: EventKind,
+    /// The process.
+    pub process: String,
+    /// The request or job concerned, if there is one.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub subject: String,
+}
--- /dev/null
+++ b/tests/online/at_most_once.rs
@@ -0,0 +1,40 @@
+//! Requests that must not be repeated run at most once, and refusals tell the truth.
+
+use cv_bench::deployment::SmallDeployment;
+use cv_bench::load::CallOutcome;
+use cv_standin::FaultMode;
+use cv_tests::SmallFleet;
+use rstest::rstest;
+
+#[test]
+fn an_order_runs_once_and_a_resend_of_it_does_not_run() {
+    let deployment = SmallDeployment::start(SmallFleet::proxied());
+    for address in deployment.entry_addresses() {
+        let _ = SmallFleet::place(address, SmallFleet::order("order-1"));
+    }
+    assert_eq!(deployment.executions.executions("order-1"), 1);
+}
+
+#[rstest]
+#[case::cut(FaultMode::Cut)]
+#[case::answer_lost(FaultMode::LoseAnswer)]
+#[case::answer_truncated(FaultMode::TruncateAnswer(40))]
+fn an_order_meets_a_fault_on_every_link(#[case] mode: FaultMode) {
+    let deployment = SmallDeployment::start(SmallFleet::proxied());
+    for target in &deployment.targets {
+        target.proxy.as_ref().expect("a proxy").set_mode(mode);
+    }
+    let address = deployment.entry_addresses()[0];
+    let record = SmallFleet::place(address, SmallFleet::order("order-2"));
+    let executions = deployment.executions.executions("order-2");
+    assert!(executions <= 1, "the order ran {executions} times");
+    if record.outcome == CallOutcome::NotRun {
+        assert_eq!(
+            executions, 0,
+            "the caller was told that the order had not run"
+        );
+    }
+    if record.outcome == CallOutcome::Completed {
+        assert_eq!(executions, 1, "the caller was told that the order had run");
+    }
+}
--- /dev/null
+++ b/tests/support/small_fleet.rs
@@ -0,0 +1,105 @@
+//! A small deployment and calls to it.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cv_bench::deployment::DeploymentSpec;
+use cv_bench::deployment::ModelSpec;
+use cv_bench::deployment::PlainSpec;
+use cv_bench::deployment::SmallDeployment;
+use cv_bench::load::CallRecord;
+use cv_bench::load::CompletionCall;
+use cv_bench::load::ServiceCall;
+use cv_http::ConnectionPool;
+use cv_http::HttpLimits;
+use cv_runtime::run_to_end;
+use cv_standin::EngineSettings;
+
+/// Deadline of the tests' calls.
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// Specifications of small deployments.
+#[derive(Clone, Copy, Debug)]
+pub struct SmallFleet;
+
+impl SmallFleet {
+    /// Returns a deployment of two assistants and two order desks behind fault proxies.
+    #[must_use]
+    pub fn proxied() -> DeploymentSpec {
+        let engine = EngineSettings::builder()
+            .step_base(Duration::from_millis(4))
+            .build();
+        let model = ModelSpec::builder()
+            .engine(engine)
+            .name("assist-llm")
+            .replicas(2)
+            .build();
+        let plain = PlainSpec::builder().name("orders-app").replicas(2).build();
+        DeploymentSpec::builder()
+            .models(vec![model])
+            .plains(vec![plain])
+            .proxied(true)
+            .build()
+    }
+
+    /// Returns a completion of `tokens` tokens.
+    #[must_use]
+    pub fn question(prompt: &str, tokens: usize) -> CompletionCall {
+        CompletionCall {
+            deadline: DEADLINE,
+            model: "assist-llm".to_owned(),
+            organisation: "members".to_owned(),
+            prompt: prompt.to_owned(),
+            tokens,
+        }
+    }
+
+    /// Returns an order with a key.
+    #[must_use]
+    pub fn order(key: &str) -> ServiceCall {
+        ServiceCall {
+            body: "{\"netting\":40}".to_owned(),
+            deadline: DEADLINE,
+            key: key.to_owned(),
+            path: "/services/orders-app/orders".to_owned(),
+        }
+    }
+
+    /// Asks a question at the first entry.
+    ///
+    /// # Panics
+    /// Panics if the runtime cannot start.
+    #[must_use]
+    pub fn ask(deployment: &SmallDeployment, call: CompletionCall) -> CallRecord {
+        let address = deployment.entry_addresses()[0];
+        call_once(address, move |pool, address| async move {
+            call.run(&pool, address).await
+        })
+    }
+
+    /// Places an order at an entry.
+    ///
+    /// # Panics
+    /// Panics if the runtime cannot start.
+    #[must_use]
+    pub fn place(address: SocketAddr, call: ServiceCall) -> CallRecord {
+        call_once(address, move |pool, address| async move {
+            call.run(&pool, address).await
+        })
+    }
+}
+
+/// Makes one call on a runtime of its own.
+///
+/// # Panics
+/// Panics if the runtime cannot start.
+pub fn call_once<C, F>(address: SocketAddr, call: C) -> CallRecord
+where
+    C: FnOnce(Rc<ConnectionPool>, SocketAddr) -> F,
+    F: Future<Output = CallRecord>,
+{
+    let pool = Rc::new(ConnectionPool::new(HttpLimits::default()));
+    run_to_end(call(pool, address)).expect("the runtime starts")
+}
