Run batch jobs on journals, leases and chunk commits

Cause: accepted batch work had no place; only online requests were served.

Change: uploads are checked line by line and kept in chunks on several disks before the acknowledgement; jobs are created once per idempotency key in the key-value service; an instance owns jobs under one lease whose epoch fences every commit; intents are durable before a hand-over, results before a chunk's commit; the next owner puts the journals of a quorum of replicas together; cancellation stops the owner before it is confirmed; lost replicas are filled again; preempted items continue from what they had generated.

--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -1,5 +1,7 @@
 //! Load against a deployment, with every answer checked.
 
+mod batch_audit;
+mod batch_client;
 mod call_outcome;
 mod completion_call;
 mod load_report;
@@ -7,6 +9,8 @@
 mod prompt_source;
 mod service_call;
 
+pub use self::batch_audit::BatchAudit;
+pub use self::batch_client::BatchClient;
 pub use self::call_outcome::CallOutcome;
 pub use self::call_outcome::CallRecord;
 pub use self::completion_call::CompletionCall;
--- a/crates/control/src/messages.rs
+++ b/crates/control/src/messages.rs
@@ -86,10 +86,10 @@
 /// What became of a job that was to be stopped.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CancelAnswer {
-    /// The peer owned the job and hands over none of its items any more.
+    /// The peer hands over none of the job's items any more.
     Stopped,
-    /// The peer does not own the job.
-    NotOwner,
+    /// The caller does not know the secret; nothing was done.
+    Refused,
 }
 
 /// An entry's word on itself.
--- a/crates/entry/src/api_router.rs
+++ b/crates/entry/src/api_router.rs
@@ -14,6 +14,8 @@
 use serde_json::json;
 
 use crate::admin::handle_admin;
+use crate::batch::BatchCoordinator;
+use crate::batch::handle_batch;
 use crate::caller_answer::CallerError;
 use crate::caller_answer::respond_json;
 use crate::caller_identity::CallerIdentity;
@@ -27,13 +29,15 @@
 
 /// Answers the requests of an entry.
 pub(crate) struct ApiRouter {
+    coordinator: Rc<BatchCoordinator>,
     state: Rc<EntryState>,
 }
 
 impl ApiRouter {
     /// Creates the router.
-    pub fn new(state: Rc<EntryState>) -> Self {
-        Self { state }
+    pub fn new(coordinator: Rc<BatchCoordinator>) -> Self {
+        let state = Rc::clone(&coordinator.state);
+        Self { coordinator, state }
     }
 
     /// Answers a call of a caller who has been identified.
@@ -47,6 +51,9 @@
             "/v1/completions" | "/v1/chat/completions" => {
                 self.complete(exchange, path, caller).await
             }
+            _ if path.starts_with("/v1/files") || path.starts_with("/v1/batches") => {
+                handle_batch(&self.coordinator, exchange, path, caller).await
+            }
             "/v1/models" => self.list_models(exchange).await,
             _ if path.starts_with(SERVICES_PREFIX) => {
                 self.call_service(exchange, path, caller).await
--- /dev/null
+++ b/crates/entry/src/batch/batch_api.rs
@@ -0,0 +1,578 @@
+//! The batch interface, in the form that clients of completion servers know.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cv_control::CancelAnswer;
+use cv_control::call_context;
+use cv_http::HttpFault;
+use cv_http::ServerExchange;
+use cv_platform::CallPurpose;
+use cv_platform::KeyRange;
+use cv_platform::KeyValueClient;
+use cv_platform::KeyValueFault;
+use cv_platform::Transaction;
+use cv_platform::WriteAnswer;
+use cv_policy::RequestKey;
+use cv_policy::batch::FileRecord;
+use cv_policy::batch::JobCounts;
+use cv_policy::batch::JobRecord;
+use cv_policy::batch::JobState;
+use cv_policy::batch::JournalRecord;
+use cv_policy::headers;
+use cv_timeline::EventKind;
+use http::Method;
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use super::batch_coordinator::BatchCoordinator;
+use super::file_upload::FileUpload;
+use super::file_upload::UploadFault;
+use super::job_view::OpenJob;
+use super::job_view::job_of;
+use super::result_stream::ResultKind;
+use super::result_stream::committed_chunks;
+use super::result_stream::stream_results;
+use crate::caller_answer::CallerError;
+use crate::caller_answer::respond_findings;
+use crate::caller_answer::respond_json;
+use crate::caller_identity::CallerIdentity;
+
+/// Longest body of a call that is no upload, in bytes.
+const CALL_BYTES: usize = 64 * 1024;
+
+/// Longest time to settle a write.
+const WRITE_PATIENCE: Duration = Duration::from_secs(8);
+
+/// Longest time that a job's owner has to stop it.
+const STOP_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Tries to change a job's record against races.
+const CHANGE_TRIES: u32 = 5;
+
+/// Jobs that one list shows.
+const LIST_JOBS: usize = 1_000;
+
+/// Due time of a job whose caller names none, in milliseconds after its acceptance.
+const DEFAULT_DUE_MS: u64 = 24 * 3_600_000;
+
+/// The body of a call that creates a batch.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct CreateBatch {
+    /// `24h` and the like; the due time goes before it.
+    completion_window: Option<String>,
+    /// When the job is due, in milliseconds since the Unix epoch.
+    due_ms: Option<u64>,
+    input_file_id: String,
+    /// Priority within the organisation, the highest first.
+    priority: u8,
+}
+
+/// Answers a batch call.
+pub(crate) async fn handle_batch(
+    coordinator: &Rc<BatchCoordinator>,
+    exchange: &mut ServerExchange<'_>,
+    path: &str,
+    caller: &CallerIdentity,
+) -> Result<(), HttpFault> {
+    let call = BatchCall {
+        caller,
+        coordinator,
+    };
+    let Some(client) = &coordinator.state.key_value else {
+        exchange.read_body(CALL_BYTES).await?;
+        return call
+            .unavailable("no key-value service is configured")
+            .respond(exchange)
+            .await;
+    };
+    let method = exchange.head().method.clone();
+    let parts: Vec<&str> = path.trim_start_matches("/v1/").split('/').collect();
+    if (&method, parts.as_slice()) == (&Method::POST, &["files"]) {
+        return call.upload(exchange, client).await;
+    }
+    let body = exchange.read_body(CALL_BYTES).await?;
+    let result = match (method, parts.as_slice()) {
+        (Method::POST, ["batches"]) => call.create(exchange, client, &body).await,
+        (Method::GET, ["batches"]) => call.list(exchange, client).await,
+        (Method::GET, ["batches", id]) => call.show(exchange, client, id).await,
+        (Method::POST, ["batches", id, "cancel"]) => call.cancel(exchange, client, id).await,
+        (Method::GET, ["files", id]) => call.show_file(exchange, client, id).await,
+        (Method::GET, ["files", id, "content"]) => call.content(exchange, client, id).await,
+        _ => Ok(Err(call.missing("no_such_path", "There is no such path."))),
+    };
+    match result {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(error)) => error.respond(exchange).await,
+        Err(BatchFault::Http(fault)) => Err(fault),
+        Err(BatchFault::KeyValue(fault)) => call.platform_error(&fault).respond(exchange).await,
+    }
+}
+
+/// Why a call was not answered as it should be.
+enum BatchFault {
+    Http(HttpFault),
+    KeyValue(KeyValueFault),
+}
+
+impl From<HttpFault> for BatchFault {
+    fn from(fault: HttpFault) -> Self {
+        Self::Http(fault)
+    }
+}
+
+impl From<KeyValueFault> for BatchFault {
+    fn from(fault: KeyValueFault) -> Self {
+        Self::KeyValue(fault)
+    }
+}
+
+/// What a call came to: answered, or an error to answer with.
+type CallResult = Result<Result<(), CallerError>, BatchFault>;
+
+/// One call with its caller.
+struct BatchCall<'a> {
+    caller: &'a CallerIdentity,
+    coordinator: &'a Rc<BatchCoordinator>,
+}
+
+impl BatchCall<'_> {
+    /// Takes an upload.
+    async fn upload(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        client: &KeyValueClient,
+    ) -> Result<(), HttpFault> {
+        let state = &self.coordinator.state;
+        let id = format!("file-{}", state.new_id());
+        let config = state.config.borrow().config().clone();
+        let section = &state.section;
+        let (chunk_items, min_replicas) = (section.chunk_items, section.min_replicas);
+        let link = &self.coordinator.link;
+        let upload = FileUpload::new(link, &config, &id, chunk_items, min_replicas);
+        let mut record = match upload.take(exchange).await {
+            Ok(record) => record,
+            Err(UploadFault::Http(fault)) => return Err(fault),
+            Err(UploadFault::Findings(findings)) => {
+                return respond_findings(exchange, "invalid_file", &findings).await;
+            }
+            Err(UploadFault::NotKept) => {
+                exchange.close_afterwards();
+                let error = self.unavailable("too few disks can keep the file now");
+                return error.respond(exchange).await;
+            }
+        };
+        record.created_ms = state.clock.wall_millis();
+        record.organisation.clone_from(&self.caller.organisation);
+        record.write_id = state.new_id();
+        let value = serde_json::to_vec(&record).unwrap_or_default();
+        let key = FileRecord::key_of(&id);
+        let transaction = Transaction::about(&key)
+            .if_revision(&key, 0)
+            .put(&key, &value);
+        let purpose = CallPurpose::Job;
+        let answer = client
+            .put_resolved(purpose, &transaction, &value, WRITE_PATIENCE)
+            .await;
+        match answer {
+            Ok(_) => respond_json(exchange, StatusCode::OK, &file_object(&record)).await,
+            Err(fault) => self.platform_error(&fault).respond(exchange).await,
+        }
+    }
+
+    /// Accepts a job, or finds the one that an earlier call with this key has created.
+    async fn create(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        client: &KeyValueClient,
+        body: &[u8],
+    ) -> CallResult {
+        let create: CreateBatch = match serde_json::from_slice(body) {
+            Ok(create) => create,
+            Err(error) => {
+                let message = format!("The body is not a batch: {error}");
+                let status = StatusCode::BAD_REQUEST;
+                return Ok(Err(CallerError::not_run(status, "invalid_body", message)));
+            }
+        };
+        let Some(file) = self.find_file(client, &create.input_file_id).await? else {
+            return Ok(Err(self.missing("no_such_file", "There is no such file.")));
+        };
+        let mut record = self.job_record(exchange, &create, &file);
+        let opening = JournalRecord::Opened {
+            job: record.id.clone(),
+        };
+        let link = &self.coordinator.link;
+        let kept = link.append(&file.replicas, &record.id, &[opening]).await;
+        if kept.len() < self.coordinator.state.section.min_replicas {
+            return Ok(Err(self.unavailable("too few disks can keep the job now")));
+        }
+        record.replicas = kept;
+        let value = serde_json::to_vec(&record).unwrap_or_default();
+        let (key, done_key) = (
+            JobRecord::key_of(&record.id),
+            JobRecord::done_key_of(&record.id),
+        );
+        let transaction = Transaction::about(&key)
+            .if_revision(&key, 0)
+            .if_revision(&done_key, 0)
+            .put(&key, &value);
+        let purpose = CallPurpose::Job;
+        let answer = client
+            .put_resolved(purpose, &transaction, &value, WRITE_PATIENCE)
+            .await?;
+        let accepted = match answer {
+            WriteAnswer::Done(_) => {
+                let events = &self.coordinator.state.events;
+                let detail = format!("items={}", record.items);
+                events.record(EventKind::JobAccepted, &record.id, detail);
+                record
+            }
+            WriteAnswer::Conflict(_) => match self.find_job(client, &record.id).await? {
+                Some(known) if known.record.digest == record.digest => known.record,
+                Some(_) => return Ok(Err(key_conflict())),
+                None => return Ok(Err(self.unavailable("the job was removed just now"))),
+            },
+        };
+        let counts = self.counts_of(&accepted).await?;
+        respond_json(exchange, StatusCode::OK, &job_object(&accepted, counts)).await?;
+        Ok(Ok(()))
+    }
+
+    /// Lists the caller's jobs, the unfinished ones first.
+    async fn list(&self, exchange: &mut ServerExchange<'_>, client: &KeyValueClient) -> CallResult {
+        let mut data = Vec::new();
+        for prefix in [JobRecord::prefix(), JobRecord::done_prefix()] {
+            let range = KeyRange::Prefix(prefix.to_owned());
+            let page = client.range(CallPurpose::Job, &range, LIST_JOBS).await?;
+            let jobs = page.entries.iter().filter_map(job_of);
+            let own = jobs.filter(|job| job.record.organisation == self.caller.organisation);
+            data.extend(own.map(|job| job_object(&job.record, job.record.counts)));
+        }
+        respond_json(
+            exchange,
+            StatusCode::OK,
+            &json!({"data": data, "object": "list"}),
+        )
+        .await?;
+        Ok(Ok(()))
+    }
+
+    /// Shows a job.
+    async fn show(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        client: &KeyValueClient,
+        id: &str,
+    ) -> CallResult {
+        let Some(job) = self.find_own_job(client, id).await? else {
+            return Ok(Err(self.missing("no_such_batch", "There is no such batch.")));
+        };
+        let counts = self.counts_of(&job.record).await?;
+        respond_json(exchange, StatusCode::OK, &job_object(&job.record, counts)).await?;
+        Ok(Ok(()))
+    }
+
+    /// Cancels a job; the answer says whether it has stopped already.
+    async fn cancel(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        client: &KeyValueClient,
+        id: &str,
+    ) -> CallResult {
+        for _ in 0..CHANGE_TRIES {
+            let Some(job) = self.find_own_job(client, id).await? else {
+                return Ok(Err(self.missing("no_such_batch", "There is no such batch.")));
+            };
+            if job.record.is_ended() {
+                let counts = job.record.counts;
+                respond_json(exchange, StatusCode::OK, &job_object(&job.record, counts)).await?;
+                return Ok(Ok(()));
+            }
+            if let Some(cancelling) = self.mark_cancelling(client, &job).await? {
+                let record = self.stop_cancelled(client, cancelling).await?;
+                let counts = self.counts_of(&record).await?;
+                respond_json(exchange, StatusCode::OK, &job_object(&record, counts)).await?;
+                return Ok(Ok(()));
+            }
+        }
+        Ok(Err(self.unavailable(
+            "the job changes too often to be cancelled now",
+        )))
+    }
+
+    /// Makes a cancellation durable; `None` if the job has changed meanwhile.
+    async fn mark_cancelling(
+        &self,
+        client: &KeyValueClient,
+        job: &OpenJob,
+    ) -> Result<Option<OpenJob>, KeyValueFault> {
+        if job.record.state == JobState::Cancelling {
+            return Ok(Some(job.clone()));
+        }
+        let mut record = job.record.clone();
+        record.state = JobState::Cancelling;
+        record.write_id = self.coordinator.state.new_id();
+        let value = serde_json::to_vec(&record).unwrap_or_default();
+        let key = JobRecord::key_of(&record.id);
+        let transaction = Transaction::about(&key)
+            .if_revision(&key, job.revision)
+            .put(&key, &value);
+        let purpose = CallPurpose::Job;
+        let answer = client
+            .put_resolved(purpose, &transaction, &value, WRITE_PATIENCE)
+            .await?;
+        Ok(match answer {
+            WriteAnswer::Done(revision) => Some(OpenJob { record, revision }),
+            WriteAnswer::Conflict(_) => None,
+        })
+    }
+
+    /// Has the owner stop a job, and ends it once nothing of it runs any more.
+    async fn stop_cancelled(
+        &self,
+        client: &KeyValueClient,
+        job: OpenJob,
+    ) -> Result<JobRecord, KeyValueFault> {
+        let stopped = match &job.record.owner {
+            None => true,
+            Some(owner) if owner.instance == self.coordinator.state.settings.name => {
+                self.coordinator.stop_cancelled(&job.record.id);
+                true
+            }
+            Some(owner) => self.stop_at_owner(&owner.instance, &job.record.id).await,
+        };
+        if stopped {
+            let (record, revision) = (&job.record, job.revision);
+            self.coordinator
+                .end_job(record, revision, JobState::Cancelled, None)
+                .await?;
+        }
+        // Whoever ended it, the service's record is what the caller is told.
+        let found = self.find_job(client, &job.record.id).await?;
+        Ok(found.map_or(job.record, |found| found.record))
+    }
+
+    /// Asks a job's owner to stop it; tells whether it has.
+    async fn stop_at_owner(&self, owner: &str, id: &str) -> bool {
+        let state = &self.coordinator.state;
+        let peers = state.other_entries();
+        let Some(peer) = peers.iter().find(|record| record.name == owner) else {
+            return false;
+        };
+        let Ok(client) = state.peers.client(peer.control).await else {
+            return false;
+        };
+        let context = call_context(STOP_PATIENCE);
+        let answer = client.cancel(context, state.stamp(), id.to_owned()).await;
+        matches!(answer, Ok(CancelAnswer::Stopped))
+    }
+
+    /// Shows a file.
+    async fn show_file(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        client: &KeyValueClient,
+        id: &str,
+    ) -> CallResult {
+        let Some(file) = self.find_file(client, id).await? else {
+            return Ok(Err(self.missing("no_such_file", "There is no such file.")));
+        };
+        respond_json(exchange, StatusCode::OK, &file_object(&file)).await?;
+        Ok(Ok(()))
+    }
+
+    /// Sends the results of a job.
+    async fn content(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        client: &KeyValueClient,
+        id: &str,
+    ) -> CallResult {
+        let (job, kind) = match (id.strip_suffix("-output"), id.strip_suffix("-errors")) {
+            (Some(job), _) => (job, ResultKind::Output),
+            (None, Some(job)) => (job, ResultKind::Errors),
+            (None, None) => {
+                return Ok(Err(
+                    self.missing("no_such_file", "Only results can be read.")
+                ));
+            }
+        };
+        let Some(job) = self.find_own_job(client, job).await? else {
+            return Ok(Err(self.missing("no_such_file", "There is no such file.")));
+        };
+        let chunks = committed_chunks(self.coordinator, &job.record.id).await?;
+        stream_results(self.coordinator, exchange, &job.record, kind, chunks).await?;
+        Ok(Ok(()))
+    }
+
+    /// Finds a file of the caller.
+    async fn find_file(
+        &self,
+        client: &KeyValueClient,
+        id: &str,
+    ) -> Result<Option<FileRecord>, KeyValueFault> {
+        let entry = client
+            .get(CallPurpose::Job, &FileRecord::key_of(id))
+            .await?;
+        let file = entry.and_then(|entry| serde_json::from_slice::<FileRecord>(&entry.value).ok());
+        Ok(file.filter(|file| file.organisation == self.caller.organisation))
+    }
+
+    /// Finds a job of the caller.
+    async fn find_own_job(
+        &self,
+        client: &KeyValueClient,
+        id: &str,
+    ) -> Result<Option<OpenJob>, KeyValueFault> {
+        let job = self.find_job(client, id).await?;
+        Ok(job.filter(|job| job.record.organisation == self.caller.organisation))
+    }
+
+    /// Finds a job, finished or not.
+    async fn find_job(
+        &self,
+        client: &KeyValueClient,
+        id: &str,
+    ) -> Result<Option<OpenJob>, KeyValueFault> {
+        // A job moves from the first key to the second, so this order cannot miss it.
+        for key in [JobRecord::key_of(id), JobRecord::done_key_of(id)] {
+            if let Some(entry) = client.get(CallPurpose::Job, &key).await? {
+                return Ok(job_of(&entry));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Returns the numbers of a job's ended items.
+    async fn counts_of(&self, record: &JobRecord) -> Result<JobCounts, KeyValueFault> {
+        if record.is_ended() {
+            return Ok(record.counts);
+        }
+        self.coordinator.committed_counts(&record.id).await
+    }
+
+    /// Puts a new job's record together.
+    fn job_record(
+        &self,
+        exchange: &ServerExchange<'_>,
+        create: &CreateBatch,
+        file: &FileRecord,
+    ) -> JobRecord {
+        let state = &self.coordinator.state;
+        let organisation = &self.caller.organisation;
+        let id = match exchange.header(headers::IDEMPOTENCY_KEY) {
+            Some(key) => format!("batch_{:032x}", RequestKey::derive(organisation, key).0),
+            None => format!("batch_{}", state.new_id()),
+        };
+        let now = state.clock.wall_millis();
+        let window = create.completion_window.as_deref().and_then(window_ms);
+        let due_ms = create
+            .due_ms
+            .unwrap_or(now + window.unwrap_or(DEFAULT_DUE_MS));
+        JobRecord {
+            chunk_items: file.chunk_items,
+            counts: JobCounts::default(),
+            created_ms: now,
+            digest: file.digest.clone(),
+            due_ms,
+            ended_ms: 0,
+            file: file.id.clone(),
+            id,
+            items: file.items,
+            organisation: organisation.clone(),
+            owner: None,
+            priority: create.priority,
+            repeatable: file.repeatable,
+            replicas: file.replicas.clone(),
+            state: JobState::InProgress,
+            write_id: state.new_id(),
+        }
+    }
+
+    /// Returns the error of something that is not there, or is another organisation's.
+    fn missing(&self, reason: &'static str, message: &str) -> CallerError {
+        let _ = self;
+        CallerError::not_run(StatusCode::NOT_FOUND, reason, message)
+    }
+
+    /// Returns the error of a call that was not carried out, and may be made again.
+    fn unavailable(&self, message: &str) -> CallerError {
+        let _ = self;
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let mut error = CallerError::not_run(status, "not_accepted_now", message);
+        error.retry_after = Some(Duration::from_secs(1));
+        error
+    }
+
+    /// Returns the error that tells what is known after the service gave no proper answer.
+    fn platform_error(&self, fault: &KeyValueFault) -> CallerError {
+        let mut error = self.unavailable(&fault.to_string());
+        if matches!(fault, KeyValueFault::Ambiguous(_)) {
+            error.reason = "outcome_unknown";
+            error.run = "unknown";
+            "It is not known whether this took effect; send it again with the same key."
+                .clone_into(&mut error.message);
+        }
+        error
+    }
+}
+
+/// Returns the error of a key that was used for another content.
+fn key_conflict() -> CallerError {
+    let message = "A batch with this idempotency key and other content was accepted before.";
+    CallerError::not_run(StatusCode::CONFLICT, "key_conflict", message)
+}
+
+/// Parses a window like `24h` or `90m`, in milliseconds.
+fn window_ms(text: &str) -> Option<u64> {
+    let unit = text.chars().last()?;
+    let number: u64 = text.strip_suffix(unit)?.parse().ok()?;
+    let unit_ms = match unit {
+        'd' => 86_400_000,
+        'h' => 3_600_000,
+        'm' => 60_000,
+        's' => 1_000,
+        _ => return None,
+    };
+    number.checked_mul(unit_ms)
+}
+
+/// Returns a file as callers see it.
+fn file_object(file: &FileRecord) -> Value {
+    json!({
+        "bytes": file.bytes,
+        "created_at": file.created_ms / 1_000,
+        "digest": file.digest,
+        "id": file.id,
+        "items": file.items,
+        "object": "file",
+        "purpose": "batch",
+    })
+}
+
+/// Returns a job as callers see it.
+fn job_object(record: &JobRecord, counts: JobCounts) -> Value {
+    json!({
+        "created_at": record.created_ms / 1_000,
+        "due_ms": record.due_ms,
+        "ended_ms": record.ended_ms,
+        "error_file_id": format!("{}-errors", record.id),
+        "id": record.id,
+        "input_file_id": record.file,
+        "object": "batch",
+        "output_file_id": format!("{}-output", record.id),
+        "owner": record.owner.as_ref().map(|owner| owner.instance.clone()),
+        "priority": record.priority,
+        "request_counts": {
+            "completed": counts.completed,
+            "failed": counts.failed,
+            "total": record.items,
+            "unknown": counts.unknown,
+        },
+        "status": record.state,
+    })
+}
--- a/crates/entry/src/entry_server.rs
+++ b/crates/entry/src/entry_server.rs
@@ -13,6 +13,7 @@
 use cv_runtime::ShutdownSignal;
 use cv_settings::EntrySection;
 use cv_settings::ServerSettings;
+use cv_storage::JournalStore;
 use cv_timeline::EventKind;
 use cv_timeline::EventLog;
 use cv_timer::ProcessClock;
@@ -20,6 +21,8 @@
 use monoio::net::TcpListener;
 
 use crate::api_router::ApiRouter;
+use crate::batch::BatchCoordinator;
+use crate::batch::JournalLink;
 use crate::entry_metrics::EntryMetrics;
 use crate::entry_state::EntryState;
 use crate::peer_service::PeerService;
@@ -45,6 +48,7 @@
 /// An entry that is bound to its addresses.
 pub struct EntryServer {
     control: TcpListener,
+    coordinator: Rc<BatchCoordinator>,
     data: TcpListener,
     state: Rc<EntryState>,
     timers: TimerService,
@@ -66,9 +70,16 @@
         let metrics = EntryMetrics::new().map_err(|error| fault(&error))?;
         let clock = ProcessClock::new();
         let timers = TimerService::start(clock);
+        let store = match &section.data_folder {
+            Some(folder) => Some(JournalStore::open(folder).map_err(|error| fault(&error))?),
+            None => None,
+        };
         let state = Rc::new(EntryState::new(settings, section, events, metrics, clock));
+        let link = JournalLink::new(Rc::clone(&state), store);
+        let coordinator = Rc::new(BatchCoordinator::new(Rc::clone(&state), link));
         Ok(Self {
             control,
+            coordinator,
             data,
             state,
             timers,
@@ -95,6 +106,7 @@
     pub async fn run(self, shutdown: ShutdownSignal) {
         let Self {
             control,
+            coordinator,
             data,
             state,
             timers,
@@ -116,30 +128,32 @@
             state.settings.zone
         );
         monoio::spawn(watch_instances(Rc::clone(&state), timers.clone()));
-        monoio::spawn(watch_targets(Rc::clone(&state), timers));
+        monoio::spawn(watch_targets(Rc::clone(&state), timers.clone()));
+        coordinator.start(&timers);
         monoio::spawn(watch_config(Rc::clone(&state)));
         let ended = finished.clone();
-        let service = PeerService::new(Rc::clone(&state)).serve();
+        let service = PeerService::new(Rc::clone(&coordinator)).serve();
         monoio::spawn(accept_calls(control, service, async move {
             ended.given().await;
         }));
-        let router = Rc::new(ApiRouter::new(Rc::clone(&state)));
+        let router = Rc::new(ApiRouter::new(Rc::clone(&coordinator)));
         let server = HttpServer::new(data, router, state.gate.clone(), HttpLimits::default());
         monoio::spawn(server.run());
         shutdown.given().await;
-        drain(&state).await;
+        drain(&state, &coordinator).await;
         state.events.record(EventKind::Stopped, "", String::new());
         finished.give();
     }
 }
 
 /// Lets the balancer notice and lets what runs finish.
-async fn drain(state: &EntryState) {
+async fn drain(state: &EntryState, coordinator: &Rc<BatchCoordinator>) {
     state
         .events
         .record(EventKind::DrainStarted, "", String::new());
     let limit = state.settings.drain_limit;
     state.leaving.set(true);
+    coordinator.shut_down().await;
     monoio::time::sleep(FAREWELL.min(limit)).await;
     state.gate.start_drain();
     if !state.gate.wait_until_idle(limit).await {
--- a/crates/entry/src/online/answer_relay.rs
+++ b/crates/entry/src/online/answer_relay.rs
@@ -13,16 +13,28 @@
 /// The event that ends a whole answer.
 const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
+/// The first line of the event that ends a preempted answer.
+const PREEMPTED_LINE: &[u8] = b"event: preempted";
+
 /// Passes on whole events only, so that a cut stream can be continued without a seam.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     done: bool,
     kept: BytesMut,
     overflow: bool,
+    preempted: bool,
     tail: BytesMut,
 }
 
 impl EventSplitter {
+    /// Creates a splitter that keeps nothing for a continuation.
+    pub fn without_history() -> Self {
+        Self {
+            overflow: true,
+            ..Self::default()
+        }
+    }
+
     /// Takes a piece of a stream and returns the whole events that it completes.
     ///
     /// Returns `None` for an event that is too long.
@@ -38,6 +50,7 @@
             .map_or(0, |at| at + 2);
         let events = self.tail.split_to(end).freeze();
         self.done |= events.ends_with(DONE_EVENT);
+        self.preempted |= memchr::memmem::find(&events, PREEMPTED_LINE).is_some();
         self.keep(&events);
         Some(events)
     }
@@ -47,6 +60,11 @@
         self.done
     }
 
+    /// Tells whether the answer was given back for a later continuation.
+    pub fn is_preempted(&self) -> bool {
+        self.preempted
+    }
+
     /// Returns the events so far, unless they are too many to be continued.
     pub fn kept(&self) -> Option<&[u8]> {
         (!self.overflow).then_some(&self.kept[..])
@@ -69,25 +87,53 @@
     }
 }
 
-/// Returns the text in a part of a streamed answer, and the number of its tokens.
-pub(crate) fn generated_text(events: &[u8]) -> (String, usize) {
-    let mut text = String::new();
-    let mut tokens = 0;
-    for line in events.split(|byte| *byte == b'\n') {
-        let Some(data) = line.strip_prefix(b"data: ") else {
-            continue;
-        };
-        let Ok(event) = serde_json::from_slice::<Value>(data) else {
-            continue;
-        };
-        let choice = &event["choices"][0];
+/// What a part of a streamed answer says.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct GeneratedText {
+    /// Why the target ended the answer, if it has.
+    pub finish: Option<String>,
+    /// The text.
+    pub text: String,
+    /// Number of its tokens.
+    pub tokens: usize,
+}
+
+impl GeneratedText {
+    /// Reads the events of a streamed answer.
+    pub fn read(events: &[u8]) -> Self {
+        let mut generated = Self::default();
+        for line in events.split(|byte| *byte == b'\n') {
+            let Some(data) = line.strip_prefix(b"data: ") else {
+                continue;
+            };
+            let Ok(event) = serde_json::from_slice::<Value>(data) else {
+                continue;
+            };
+            generated.take(&event["choices"][0]);
+        }
+        generated
+    }
+
+    /// Adds what follows.
+    pub fn extend(&mut self, more: &Self) {
+        self.text.push_str(&more.text);
+        self.tokens += more.tokens;
+        if more.finish.is_some() {
+            self.finish.clone_from(&more.finish);
+        }
+    }
+
+    /// Takes the choice of one event.
+    fn take(&mut self, choice: &Value) {
         let word = choice["text"]
             .as_str()
             .or_else(|| choice["delta"]["content"].as_str());
         if let Some(word) = word {
-            text.push_str(word);
-            tokens += 1;
+            self.text.push_str(word);
+            self.tokens += 1;
+        }
+        if let Some(finish) = choice["finish_reason"].as_str() {
+            self.finish = Some(finish.to_owned());
         }
     }
-    (text, tokens)
 }
--- a/crates/entry/src/online/mod.rs
+++ b/crates/entry/src/online/mod.rs
@@ -6,7 +6,7 @@
 mod target_attempt;
 
 pub(crate) use self::answer_relay::EventSplitter;
-pub(crate) use self::answer_relay::generated_text;
+pub(crate) use self::answer_relay::GeneratedText;
 pub(crate) use self::online_driver::OnlineDriver;
 pub(crate) use self::online_request::CompletionOutline;
 pub(crate) use self::online_request::OnlineRequest;
--- a/crates/entry/src/online/online_driver.rs
+++ b/crates/entry/src/online/online_driver.rs
@@ -21,9 +21,9 @@
 use http::StatusCode;
 
 use super::EventSplitter;
+use super::GeneratedText;
 use super::OnlineRequest;
 use super::continued_body;
-use super::generated_text;
 use super::target_attempt::AttemptEnd;
 use super::target_attempt::TargetAttempt;
 use crate::caller_answer::CallerError;
@@ -139,11 +139,11 @@
 
     /// Returns the body that leads to the rest of the answer.
     fn remaining_body(&self) -> Option<Bytes> {
-        let (text, tokens) = match self.splitter.kept() {
-            Some(events) if !events.is_empty() => generated_text(events),
+        let generated = match self.splitter.kept() {
+            Some(events) if !events.is_empty() => GeneratedText::read(events),
             _ => return Some(self.request.body.clone()),
         };
-        continued_body(&self.request.body, &text, tokens)
+        continued_body(&self.request.body, &generated.text, generated.tokens)
     }
 
     /// Ends a stream whose tokens were all relayed before it was cut.
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -13,6 +13,8 @@
 use monoio::time::timeout;
 use tarpc::context::Context;
 
+use crate::batch::BatchCoordinator;
+use crate::batch::read_local;
 use crate::entry_state::EntryState;
 
 /// Time for which a question for a newer configuration is held open.
@@ -21,13 +23,15 @@
 /// The entry's side of its peers' calls.
 #[derive(Clone)]
 pub(crate) struct PeerService {
+    coordinator: Rc<BatchCoordinator>,
     state: Rc<EntryState>,
 }
 
 impl PeerService {
     /// Creates the service.
-    pub fn new(state: Rc<EntryState>) -> Self {
-        Self { state }
+    pub fn new(coordinator: Rc<BatchCoordinator>) -> Self {
+        let state = Rc::clone(&coordinator.state);
+        Self { coordinator, state }
     }
 }
 
@@ -35,29 +39,52 @@
     async fn append(
         self,
         _: Context,
-        _stamp: PeerStamp,
-        _job: String,
-        _records: Vec<Vec<u8>>,
+        stamp: PeerStamp,
+        job: String,
+        records: Vec<Vec<u8>>,
     ) -> AppendAnswer {
-        AppendAnswer::Failed
+        if !self.state.accepts(&stamp) {
+            return AppendAnswer::Failed;
+        }
+        let Some(store) = self.coordinator.link.store() else {
+            return AppendAnswer::Failed;
+        };
+        match store.append(&job, records).await {
+            Ok(()) => AppendAnswer::Synced,
+            Err(fault) => {
+                log::warn!("journal {job}: {fault}");
+                AppendAnswer::Failed
+            }
+        }
     }
 
     async fn read(
         self,
         _: Context,
-        _stamp: PeerStamp,
-        _job: String,
-        _position: u64,
+        stamp: PeerStamp,
+        job: String,
+        position: u64,
     ) -> Option<JournalPage> {
-        None
+        if !self.state.accepts(&stamp) {
+            return None;
+        }
+        let store = self.coordinator.link.store()?;
+        read_local(store, &job, position).await.ok()
     }
 
-    async fn remove(self, _: Context, _stamp: PeerStamp, _job: String) -> bool {
-        false
+    async fn remove(self, _: Context, stamp: PeerStamp, job: String) -> bool {
+        match self.coordinator.link.store() {
+            Some(store) if self.state.accepts(&stamp) => store.remove(&job).await,
+            _ => false,
+        }
     }
 
-    async fn cancel(self, _: Context, _stamp: PeerStamp, _job: String) -> CancelAnswer {
-        CancelAnswer::NotOwner
+    async fn cancel(self, _: Context, stamp: PeerStamp, job: String) -> CancelAnswer {
+        if !self.state.accepts(&stamp) {
+            return CancelAnswer::Refused;
+        }
+        self.coordinator.stop_cancelled(&job);
+        CancelAnswer::Stopped
     }
 
     async fn wait_config(
--- a/crates/policy/src/batch/mod.rs
+++ b/crates/policy/src/batch/mod.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! Batch jobs: what is kept of them, and what their owner does next.
+//!
+//! A job's items are cut into chunks. The owner records an intent before it hands an item over,
+//! records the result when it comes, and commits a chunk in the key-value service once all its
+//! results are on enough disks. Whatever the owner dies between, the next one reads from the
+//! records how far each item got.
+
+mod chunk_row;
+mod item_row;
+mod job_order;
+mod job_plan;
+mod job_record;
+mod job_recovery;
+mod job_table;
+mod journal_record;
+
+pub use self::item_row::ItemEnd;
+pub use self::item_row::ItemState;
+pub use self::job_plan::JobPlan;
+pub use self::job_record::ChunkCommit;
+pub use self::job_record::FileRecord;
+pub use self::job_record::JobCounts;
+pub use self::job_record::JobOwner;
+pub use self::job_record::JobRecord;
+pub use self::job_record::JobState;
+pub use self::job_recovery::JobRecovery;
+pub use self::job_table::JobCommand;
+pub use self::job_table::JobEvent;
+pub use self::job_table::JobId;
+pub use self::job_table::JobTable;
+pub use self::journal_record::ItemResult;
+pub use self::journal_record::JournalRecord;
+pub use self::journal_record::ResultState;
--- a/crates/policy/src/routing/target_router.rs
+++ b/crates/policy/src/routing/target_router.rs
@@ -51,7 +51,7 @@
             return None;
         }
         if request.class == WorkClass::Batch {
-            return most_slack(&candidates);
+            return most_room(&candidates);
         }
         if let Some(affinity) = request.affinity {
             if request.binding {
@@ -155,11 +155,10 @@
     }
 }
 
-/// Picks the target with the most batch slack left after this entry's own requests.
-fn most_slack(candidates: &[&TargetRow]) -> Option<TargetId> {
-    let slack = |row: &TargetRow| row.reading.map_or(0, |(_, reading)| reading.batch_slack);
-    let open = candidates.iter().filter(|row| slack(row) > 0);
-    open.max_by_key(|row| slack(row)).map(|row| row.id)
+/// Picks the target with the most room for batch requests.
+fn most_room(candidates: &[&TargetRow]) -> Option<TargetId> {
+    let open = candidates.iter().filter(|row| row.batch_room() > 0);
+    open.max_by_key(|row| row.batch_room()).map(|row| row.id)
 }
 
 /// Orders targets by rendezvous hashing, the best first.
--- a/crates/policy/src/routing/target_table.rs
+++ b/crates/policy/src/routing/target_table.rs
@@ -17,6 +17,9 @@
 /// Share that a target has at the beginning of its slow start.
 const SLOW_START_SHARE: f64 = 0.1;
 
+/// Batch requests that may wait at a sidecar, so that a slot that falls free is used at once.
+const BATCH_AHEAD: u32 = 2;
+
 /// A target as the platform's list of instances names it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetListing {
@@ -61,6 +64,8 @@
     pub name: String,
     /// Hash of the name, for affinity.
     pub name_hash: u64,
+    /// Batch requests of this entry that are under way.
+    pub batch_in_flight: u32,
     /// Whether the sidecar answers and its target is up.
     pub ready: bool,
     /// The sidecar's last reading, and when it came.
@@ -79,6 +84,7 @@
     /// Creates the row of a target that has just been listed; it is not ready until it answers.
     fn new(id: TargetId, now: MonotonicTime, listing: &TargetListing) -> Self {
         Self {
+            batch_in_flight: 0,
             control: listing.control,
             data: listing.data,
             ejected_until: None,
@@ -126,6 +132,19 @@
         told.max(own) / f64::from(reading.limit.max(1)) / self.share(now)
     }
 
+    /// Returns the number of further batch requests that this entry may send now.
+    #[must_use]
+    pub fn batch_room(&self) -> u32 {
+        let Some((_, reading)) = self.reading else {
+            return 0;
+        };
+        if reading.batch_slack == 0 && reading.batch_running == 0 {
+            return 0;
+        }
+        let capacity = reading.batch_running + reading.batch_slack + BATCH_AHEAD;
+        capacity.saturating_sub(self.batch_in_flight)
+    }
+
     /// Returns the share of its full load that the target may get now.
     fn share(&self, now: MonotonicTime) -> f64 {
         let progress = now.since(self.started).as_secs_f64() / SLOW_START.as_secs_f64();
--- a/crates/settings/src/server_settings.rs
+++ b/crates/settings/src/server_settings.rs
@@ -27,6 +27,12 @@
 /// Items in one chunk of a job, which is what one commit covers.
 const CHUNK_ITEMS: u64 = 500;
 
+/// Disks that a journal is written to.
+const REPLICAS: u64 = 3;
+
+/// Disks that have to hold a record before it counts as kept.
+const MIN_REPLICAS: u64 = 2;
+
 /// Batch requests that an entry keeps under way.
 const BATCH_WINDOW: u64 = 256;
 
@@ -94,6 +100,12 @@
     /// Time to live of the instance's lease.
     #[builder(default = Duration::from_millis(LEASE_TTL_MS))]
     pub lease_ttl: Duration,
+    /// Disks that have to hold a record before it counts as kept.
+    #[builder(default = MIN_REPLICAS as usize)]
+    pub min_replicas: usize,
+    /// Disks that a journal is written to.
+    #[builder(default = REPLICAS as usize)]
+    pub replicas: usize,
     /// How targets are chosen.
     #[builder(default)]
     pub routing: RoutingPolicy,
@@ -219,6 +231,16 @@
     let batch_window = reader.number("batch_window", 1..=100_000, BATCH_WINDOW) as usize;
     let chunk_items = reader.number("chunk_items", 1..=5_000, CHUNK_ITEMS) as u32;
     let lease_ttl = reader.millis("lease_ttl_ms", 1_000..=600_000, LEASE_TTL_MS);
+    let replicas = reader.number("replicas", 1..=5, REPLICAS) as usize;
+    let min_replicas = reader.number("min_replicas", 1..=5, MIN_REPLICAS) as usize;
+    if min_replicas > replicas {
+        let hint = "make it at most `replicas`";
+        reader.report(
+            "min_replicas",
+            "`min_replicas` is more than `replicas`",
+            hint,
+        );
+    }
     let routing = match reader.optional_text("routing").map(|_| {
         reader.choice(
             "routing",
@@ -235,6 +257,8 @@
         chunk_items,
         data_folder,
         lease_ttl,
+        min_replicas,
+        replicas,
         routing,
     }
 }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Journals on the local disk, written by a thread of their own.
+//!
+//! A journal is a file of records, each with its length and checksum. Appended records are synced
+//! before they are acknowledged. A torn tail is cut off when the file is opened, a record with
+//! flipped bits is skipped and counted, and a write that fails leaves the file as it was.
+
+mod journal_file;
+mod journal_store;
+
+pub use crate::journal_file::JournalFile;
+pub use crate::journal_file::RecordPage;
+pub use crate::journal_store::JournalStore;
+pub use crate::journal_store::StoreFault;
--- /dev/null
+++ b/tests/batch/exactly_once.rs
@@ -0,0 +1,170 @@
+//! Every accepted item ends with one result.
+
+use std::time::Duration;
+
+use cv_bench::deployment::DeploymentSpec;
+use cv_bench::deployment::ModelSpec;
+use cv_bench::deployment::PlainSpec;
+use cv_bench::deployment::SmallDeployment;
+use cv_bench::load::BatchAudit;
+use cv_bench::load::BatchClient;
+use cv_bench::load::PromiseCounts;
+use cv_standin::EngineSettings;
+use tempfile::TempDir;
+
+/// Longest time that a test's job may take.
+const PATIENCE: Duration = Duration::from_mins(1);
+
+/// Returns a deployment with three disks in three zones.
+fn spec(folder: &TempDir) -> DeploymentSpec {
+    let engine = EngineSettings::builder()
+        .step_base(Duration::from_millis(3))
+        .build();
+    let model = ModelSpec::builder()
+        .engine(engine)
+        .name("assist-llm")
+        .replicas(2)
+        .build();
+    let plain = PlainSpec::builder().name("orders-app").replicas(2).build();
+    DeploymentSpec::builder()
+        .data(folder.path().to_owned())
+        .entries(3)
+        .lease_ttl(Duration::from_secs(2))
+        .models(vec![model])
+        .plains(vec![plain])
+        .build()
+}
+
+/// Submits a job and returns its id.
+fn submit(client: &BatchClient, audit: &BatchAudit, key: &str) -> String {
+    let file = client.upload(audit.input()).expect("the file is accepted");
+    client
+        .create(&file, Some(key), Duration::from_hours(1))
+        .expect("the job is accepted")
+}
+
+/// Waits for a job and checks its results.
+fn finish(client: &BatchClient, audit: &BatchAudit, id: &str) -> PromiseCounts {
+    let job = client.wait(id, PATIENCE);
+    assert_eq!(job["status"], "completed", "{job}");
+    let output = client
+        .results(id, "output")
+        .expect("the output is readable");
+    let errors = client
+        .results(id, "errors")
+        .expect("the errors are readable");
+    audit.check(&output, &errors)
+}
+
+#[test]
+fn a_job_ends_with_one_right_result_an_item() {
+    let folder = TempDir::new().expect("a folder");
+    let deployment = SmallDeployment::start(spec(&folder));
+    let client = BatchClient::new(deployment.entry_addresses()[0], "members");
+    let audit = BatchAudit::completions("a", "assist-llm", 1_200, 6);
+    let id = submit(&client, &audit, "job-a");
+    assert_eq!(finish(&client, &audit, &id), PromiseCounts::default());
+}
+
+#[test]
+fn a_resent_job_is_the_same_job_and_another_content_is_a_conflict() {
+    let folder = TempDir::new().expect("a folder");
+    let deployment = SmallDeployment::start(spec(&folder));
+    let addresses = deployment.entry_addresses();
+    let audit = BatchAudit::completions("b", "assist-llm", 20, 4);
+    let ids: Vec<String> = addresses
+        .iter()
+        .map(|address| submit(&BatchClient::new(*address, "members"), &audit, "job-b"))
+        .collect();
+    assert!(ids.iter().all(|id| *id == ids[0]), "{ids:?}");
+    let client = BatchClient::new(addresses[0], "members");
+    let other = BatchAudit::completions("c", "assist-llm", 20, 4);
+    let file = client.upload(other.input()).expect("the file is accepted");
+    let refused = client
+        .create(&file, Some("job-b"), PATIENCE)
+        .expect_err("a conflict");
+    assert_eq!(refused["error"]["reason"], "key_conflict");
+    assert_eq!(finish(&client, &audit, &ids[0]), PromiseCounts::default());
+}
+
+#[test]
+fn a_job_survives_the_death_of_its_owner() {
+    let folder = TempDir::new().expect("a folder");
+    let mut deployment = SmallDeployment::start(spec(&folder));
+    let client = BatchClient::new(deployment.entry_addresses()[0], "members");
+    let audit = BatchAudit::completions("d", "assist-llm", 1_500, 24);
+    let id = submit(&client, &audit, "job-d");
+    let mut owner = None;
+    while owner.is_none() {
+        owner = client.show(&id)["owner"].as_str().map(str::to_owned);
+    }
+    let owner = owner.expect("an owner");
+    let index: usize = owner
+        .trim_start_matches("entry-")
+        .parse()
+        .expect("an index");
+    deployment.entries[index] = None;
+    deployment.publish_list();
+    let client = BatchClient::new(deployment.entry_addresses()[0], "members");
+    assert_eq!(finish(&client, &audit, &id), PromiseCounts::default());
+}
+
+#[test]
+fn items_that_may_not_be_repeated_run_at_most_once() {
+    let folder = TempDir::new().expect("a folder");
+    let deployment = SmallDeployment::start(spec(&folder));
+    let client = BatchClient::new(deployment.entry_addresses()[0], "members");
+    let audit = BatchAudit::calls("e", "orders-app", 200);
+    let id = submit(&client, &audit, "job-e");
+    assert_eq!(client.wait(&id, PATIENCE)["status"], "completed");
+    let executions = deployment.executions.snapshot();
+    assert_eq!(executions.len(), 200);
+    assert!(
+        executions.values().all(|count| *count == 1),
+        "{executions:?}"
+    );
+}
+
+#[test]
+fn a_cancelled_job_stops() {
+    let folder = TempDir::new().expect("a folder");
+    let deployment = SmallDeployment::start(spec(&folder));
+    let addresses = deployment.entry_addresses();
+    let client = BatchClient::new(addresses[0], "members");
+    let audit = BatchAudit::completions("f", "assist-llm", 3_000, 50);
+    let id = submit(&client, &audit, "job-f");
+    let other = BatchClient::new(addresses[1], "members");
+    assert_eq!(other.cancel(&id)["status"], "cancelled");
+    let sequences = || -> u64 {
+        let engines = deployment
+            .targets
+            .iter()
+            .filter_map(|target| target.engine.as_ref());
+        engines.map(|engine| engine.report().sequences).sum()
+    };
+    // What ran when the answer came is cancelled; nothing new is handed over after it.
+    let after = sequences();
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(sequences(), after);
+    assert_eq!(client.show(&id)["status"], "cancelled");
+}
+
+#[test]
+fn a_bad_file_is_refused_with_all_its_findings() {
+    let folder = TempDir::new().expect("a folder");
+    let deployment = SmallDeployment::start(spec(&folder));
+    let client = BatchClient::new(deployment.entry_addresses()[0], "members");
+    let good = BatchAudit::completions("g", "assist-llm", 1, 4).input();
+    let mut lines = good.clone();
+    lines.extend_from_slice(b"not json\n");
+    lines.extend_from_slice(&BatchAudit::completions("h", "no-such-model", 1, 4).input());
+    lines.extend_from_slice(&good);
+    let answer = client.upload(lines).expect_err("the file is refused");
+    let findings = answer["error"]["findings"]
+        .as_array()
+        .expect("findings")
+        .clone();
+    assert_eq!(findings.len(), 3, "{answer}");
+    assert_eq!(findings[0]["line"], 2);
+    assert_eq!(findings[1]["line"], 3);
+}
--- /dev/null
+++ b/tests/batch/main.rs
@@ -0,0 +1,3 @@
+//! Batch jobs: accepted, finished once, readable.
+
+mod exactly_once;
