--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -12,6 +12,7 @@
 use crate::deployment::ModelSpec;
 use crate::deployment::PlainSpec;
 use crate::deployment::SmallDeployment;
+use crate::load::AddressBook;
 use crate::load::CompletionCall;
 use crate::load::LoadPlan;
 use crate::load::LoadReport;
@@ -149,11 +150,12 @@
 /// Returns the plan of one kind of traffic.
 fn plan_of(deployment: &SmallDeployment, options: DemoOptions, rate: f64) -> LoadPlan {
     LoadPlan {
-        addresses: deployment.entry_addresses(),
+        addresses: AddressBook::new(&deployment.entry_addresses()),
         deadline: DEADLINE,
         duration: Duration::from_secs(options.seconds),
         rate,
         seed: options.seed,
+        warm_up: Duration::ZERO,
     }
 }
 
--- a/crates/bench/src/deployment/mod.rs
+++ b/crates/bench/src/deployment/mod.rs
@@ -12,6 +12,7 @@
 pub use self::server_threads::EntryThread;
 pub use self::server_threads::SidecarThread;
 pub use self::server_threads::StandinThread;
+pub use self::server_threads::ThreadFaults;
 pub use self::server_threads::start_entry;
 pub use self::server_threads::start_sidecar;
 pub use self::server_threads::start_standin;
--- a/crates/bench/src/deployment/server_threads.rs
+++ b/crates/bench/src/deployment/server_threads.rs
@@ -3,18 +3,44 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
 use std::sync::mpsc::channel;
+use std::time::Duration;
 
 use cv_entry::EntryServer;
 use cv_http::DrainGate;
 use cv_http::bind_listener;
 use cv_runtime::ServingThread;
+use cv_runtime::ShutdownSignal;
 use cv_settings::EntrySection;
 use cv_settings::ServerSettings;
 use cv_settings::SidecarSection;
 use cv_sidecar::SidecarServer;
 use monoio::net::TcpListener;
 
+/// Time between two looks for a request to freeze.
+const FREEZE_LOOK: Duration = Duration::from_millis(5);
+
+/// Faults that can be done to a server's thread.
+#[derive(Clone, Debug)]
+pub struct ThreadFaults {
+    freeze: Sender<Duration>,
+    kill: ShutdownSignal,
+}
+
+impl ThreadFaults {
+    /// Ends the server at once: its sockets close, nothing is drained or given back.
+    pub fn kill(&self) {
+        self.kill.give();
+    }
+
+    /// Holds the whole thread up, as if its process were stopped and went on later.
+    pub fn freeze(&self, time: Duration) {
+        // A server that was killed cannot be frozen.
+        let _ = self.freeze.send(time);
+    }
+}
+
 /// An entry on its thread.
 #[derive(Debug)]
 pub struct EntryThread {
@@ -22,6 +48,8 @@
     pub control: SocketAddr,
     /// Where it takes requests.
     pub data: SocketAddr,
+    /// Faults for its thread.
+    pub faults: ThreadFaults,
     /// Its thread; dropping it shuts the entry down.
     pub thread: ServingThread,
 }
@@ -33,6 +61,8 @@
     pub control: SocketAddr,
     /// Where it takes requests.
     pub data: SocketAddr,
+    /// Faults for its thread.
+    pub faults: ThreadFaults,
     /// Its thread; dropping it shuts the sidecar down.
     pub thread: ServingThread,
 }
@@ -54,16 +84,18 @@
 pub fn start_entry(settings: ServerSettings, section: EntrySection) -> EntryThread {
     let (sender, receiver) = channel();
     let name = settings.name.clone();
+    let (faults, kill, frozen) = thread_faults();
     let thread = ServingThread::spawn(&name, move |shutdown| async move {
         let server = EntryServer::bind(settings, section).expect("the entry binds its addresses");
         let addresses = (server.data_address(), server.control_address());
         let _ = sender.send((addresses.0.expect("bound"), addresses.1.expect("bound")));
-        server.run(shutdown).await;
+        run_with_faults(server.run(shutdown), kill, frozen).await;
     });
     let (data, control) = started(&receiver);
     EntryThread {
         control,
         data,
+        faults,
         thread,
     }
 }
@@ -76,17 +108,19 @@
 pub fn start_sidecar(settings: ServerSettings, section: SidecarSection) -> SidecarThread {
     let (sender, receiver) = channel();
     let name = settings.name.clone();
+    let (faults, kill, frozen) = thread_faults();
     let thread = ServingThread::spawn(&name, move |shutdown| async move {
         let server =
             SidecarServer::bind(settings, section).expect("the sidecar binds its addresses");
         let addresses = (server.data_address(), server.control_address());
         let _ = sender.send((addresses.0.expect("bound"), addresses.1.expect("bound")));
-        server.run(shutdown).await;
+        run_with_faults(server.run(shutdown), kill, frozen).await;
     });
     let (data, control) = started(&receiver);
     SidecarThread {
         control,
         data,
+        faults,
         thread,
     }
 }
@@ -117,6 +151,41 @@
     }
 }
 
+/// Creates the faults of a thread, and what the thread sees of them.
+fn thread_faults() -> (ThreadFaults, ShutdownSignal, Receiver<Duration>) {
+    let (freeze, frozen) = channel();
+    let kill = ShutdownSignal::new();
+    (
+        ThreadFaults {
+            freeze,
+            kill: kill.clone(),
+        },
+        kill,
+        frozen,
+    )
+}
+
+/// Runs a server until it ends or is killed, and freezes its thread when asked to.
+async fn run_with_faults(
+    server: impl Future<Output = ()>,
+    kill: ShutdownSignal,
+    frozen: Receiver<Duration>,
+) {
+    let freezing = async {
+        loop {
+            monoio::time::sleep(FREEZE_LOOK).await;
+            if let Ok(time) = frozen.try_recv() {
+                std::thread::sleep(time);
+            }
+        }
+    };
+    monoio::select! {
+        () = server => {}
+        () = kill.given() => {}
+        () = freezing => {}
+    }
+}
+
 /// Waits for what a thread tells once it has started.
 fn started<T>(receiver: &Receiver<T>) -> T {
     receiver.recv().expect("the server starts")
--- a/crates/bench/src/deployment/small_deployment.rs
+++ b/crates/bench/src/deployment/small_deployment.rs
@@ -38,9 +38,6 @@
 /// Pause between two looks at a condition.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
-/// The secret of the deployment's own processes.
-const SECRET: &str = "loopback";
-
 /// A target with its sidecar.
 #[derive(Debug)]
 pub struct TargetHandle {
@@ -77,6 +74,9 @@
 }
 
 impl SmallDeployment {
+    /// The secret of the deployment's own processes.
+    pub const SECRET: &'static str = "loopback";
+
     /// Starts all parts and waits until every entry sees every target.
     ///
     /// # Panics
@@ -142,12 +142,17 @@
         AdminClient::new(*self.entry_addresses().first().expect("an entry runs"))
     }
 
-    /// Publishes the list of all instances that were not stopped.
-    pub fn publish_list(&self) {
+    /// Returns how the platform lists the running entries.
+    #[must_use]
+    pub fn entry_records(&self) -> Vec<ListedInstance> {
         let entries = self.entries.iter().zip(&self.entry_listings);
         let running = entries.filter(|(entry, _)| entry.is_some());
-        let mut listings: Vec<ListedInstance> =
-            running.map(|(_, listing)| listing.clone()).collect();
+        running.map(|(_, listing)| listing.clone()).collect()
+    }
+
+    /// Publishes the list of all instances that were not stopped.
+    pub fn publish_list(&self) {
+        let mut listings = self.entry_records();
         let targets = self
             .targets
             .iter()
@@ -359,7 +364,7 @@
             .name(name)
             .platform(platform)
             .role(role)
-            .secret(SECRET)
+            .secret(Self::SECRET)
             .zone(zone)
             .build()
     }
--- /dev/null
+++ b/crates/bench/src/experiment/affinity.rs
@@ -0,0 +1,98 @@
+//! Prefix cache hits and first tokens against round robin.
+
+use std::time::Duration;
+
+use cv_policy::admission::AdmissionSettings;
+use cv_policy::routing::RoutingPolicy;
+use cv_standin::EngineSettings;
+
+use super::ExperimentOptions;
+use super::ExperimentReport;
+use super::shared_load::CompletionLoad;
+use super::shared_load::plan_for;
+use crate::deployment::DeploymentSpec;
+use crate::deployment::ModelSpec;
+use crate::deployment::SmallDeployment;
+use crate::load::LoadReport;
+use crate::load::PromptSource;
+
+/// Different prefixes in the traffic.
+const PREFIXES: usize = 48;
+
+/// Words of each prefix.
+const PREFIX_WORDS: usize = 512;
+
+/// Blocks of each engine's cache: enough for a quarter of the prefixes.
+const CACHE_BLOCKS: usize = 512;
+
+/// Requests a second.
+const RATE: f64 = 60.0;
+
+/// Runs the experiment.
+pub(super) fn run(options: ExperimentOptions, report: &mut ExperimentReport) {
+    let own = measure("affinity", RoutingPolicy::BoundedAffinity, options, report);
+    let baseline = measure("round_robin", RoutingPolicy::RoundRobin, options, report);
+    report.figure(
+        "first_p50_ratio",
+        own.first_ms(0.5) / baseline.first_ms(0.5),
+    );
+    report.figure(
+        "first_p99_ratio",
+        own.first_ms(0.99) / baseline.first_ms(0.99),
+    );
+}
+
+/// Measures one way of routing.
+fn measure(
+    name: &str,
+    routing: RoutingPolicy,
+    options: ExperimentOptions,
+    report: &mut ExperimentReport,
+) -> LoadReport {
+    let deployment = SmallDeployment::start(spec(routing));
+    let load = CompletionLoad {
+        deadline: Duration::from_secs(10),
+        model: "assist-llm",
+        organisations: 8,
+        prompts: PromptSource::new(options.seed, PREFIXES, PREFIX_WORDS, 16),
+        tokens: 8,
+    };
+    let plan = plan_for(&deployment, RATE, options.phase(), options.seed);
+    let load = load.spawn(plan).join();
+    let engines = deployment
+        .targets
+        .iter()
+        .filter_map(|target| target.engine.as_ref());
+    let (mut cached, mut prompts) = (0, 0);
+    for engine in engines {
+        cached += engine.report().cached_tokens;
+        prompts += engine.report().prompt_tokens;
+    }
+    report.figure(
+        format!("{name}_hit_rate"),
+        cached as f64 / prompts.max(1) as f64,
+    );
+    report.figure(format!("{name}_first_p50_ms"), load.first_ms(0.5));
+    report.figure(format!("{name}_first_p99_ms"), load.first_ms(0.99));
+    report.curve(&format!("first token, {name}"), &load);
+    report.count(&load.promises);
+    load
+}
+
+/// Returns a deployment of six engines with small caches.
+fn spec(routing: RoutingPolicy) -> DeploymentSpec {
+    let engine = EngineSettings::builder()
+        .cache_blocks(CACHE_BLOCKS)
+        .max_sequences(16)
+        .build();
+    let model = ModelSpec::builder()
+        .admission(AdmissionSettings::builder().slots(16).build())
+        .engine(engine)
+        .name("assist-llm")
+        .replicas(6)
+        .build();
+    DeploymentSpec::builder()
+        .models(vec![model])
+        .routing(routing)
+        .build()
+}
--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -1,5 +1,6 @@
 //! Load against a deployment, with every answer checked.
 
+mod address_book;
 mod batch_audit;
 mod batch_client;
 mod call_outcome;
@@ -9,6 +10,7 @@
 mod prompt_source;
 mod service_call;
 
+pub use self::address_book::AddressBook;
 pub use self::batch_audit::BatchAudit;
 pub use self::batch_client::BatchClient;
 pub use self::call_outcome::CallOutcome;
--- a/crates/bench/src/load/open_load.rs
+++ b/crates/bench/src/load/open_load.rs
@@ -13,6 +13,7 @@
 use futures::StreamExt;
 use futures::channel::mpsc::unbounded;
 
+use super::AddressBook;
 use super::CallRecord;
 use super::LoadReport;
 
@@ -20,7 +21,7 @@
 #[derive(Clone, Debug)]
 pub struct LoadPlan {
     /// The entries, called in turn.
-    pub addresses: Vec<SocketAddr>,
+    pub addresses: AddressBook,
     /// Deadline that `in_time` is counted by.
     pub deadline: Duration,
     /// Time for which calls are started.
@@ -29,6 +30,8 @@
     pub rate: f64,
     /// Seed of the gaps between calls.
     pub seed: u64,
+    /// Time at the beginning whose calls are made but not counted.
+    pub warm_up: Duration,
 }
 
 /// Starts calls with random gaps, whether or not earlier ones have been answered.
@@ -44,7 +47,8 @@
     let mut due = begin;
     let mut count = 0;
     let mut report = LoadReport::new();
-    while begin.elapsed() < plan.duration {
+    let whole = plan.warm_up + plan.duration;
+    while begin.elapsed() < whole {
         let gap = -(1.0 - random.fraction()).ln() / plan.rate;
         due += Duration::from_secs_f64(gap);
         let pause = due.saturating_duration_since(Instant::now());
@@ -52,16 +56,19 @@
         if pause >= Duration::from_millis(1) {
             monoio::time::sleep(pause).await;
         }
-        let address = plan.addresses[count as usize % plan.addresses.len()];
+        let address = plan.addresses.pick(count);
         let call = make(count, Rc::clone(&pool), address);
+        let counted = begin.elapsed() >= plan.warm_up;
         let sender = sender.clone();
         monoio::spawn(async move {
             let record = call.await;
-            let _ = sender.unbounded_send(record);
+            if counted {
+                let _ = sender.unbounded_send(record);
+            }
         });
         count += 1;
     }
-    report.wall = begin.elapsed();
+    report.wall = begin.elapsed().saturating_sub(plan.warm_up);
     drop(sender);
     while let Some(record) = receiver.next().await {
         report.record(&record, plan.deadline);
@@ -69,7 +76,7 @@
     report
 }
 
-/// Keeps so many calls under way for the plan's duration; the plan's rate is not used.
+/// Keeps so many calls under way for the plan's duration; the plan's rate and warm-up are not used.
 pub async fn run_closed_load<M, F>(plan: &LoadPlan, callers: usize, make: M) -> LoadReport
 where
     M: Fn(u64, Rc<ConnectionPool>, SocketAddr) -> F + 'static,
@@ -82,7 +89,7 @@
     let mut tasks = Vec::new();
     for caller in 0..callers as u64 {
         let (pool, report, make) = (Rc::clone(&pool), Rc::clone(&report), Rc::clone(&make));
-        let address = plan.addresses[caller as usize % plan.addresses.len()];
+        let address = plan.addresses.pick(caller);
         let (duration, deadline) = (plan.duration, plan.deadline);
         tasks.push(monoio::spawn(async move {
             let mut count = caller << 32;
--- a/crates/bench/src/load/service_call.rs
+++ b/crates/bench/src/load/service_call.rs
@@ -56,6 +56,7 @@
         };
         let request = ClientRequest::new(Method::POST, self.path.clone(), self.body.clone())
             .with_header("idempotency-key", &self.key)
+            .with_header("x-request-id", &self.key)
             .with_header("x-deadline-ms", &self.deadline.as_millis().to_string());
         let result = connection
             .exchange(&request, self.deadline + GRACE, ANSWER_BYTES)
--- a/crates/cvctl/src/main.rs
+++ b/crates/cvctl/src/main.rs
@@ -4,6 +4,10 @@
 
 use argh::FromArgs;
 use cv_bench::DemoOptions;
+use cv_bench::experiment::ExperimentName;
+use cv_bench::experiment::ExperimentOptions;
+use cv_bench::experiment::ExperimentReport;
+use cv_bench::experiment::run_experiment;
 use cv_bench::run_demo;
 
 /// Commands for operators of clementinevale.
@@ -18,6 +22,28 @@
 #[argh(subcommand)]
 enum ControlCommand {
     Demo(DemoCommand),
+    Experiment(ExperimentCommand),
+}
+
+/// Runs a named experiment and prints what it has measured.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "experiment")]
+struct ExperimentCommand {
+    /// the experiment
+    #[argh(positional)]
+    name: Option<String>,
+    /// print one JSON object
+    #[argh(switch)]
+    json: bool,
+    /// list the experiments
+    #[argh(switch)]
+    list: bool,
+    /// length of each measured phase, in seconds
+    #[argh(option, default = "5")]
+    seconds: u64,
+    /// seed of the load
+    #[argh(option, default = "1")]
+    seed: u64,
 }
 
 /// Runs a small co-op deployment in this process, with traffic.
@@ -40,6 +66,7 @@
     let arguments: ControlArguments = argh::from_env();
     match arguments.command {
         ControlCommand::Demo(command) => demo(&command),
+        ControlCommand::Experiment(command) => experiment(&command),
     }
 }
 
@@ -59,3 +86,48 @@
         }
     }
 }
+
+/// Runs an experiment.
+fn experiment(command: &ExperimentCommand) -> ExitCode {
+    if command.list {
+        for name in ExperimentName::ALL {
+            println!("{:<14} {}", name.as_str(), name.description());
+        }
+        return ExitCode::SUCCESS;
+    }
+    let Some(name) = command.name.as_deref().and_then(ExperimentName::from_text) else {
+        eprintln!("name an experiment; `cvctl experiment --list` describes them");
+        return ExitCode::from(2);
+    };
+    let options = ExperimentOptions {
+        seconds: command.seconds,
+        seed: command.seed,
+    };
+    let report = run_experiment(name, options);
+    if command.json {
+        println!("{}", serde_json::to_string(&report).unwrap_or_default());
+    } else {
+        print_report(&report);
+    }
+    if report.broken.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// Prints an experiment's figures for people.
+fn print_report(report: &ExperimentReport) {
+    for (name, value) in &report.figures {
+        println!("{name:<32} {value}");
+    }
+    for target in &report.targets {
+        let word = if target.met { "met" } else { "MISSED" };
+        println!(
+            "target {:<32} {} (bound {})",
+            target.figure, word, target.bound
+        );
+    }
+    println!("counts {:?}", report.counts);
+    println!("broken promises: {:?}", report.broken);
+}
--- a/crates/policy/src/admission/concurrency_limit.rs
+++ b/crates/policy/src/admission/concurrency_limit.rs
@@ -10,6 +10,9 @@
 /// Latency over the baseline at which the limit shrinks.
 const LATENCY_RATIO: f64 = 3.0;
 
+/// Latency over the baseline, in seconds, that is noise rather than a queue in the target.
+const LATENCY_MARGIN: f64 = 0.005;
+
 /// Factor of one decrease.
 const DECREASE: f64 = 0.9;
 
@@ -73,7 +76,7 @@
             return;
         }
         self.changed = now;
-        if self.mean > self.baseline * LATENCY_RATIO {
+        if self.mean > self.baseline * LATENCY_RATIO + LATENCY_MARGIN {
             self.limit = (self.limit * DECREASE).max(1.0);
         } else if self.saturated {
             self.limit = (self.limit + 1.0).min(f64::from(self.maximum));
--- a/crates/standin/src/engine/engine_handler.rs
+++ b/crates/standin/src/engine/engine_handler.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
@@ -87,6 +88,7 @@
     report: Arc<Mutex<EngineReport>>,
     settings: EngineSettings,
     slowness: Arc<AtomicU32>,
+    stale_load: Arc<AtomicBool>,
 }
 
 impl EngineStandin {
@@ -97,6 +99,7 @@
             report: Arc::default(),
             settings,
             slowness: Arc::new(AtomicU32::new(100)),
+            stale_load: Arc::default(),
         }
     }
 
@@ -105,6 +108,11 @@
         self.slowness.store(percent.max(1), Ordering::Relaxed);
     }
 
+    /// Makes the engine report from now on the load that it has reported last.
+    pub fn freeze_load_report(&self) {
+        self.stale_load.store(true, Ordering::Relaxed);
+    }
+
     /// Returns what the engine has done so far.
     ///
     /// # Panics
@@ -241,9 +249,12 @@
 
     /// Returns the load as it was some time ago.
     fn lagged_load(&self) -> Value {
+        let stale = self.shared.stale_load.load(Ordering::Relaxed);
         let (running, waiting) = self.core.load();
         let mut reports = self.reports.borrow_mut();
-        reports.push_back((Instant::now(), running, waiting));
+        if !stale || reports.is_empty() {
+            reports.push_back((Instant::now(), running, waiting));
+        }
         let lag = self.shared.settings.load_lag;
         while reports.len() > 1 && reports[1].0.elapsed() >= lag {
             reports.pop_front();
