--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -45,10 +45,7 @@
 /// # Errors
 /// Fails if the output cannot be written.
 pub fn run_demo(options: DemoOptions, output: &mut impl Write) -> std::io::Result<bool> {
-    writeln!(
-        output,
-        "starting 4 assistants, 2 order desks, 2 entries and the platform …"
-    )?;
+    writeln!(output, "starting 4 assistants, 2 order desks, 2 entries and the platform …")?;
     let deployment = SmallDeployment::start(demo_spec());
     let addresses = deployment.entry_addresses();
     writeln!(output, "entries: {addresses:?}")?;
@@ -62,12 +59,7 @@
     let (questions, orders) = (questions(), orders());
     summarise(output, "questions to the assistant", &questions)?;
     summarise(output, "orders", &orders)?;
-    let duplicated = deployment
-        .executions
-        .snapshot()
-        .values()
-        .filter(|count| **count > 1)
-        .count();
+    let duplicated = deployment.executions.snapshot().values().filter(|count| **count > 1).count();
     writeln!(output, "orders that ran twice: {duplicated}")?;
     let broken = [questions.promises.broken(), orders.promises.broken()].concat();
     if options.keep {
@@ -78,19 +70,10 @@
 
 /// Returns the demo's deployment.
 fn demo_spec() -> DeploymentSpec {
-    let engine = EngineSettings::builder()
-        .model("assist-llm".to_owned())
-        .build();
-    let assistants = ModelSpec::builder()
-        .engine(engine)
-        .name("assist-llm")
-        .replicas(4)
-        .build();
+    let engine = EngineSettings::builder().model("assist-llm".to_owned()).build();
+    let assistants = ModelSpec::builder().engine(engine).name("assist-llm").replicas(4).build();
     let desks = PlainSpec::builder().name("orders-app").replicas(2).build();
-    DeploymentSpec::builder()
-        .models(vec![assistants])
-        .plains(vec![desks])
-        .build()
+    DeploymentSpec::builder().models(vec![assistants]).plains(vec![desks]).build()
 }
 
 /// Starts the questions; the returned function waits for their report.
@@ -139,12 +122,7 @@
     L: FnOnce() -> Result<LoadReport, cv_runtime::RuntimeFault> + Send + 'static,
 {
     let thread = std::thread::spawn(load);
-    move || {
-        thread
-            .join()
-            .expect("the load ends")
-            .expect("the load runs")
-    }
+    move || thread.join().expect("the load ends").expect("the load runs")
 }
 
 /// Returns the plan of one kind of traffic.
@@ -183,10 +161,7 @@
         "  curl -N http://{address}/v1/completions -d '{{\"model\":\"assist-llm\",\"prompt\":\"which \
          shade for blueberries\",\"max_tokens\":8,\"stream\":true}}'"
     )?;
-    writeln!(
-        output,
-        "  curl http://{address}/services/orders-app/orders -d '{{\"netting\":7}}'"
-    )?;
+    writeln!(output, "  curl http://{address}/services/orders-app/orders -d '{{\"netting\":7}}'")?;
     writeln!(output, "Ctrl-C ends it")?;
     let waiting = ServingThread::spawn("signals", |shutdown| async move {
         let _ = cv_runtime::watch_termination(shutdown.clone());
--- a/crates/bench/src/deployment/admin_client.rs
+++ b/crates/bench/src/deployment/admin_client.rs
@@ -29,10 +29,7 @@
     /// Creates a client of the server at an address.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            token: None,
-        }
+        Self { address, token: None }
     }
 
     /// Shows a token with every call.
--- a/crates/bench/src/deployment/server_threads.rs
+++ b/crates/bench/src/deployment/server_threads.rs
@@ -92,12 +92,7 @@
         run_with_faults(server.run(shutdown), kill, frozen).await;
     });
     let (data, control) = started(&receiver);
-    EntryThread {
-        control,
-        data,
-        faults,
-        thread,
-    }
+    EntryThread { control, data, faults, thread }
 }
 
 /// Starts a sidecar.
@@ -117,12 +112,7 @@
         run_with_faults(server.run(shutdown), kill, frozen).await;
     });
     let (data, control) = started(&receiver);
-    SidecarThread {
-        control,
-        data,
-        faults,
-        thread,
-    }
+    SidecarThread { control, data, faults, thread }
 }
 
 /// Starts a stand-in on a free port, or on the given one.
@@ -145,24 +135,14 @@
             () = shutdown.given() => {}
         }
     });
-    StandinThread {
-        address: started(&receiver),
-        thread,
-    }
+    StandinThread { address: started(&receiver), thread }
 }
 
 /// Creates the faults of a thread, and what the thread sees of them.
 fn thread_faults() -> (ThreadFaults, ShutdownSignal, Receiver<Duration>) {
     let (freeze, frozen) = channel();
     let kill = ShutdownSignal::new();
-    (
-        ThreadFaults {
-            freeze,
-            kill: kill.clone(),
-        },
-        kill,
-        frozen,
-    )
+    (ThreadFaults { freeze, kill: kill.clone() }, kill, frozen)
 }
 
 /// Runs a server until it ends or is killed, and freezes its thread when asked to.
--- a/crates/bench/src/deployment/small_deployment.rs
+++ b/crates/bench/src/deployment/small_deployment.rs
@@ -126,11 +126,7 @@
     /// Returns the addresses of the running entries.
     #[must_use]
     pub fn entry_addresses(&self) -> Vec<SocketAddr> {
-        self.entries
-            .iter()
-            .flatten()
-            .map(|entry| entry.data)
-            .collect()
+        self.entries.iter().flatten().map(|entry| entry.data).collect()
     }
 
     /// Returns an operator's client of the first running entry.
@@ -153,10 +149,7 @@
     /// Publishes the list of all instances that were not stopped.
     pub fn publish_list(&self) {
         let mut listings = self.entry_records();
-        let targets = self
-            .targets
-            .iter()
-            .filter(|target| target.sidecar.is_some());
+        let targets = self.targets.iter().filter(|target| target.sidecar.is_some());
         listings.extend(targets.map(|target| target.listing.clone()));
         self.list.set(listings);
     }
@@ -179,11 +172,7 @@
         target.sidecar = None;
         let address = target.target.as_ref().expect("the target runs").address;
         let listing = target.listing.clone();
-        let kind = if target.engine.is_some() {
-            ServiceKind::Model
-        } else {
-            ServiceKind::Plain
-        };
+        let kind = if target.engine.is_some() { ServiceKind::Model } else { ServiceKind::Plain };
         let admission = self.admission_of(&listing.service);
         let sidecar = self.make_sidecar(&listing, kind, address, admission);
         let target = &mut self.targets[index];
@@ -198,19 +187,12 @@
     /// # Panics
     /// Panics if that takes too long.
     pub fn wait_until_ready(&self) {
-        let expected = self
-            .targets
-            .iter()
-            .filter(|target| target.sidecar.is_some())
-            .count();
+        let expected = self.targets.iter().filter(|target| target.sidecar.is_some()).count();
         let begin = Instant::now();
         for address in self.entry_addresses() {
             let client = AdminClient::new(address);
             while ready_targets(&client) < expected {
-                assert!(
-                    begin.elapsed() < START_PATIENCE,
-                    "the deployment does not get ready"
-                );
+                assert!(begin.elapsed() < START_PATIENCE, "the deployment does not get ready");
                 std::thread::sleep(LOOK_PAUSE);
             }
         }
@@ -225,14 +207,7 @@
             served.serve(listener, gate)
         });
         let admission = spec.admission.clone();
-        self.add_target(
-            &name,
-            &spec.name,
-            ServiceKind::Model,
-            target,
-            Some(engine),
-            admission,
-        );
+        self.add_target(&name, &spec.name, ServiceKind::Model, target, Some(engine), admission);
     }
 
     /// Adds a replica of a plain service.
@@ -243,14 +218,7 @@
             service.serve(listener, gate)
         });
         let admission = spec.admission.clone();
-        self.add_target(
-            &name,
-            &spec.name,
-            ServiceKind::Plain,
-            target,
-            None,
-            admission,
-        );
+        self.add_target(&name, &spec.name, ServiceKind::Plain, target, None, admission);
     }
 
     /// Adds a target with its sidecar.
@@ -286,13 +254,7 @@
             listing.data = proxy.address();
         }
         let (sidecar, target) = (Some(sidecar), Some(target));
-        self.targets.push(TargetHandle {
-            engine,
-            listing,
-            proxy,
-            sidecar,
-            target,
-        });
+        self.targets.push(TargetHandle { engine, listing, proxy, sidecar, target });
     }
 
     /// Adds an entry.
@@ -352,11 +314,7 @@
             instances: Some(self.list_address),
             key_value: vec![self.key_value_address],
         };
-        let events = self
-            .spec
-            .events
-            .as_ref()
-            .map(|folder| folder.join(format!("{name}.jsonl")));
+        let events = self.spec.events.as_ref().map(|folder| folder.join(format!("{name}.jsonl")));
         ServerSettings::builder()
             .control_listen(unset)
             .maybe_events(events)
@@ -371,21 +329,10 @@
 
     /// Returns the queue settings of a service's sidecars.
     fn admission_of(&self, service: &str) -> AdmissionSettings {
-        let models = self
-            .spec
-            .models
-            .iter()
-            .map(|spec| (&spec.name, &spec.admission));
-        let plains = self
-            .spec
-            .plains
-            .iter()
-            .map(|spec| (&spec.name, &spec.admission));
+        let models = self.spec.models.iter().map(|spec| (&spec.name, &spec.admission));
+        let plains = self.spec.plains.iter().map(|spec| (&spec.name, &spec.admission));
         let found = models.chain(plains).find(|(name, _)| *name == service);
-        found.map_or_else(
-            || AdmissionSettings::builder().build(),
-            |(_, found)| found.clone(),
-        )
+        found.map_or_else(|| AdmissionSettings::builder().build(), |(_, found)| found.clone())
     }
 
     /// Writes the configuration that the specification asks for.
@@ -405,10 +352,7 @@
         });
         let answer = self.admin().put_config(&config.to_string(), 0);
         let status = answer.map(|response| response.status);
-        assert!(
-            status.is_ok_and(|status| status.is_success()),
-            "the configuration is accepted"
-        );
+        assert!(status.is_ok_and(|status| status.is_success()), "the configuration is accepted");
     }
 }
 
@@ -424,9 +368,7 @@
         return 0;
     };
     let rows = answer["targets"].as_array().cloned().unwrap_or_default();
-    rows.iter()
-        .filter(|row| row["ready"] == true && row["leaving"] == false)
-        .count()
+    rows.iter().filter(|row| row["ready"] == true && row["leaving"] == false).count()
 }
 
 impl Drop for SmallDeployment {
@@ -435,22 +377,14 @@
         for entry in self.entries.iter().flatten() {
             entry.thread.request_shutdown();
         }
-        for sidecar in self
-            .targets
-            .iter()
-            .filter_map(|target| target.sidecar.as_ref())
-        {
+        for sidecar in self.targets.iter().filter_map(|target| target.sidecar.as_ref()) {
             sidecar.thread.request_shutdown();
         }
         self.entries.clear();
         for target in &mut self.targets {
             target.sidecar = None;
         }
-        for target in self
-            .targets
-            .iter()
-            .filter_map(|target| target.target.as_ref())
-        {
+        for target in self.targets.iter().filter_map(|target| target.target.as_ref()) {
             target.thread.request_shutdown();
         }
     }
--- a/crates/bench/src/experiment/affinity.rs
+++ b/crates/bench/src/experiment/affinity.rs
@@ -32,14 +32,8 @@
 pub(super) fn run(options: ExperimentOptions, report: &mut ExperimentReport) {
     let own = measure("affinity", RoutingPolicy::BoundedAffinity, options, report);
     let baseline = measure("round_robin", RoutingPolicy::RoundRobin, options, report);
-    report.figure(
-        "first_p50_ratio",
-        own.first_ms(0.5) / baseline.first_ms(0.5),
-    );
-    report.figure(
-        "first_p99_ratio",
-        own.first_ms(0.99) / baseline.first_ms(0.99),
-    );
+    report.figure("first_p50_ratio", own.first_ms(0.5) / baseline.first_ms(0.5));
+    report.figure("first_p99_ratio", own.first_ms(0.99) / baseline.first_ms(0.99));
 }
 
 /// Measures one way of routing.
@@ -59,19 +53,13 @@
     };
     let plan = plan_for(&deployment, RATE, options.phase(), options.seed);
     let load = load.spawn(plan).join();
-    let engines = deployment
-        .targets
-        .iter()
-        .filter_map(|target| target.engine.as_ref());
+    let engines = deployment.targets.iter().filter_map(|target| target.engine.as_ref());
     let (mut cached, mut prompts) = (0, 0);
     for engine in engines {
         cached += engine.report().cached_tokens;
         prompts += engine.report().prompt_tokens;
     }
-    report.figure(
-        format!("{name}_hit_rate"),
-        cached as f64 / prompts.max(1) as f64,
-    );
+    report.figure(format!("{name}_hit_rate"), cached as f64 / prompts.max(1) as f64);
     report.figure(format!("{name}_first_p50_ms"), load.first_ms(0.5));
     report.figure(format!("{name}_first_p99_ms"), load.first_ms(0.99));
     report.curve(&format!("first token, {name}"), &load);
@@ -81,18 +69,12 @@
 
 /// Returns a deployment of six engines with small caches.
 fn spec(routing: RoutingPolicy) -> DeploymentSpec {
-    let engine = EngineSettings::builder()
-        .cache_blocks(CACHE_BLOCKS)
-        .max_sequences(16)
-        .build();
+    let engine = EngineSettings::builder().cache_blocks(CACHE_BLOCKS).max_sequences(16).build();
     let model = ModelSpec::builder()
         .admission(AdmissionSettings::builder().slots(16).build())
         .engine(engine)
         .name("assist-llm")
         .replicas(6)
         .build();
-    DeploymentSpec::builder()
-        .models(vec![model])
-        .routing(routing)
-        .build()
+    DeploymentSpec::builder().models(vec![model]).routing(routing).build()
 }
--- a/crates/bench/src/experiment/burst.rs
+++ b/crates/bench/src/experiment/burst.rs
@@ -63,10 +63,7 @@
     let mut report = LoadReport::new();
     for burst in 0..bursts {
         let begin = std::time::Instant::now();
-        let seeded = ExperimentOptions {
-            seed: options.seed + burst,
-            ..options
-        };
+        let seeded = ExperimentOptions { seed: options.seed + burst, ..options };
         report.merge(&bench.burst(rate, seeded, LENGTH));
         std::thread::sleep(PERIOD.saturating_sub(begin.elapsed()));
     }
--- a/crates/bench/src/experiment/config_spread.rs
+++ b/crates/bench/src/experiment/config_spread.rs
@@ -80,39 +80,30 @@
     let mut threads = Vec::new();
     for thread in 0..THREADS {
         let sender = sender.clone();
-        threads.push(ServingThread::spawn(
-            "followers",
-            move |shutdown| async move {
-                for index in 0..FOLLOWERS / THREADS {
-                    let name = format!("follower-{thread}-{index}");
-                    let server = follower(&name);
-                    let addresses = (server.data_address(), server.control_address());
-                    let _ = sender.send((
-                        name,
-                        addresses.0.expect("bound"),
-                        addresses.1.expect("bound"),
-                    ));
-                    monoio::spawn(server.run(shutdown.clone()));
-                }
-                shutdown.given().await;
-            },
-        ));
+        threads.push(ServingThread::spawn("followers", move |shutdown| async move {
+            for index in 0..FOLLOWERS / THREADS {
+                let name = format!("follower-{thread}-{index}");
+                let server = follower(&name);
+                let addresses = (server.data_address(), server.control_address());
+                let _ =
+                    sender.send((name, addresses.0.expect("bound"), addresses.1.expect("bound")));
+                monoio::spawn(server.run(shutdown.clone()));
+            }
+            shutdown.given().await;
+        }));
     }
     drop(sender);
     let count = FOLLOWERS / THREADS * THREADS;
-    let listings = receiver
-        .iter()
-        .take(count)
-        .map(|(name, data, control)| ListedInstance {
-            control,
-            data,
-            disk: false,
-            leaving: false,
-            name,
-            role: "sidecar".to_owned(),
-            service: "assist-llm".to_owned(),
-            zone: "fraser-a".to_owned(),
-        });
+    let listings = receiver.iter().take(count).map(|(name, data, control)| ListedInstance {
+        control,
+        data,
+        disk: false,
+        leaving: false,
+        name,
+        role: "sidecar".to_owned(),
+        service: "assist-llm".to_owned(),
+        zone: "fraser-a".to_owned(),
+    });
     (threads, listings.collect())
 }
 
@@ -146,11 +137,7 @@
     while begin.elapsed() < PATIENCE {
         let status = admin.get_json("/admin/config/status").unwrap_or_default();
         let rows = status["instances"].as_array().cloned().unwrap_or_default();
-        let current = |row: &Value| {
-            row["revision"]
-                .as_u64()
-                .is_some_and(|found| found >= revision)
-        };
+        let current = |row: &Value| row["revision"].as_u64().is_some_and(|found| found >= revision);
         if rows.len() >= FOLLOWERS + ENTRIES && rows.iter().all(current) {
             return Some(begin.elapsed());
         }
--- a/crates/bench/src/experiment/drain.rs
+++ b/crates/bench/src/experiment/drain.rs
@@ -43,9 +43,7 @@
     let audit = BatchAudit::completions("drain", "assist-llm", ITEMS, 24);
     let file = client.upload(audit.input()).expect("the file is accepted");
     let due = Duration::from_hours(1);
-    let job = client
-        .create(&file, Some("drain"), due)
-        .expect("the job is accepted");
+    let job = client.create(&file, Some("drain"), due).expect("the job is accepted");
     let restarts = deployment.entries.len() + deployment.targets.len();
     // Draining takes some seconds for each part, which the load has to outlast.
     let duration = Duration::from_secs(5) * restarts as u32 + options.phase();
@@ -65,14 +63,10 @@
     let (questions, orders) = (questions.join(), orders.join());
     let client = BatchClient::new(deployment.entry_addresses()[0], "members");
     let ended = client.wait(&job, JOB_PATIENCE);
-    report.figure(
-        "job_completed",
-        f64::from(u8::from(ended["status"] == "completed")),
-    );
-    if let (Ok(output), Ok(errors)) = (
-        client.results(&job, "output"),
-        client.results(&job, "errors"),
-    ) {
+    report.figure("job_completed", f64::from(u8::from(ended["status"] == "completed")));
+    if let (Ok(output), Ok(errors)) =
+        (client.results(&job, "output"), client.results(&job, "errors"))
+    {
         report.count(&audit.check(&output, &errors));
     }
     check(&deployment, "questions", &questions, report);
--- a/crates/bench/src/experiment/experiment_report.rs
+++ b/crates/bench/src/experiment/experiment_report.rs
@@ -90,22 +90,13 @@
 
     /// Notes the distribution of a load's first responses.
     pub fn curve(&mut self, name: &str, load: &LoadReport) {
-        let values = (1..=100)
-            .map(|percent| load.first_ms(f64::from(percent) / 100.0))
-            .collect();
-        self.curves.push(LatencyCurve {
-            name: name.to_owned(),
-            values,
-        });
+        let values = (1..=100).map(|percent| load.first_ms(f64::from(percent) / 100.0)).collect();
+        self.curves.push(LatencyCurve { name: name.to_owned(), values });
     }
 
     /// Notes a figure and whether it is within its bound.
     fn check(&mut self, name: String, value: f64, bound: f64, met: bool) {
         self.figure(name.clone(), value);
-        self.targets.push(TargetCheck {
-            bound,
-            figure: name,
-            met,
-        });
+        self.targets.push(TargetCheck { bound, figure: name, met });
     }
 }
--- a/crates/bench/src/experiment/failover.rs
+++ b/crates/bench/src/experiment/failover.rs
@@ -48,26 +48,16 @@
     let begin = Instant::now();
     let mut drill = FailoverDrill::submit(&deployment, &audit, report);
     report.figure("accept_s", begin.elapsed().as_secs_f64());
-    drill.fault(
-        &mut deployment,
-        report,
-        "owner_killed",
-        |deployment, owner| {
-            kill_entry(deployment, owner);
-        },
-    );
+    drill.fault(&mut deployment, report, "owner_killed", |deployment, owner| {
+        kill_entry(deployment, owner);
+    });
     drill.resend(&deployment, report);
-    drill.fault(
-        &mut deployment,
-        report,
-        "sidecar_killed",
-        |deployment, _| {
-            if let Some(sidecar) = &deployment.targets[0].sidecar {
-                sidecar.faults.kill();
-            }
-            deployment.restart_sidecar(0);
-        },
-    );
+    drill.fault(&mut deployment, report, "sidecar_killed", |deployment, _| {
+        if let Some(sidecar) = &deployment.targets[0].sidecar {
+            sidecar.faults.kill();
+        }
+        deployment.restart_sidecar(0);
+    });
     for freeze in 0..FREEZES {
         let name = format!("owner_frozen_{freeze}");
         drill.fault(&mut deployment, report, &name, |deployment, owner| {
@@ -78,28 +68,19 @@
     }
     let outage = Duration::from_secs(options.seconds.clamp(5, 60));
     drill.fault(&mut deployment, report, "service_down", |deployment, _| {
-        deployment
-            .key_value
-            .change_faults(|faults| faults.down = true);
+        deployment.key_value.change_faults(|faults| faults.down = true);
         std::thread::sleep(outage);
-        deployment
-            .key_value
-            .change_faults(|faults| faults.down = false);
+        deployment.key_value.change_faults(|faults| faults.down = false);
     });
     report.figure("outage_s", outage.as_secs_f64());
     drill.fault(&mut deployment, report, "answers_lost", |deployment, _| {
-        deployment
-            .key_value
-            .change_faults(|faults| faults.lose_answers = 5);
+        deployment.key_value.change_faults(|faults| faults.lose_answers = 5);
     });
     drill.resend(&deployment, report);
     let job = drill.client(&deployment).wait(&drill.job, JOB_PATIENCE);
     report.figure("job_s", begin.elapsed().as_secs_f64());
     report.figure("items", items as f64);
-    report.figure(
-        "completed",
-        f64::from(u8::from(job["status"] == "completed")),
-    );
+    report.figure("completed", f64::from(u8::from(job["status"] == "completed")));
     let client = drill.client(&deployment);
     let output = client.results(&drill.job, "output").unwrap_or_default();
     let errors = client.results(&drill.job, "errors").unwrap_or_default();
@@ -107,10 +88,7 @@
     report.count(&audit.check(&output, &errors));
     let calls = deployment.key_value.calls();
     let writes = calls.get("/v3/kv/txn").copied().unwrap_or(0);
-    report.figure(
-        "service_writes_per_1000_items",
-        writes as f64 * 1_000.0 / items as f64,
-    );
+    report.figure("service_writes_per_1000_items", writes as f64 * 1_000.0 / items as f64);
 }
 
 /// A job and the faults that it goes through.
@@ -132,11 +110,7 @@
         report.figure("input_mb", input.len() as f64 / 1e6);
         let file = client.upload(input.clone()).expect("the file is accepted");
         let job = client.create(&file, Some("failover"), Duration::from_hours(1));
-        Self {
-            file,
-            input,
-            job: job.expect("the job is accepted"),
-        }
+        Self { file, input, job: job.expect("the job is accepted") }
     }
 
     /// Returns a client of an entry that runs.
@@ -168,9 +142,7 @@
     /// Sends the job again; it has to be the same one.
     fn resend(&self, deployment: &SmallDeployment, report: &mut ExperimentReport) {
         let client = self.client(deployment);
-        let file = client
-            .upload(self.input.clone())
-            .unwrap_or_else(|_| self.file.clone());
+        let file = client.upload(self.input.clone()).unwrap_or_else(|_| self.file.clone());
         let again = client.create(&file, Some("failover"), Duration::from_hours(1));
         if again.is_ok_and(|job| job != self.job) {
             report.counts.duplicated += 1;
@@ -187,9 +159,7 @@
                 return None;
             }
             let ended = ended_of(&job);
-            let owner = job["owner"]
-                .as_str()
-                .and_then(|name| name.strip_prefix("entry-"));
+            let owner = job["owner"].as_str().and_then(|name| name.strip_prefix("entry-"));
             if let Some(owner) = owner.and_then(|index| index.parse().ok())
                 && ended > before
             {
@@ -230,10 +200,7 @@
         .build();
     let model = ModelSpec::builder()
         .admission(
-            AdmissionSettings::builder()
-                .slots(64)
-                .batch_start_interval(Duration::ZERO)
-                .build(),
+            AdmissionSettings::builder().slots(64).batch_start_interval(Duration::ZERO).build(),
         )
         .engine(engine)
         .name("assist-llm")
--- a/crates/bench/src/experiment/faulty_target.rs
+++ b/crates/bench/src/experiment/faulty_target.rs
@@ -50,13 +50,8 @@
 
 impl TargetFault {
     /// All faults.
-    const ALL: [Self; 5] = [
-        Self::Slow,
-        Self::DeadEngine,
-        Self::DeadSidecar,
-        Self::HalfOpen,
-        Self::Lying,
-    ];
+    const ALL: [Self; 5] =
+        [Self::Slow, Self::DeadEngine, Self::DeadSidecar, Self::HalfOpen, Self::Lying];
 
     /// Returns the fault's name in figures.
     fn name(self) -> &'static str {
@@ -113,10 +108,7 @@
         let after = measure(&deployment, options.phase(), options.seed + 1);
         let name = fault.name();
         report.figure(format!("{name}_during_p99_ms"), during.first_ms(0.99));
-        report.figure(
-            format!("{name}_not_answered"),
-            (after.sent - after.in_time) as f64,
-        );
+        report.figure(format!("{name}_not_answered"), (after.sent - after.in_time) as f64);
         let ratio = after.first_ms(0.99) / healthy.first_ms(0.99);
         report.at_most(format!("{name}_p99_ratio"), ratio, LATENCY_RATIO);
         report.curve(name, &after);
@@ -133,15 +125,11 @@
         .name("assist-llm")
         .replicas(REPLICAS)
         .build();
-    DeploymentSpec::builder()
-        .models(vec![model])
-        .proxied(true)
-        .build()
+    DeploymentSpec::builder().models(vec![model]).proxied(true).build()
 }
 
 /// Measures a load.
 fn measure(deployment: &SmallDeployment, duration: Duration, seed: u64) -> LoadReport {
     let load = CompletionLoad::short("assist-llm", seed, TOKENS);
-    load.spawn(plan_for(deployment, RATE, duration, seed))
-        .join()
+    load.spawn(plan_for(deployment, RATE, duration, seed)).join()
 }
--- a/crates/bench/src/experiment/mixed.rs
+++ b/crates/bench/src/experiment/mixed.rs
@@ -62,16 +62,9 @@
     let seconds = beside.wall.as_secs_f64();
     let online_tokens = bench.online_tokens(&beside) / seconds;
     let batch_rate = generated / seconds - online_tokens;
-    let prefix = if name.is_empty() {
-        String::new()
-    } else {
-        format!("{name}_")
-    };
+    let prefix = if name.is_empty() { String::new() } else { format!("{name}_") };
     report.figure(format!("{prefix}first_p99_alone_ms"), alone.first_ms(0.99));
-    report.figure(
-        format!("{prefix}first_p99_beside_ms"),
-        beside.first_ms(0.99),
-    );
+    report.figure(format!("{prefix}first_p99_beside_ms"), beside.first_ms(0.99));
     report.figure(format!("{prefix}first_p50_alone_ms"), alone.first_ms(0.5));
     report.figure(format!("{prefix}first_p50_beside_ms"), beside.first_ms(0.5));
     report.figure(format!("{prefix}batch_tokens_per_s"), batch_rate);
@@ -81,8 +74,5 @@
     report.count(&alone.promises);
     report.count(&beside.promises);
     let idle = (idle_rate - online_tokens).max(1e-9);
-    (
-        beside.first_ms(0.99) / alone.first_ms(0.99),
-        batch_rate / idle,
-    )
+    (beside.first_ms(0.99) / alone.first_ms(0.99), batch_rate / idle)
 }
--- a/crates/bench/src/experiment/online.rs
+++ b/crates/bench/src/experiment/online.rs
@@ -46,10 +46,7 @@
     let rate = full_path.goodput();
     report.figure("direct_full_rps", full_direct.goodput());
     report.at_least("path_full_rps", rate, REQUESTS_PER_SECOND);
-    report.figure(
-        "path_rps_per_core",
-        full_path.in_time as f64 / used.max(1e-9),
-    );
+    report.figure("path_rps_per_core", full_path.in_time as f64 / used.max(1e-9));
     let half = rate / 2.0;
     let half_direct = measure_half("half-direct", &direct, "/notes", half, options);
     let half_path = measure_half("half-path", &entries, "/services/echo/notes", half, options);
@@ -58,10 +55,7 @@
         report.figure(format!("direct_{name}_ms"), half_direct.total_ms(quantile));
         report.figure(format!("path_{name}_ms"), half_path.total_ms(quantile));
     }
-    report.figure(
-        "added_p50_ms",
-        half_path.total_ms(0.5) - half_direct.total_ms(0.5),
-    );
+    report.figure("added_p50_ms", half_path.total_ms(0.5) - half_direct.total_ms(0.5));
     let added = half_path.total_ms(0.99) - half_direct.total_ms(0.99);
     report.at_most("added_p99_ms", added, ADDED_P99_MS);
     report.curve("direct at half load", &half_direct);
@@ -81,10 +75,7 @@
         .replicas(2)
         .service_time(Duration::ZERO)
         .build();
-    DeploymentSpec::builder()
-        .entries(2)
-        .plains(vec![echo])
-        .build()
+    DeploymentSpec::builder().entries(2).plains(vec![echo]).build()
 }
 
 /// Measures as many calls as can be made.
@@ -119,11 +110,7 @@
 /// Returns the load of one thread.
 fn load(name: &str, path: &'static str, loader: usize) -> ServiceLoad {
     let name = format!("{name}-{loader}");
-    ServiceLoad {
-        deadline: Duration::from_secs(5),
-        name,
-        path,
-    }
+    ServiceLoad { deadline: Duration::from_secs(5), name, path }
 }
 
 /// Returns the plan of one thread.
--- a/crates/bench/src/experiment/overload.rs
+++ b/crates/bench/src/experiment/overload.rs
@@ -27,13 +27,7 @@
 const DEADLINE: Duration = Duration::from_millis(1_500);
 
 /// Loads as shares of the capacity.
-const LOADS: [(&str, f64); 5] = [
-    ("0.5", 0.5),
-    ("1", 1.0),
-    ("1.5", 1.5),
-    ("2", 2.0),
-    ("4", 4.0),
-];
+const LOADS: [(&str, f64); 5] = [("0.5", 0.5), ("1", 1.0), ("1.5", 1.5), ("2", 2.0), ("4", 4.0)];
 
 /// Goodput at four times the capacity as a share of that at the capacity.
 const KEPT_GOODPUT: f64 = 0.95;
@@ -46,14 +40,7 @@
         measure_capacity(&deployment, options)
     };
     report.figure("capacity_rps", capacity);
-    let own = run_loads(
-        "",
-        admission,
-        RoutingPolicy::default(),
-        capacity,
-        options,
-        report,
-    );
+    let own = run_loads("", admission, RoutingPolicy::default(), capacity, options, report);
     let unlimited = AdmissionSettings::builder()
         .early_refusal(false)
         .limit(LimitPolicy::Slots)
@@ -100,10 +87,7 @@
         .name("assist-llm")
         .replicas(4)
         .build();
-    DeploymentSpec::builder()
-        .models(vec![model])
-        .routing(routing)
-        .build()
+    DeploymentSpec::builder().models(vec![model]).routing(routing).build()
 }
 
 /// Measures the requests a second that the engines answer when they are never idle.
--- a/crates/bench/src/experiment/shared_batch.rs
+++ b/crates/bench/src/experiment/shared_batch.rs
@@ -47,9 +47,7 @@
 impl BatchBench {
     /// Starts the deployment with disks in a folder.
     pub fn start(folder: &TempDir, admission: AdmissionSettings) -> Self {
-        let engine = EngineSettings::builder()
-            .max_sequences(SLOTS as usize)
-            .build();
+        let engine = EngineSettings::builder().max_sequences(SLOTS as usize).build();
         let model = ModelSpec::builder()
             .admission(admission)
             .engine(engine)
@@ -69,8 +67,7 @@
     /// Runs online load at a rate.
     pub fn online(&self, rate: f64, options: ExperimentOptions, duration: Duration) -> LoadReport {
         let load = CompletionLoad::short("assist-llm", options.seed, ONLINE_TOKENS);
-        load.spawn(plan_for(&self.deployment, rate, duration, options.seed))
-            .join()
+        load.spawn(plan_for(&self.deployment, rate, duration, options.seed)).join()
     }
 
     /// Runs one burst of online load.
@@ -84,15 +81,9 @@
     /// Submits a job that outlasts every phase, and waits until it runs.
     pub fn submit_endless(&self) -> String {
         let audit = BatchAudit::completions("endless", "assist-llm", ENDLESS_ITEMS, BATCH_TOKENS);
-        let file = self
-            .client
-            .upload(audit.input())
-            .expect("the file is accepted");
+        let file = self.client.upload(audit.input()).expect("the file is accepted");
         let due = Duration::from_hours(24);
-        let job = self
-            .client
-            .create(&file, None, due)
-            .expect("the job is accepted");
+        let job = self.client.create(&file, None, due).expect("the job is accepted");
         let before = self.generated_tokens();
         while self.generated_tokens() == before {
             std::thread::sleep(Duration::from_millis(20));
@@ -110,11 +101,7 @@
 
     /// Returns the tokens that the engines have generated so far.
     pub fn generated_tokens(&self) -> u64 {
-        let engines = self
-            .deployment
-            .targets
-            .iter()
-            .filter_map(|target| target.engine.as_ref());
+        let engines = self.deployment.targets.iter().filter_map(|target| target.engine.as_ref());
         engines.map(|engine| engine.report().generated_tokens).sum()
     }
 
@@ -126,14 +113,8 @@
 
     /// Returns the number of preemptions so far, as the sidecars count them.
     pub fn preemptions(&self) -> f64 {
-        let sidecars = self
-            .deployment
-            .targets
-            .iter()
-            .filter_map(|target| target.sidecar.as_ref());
-        sidecars
-            .map(|sidecar| preemptions_of(&AdminClient::new(sidecar.data)))
-            .sum()
+        let sidecars = self.deployment.targets.iter().filter_map(|target| target.sidecar.as_ref());
+        sidecars.map(|sidecar| preemptions_of(&AdminClient::new(sidecar.data))).sum()
     }
 
     /// Cancels a job.
@@ -148,9 +129,6 @@
         return 0.0;
     };
     let text = String::from_utf8_lossy(&response.body).into_owned();
-    let line = text
-        .lines()
-        .find(|line| line.starts_with("cv_sidecar_preemptions_total "));
-    line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
-        .unwrap_or(0.0)
+    let line = text.lines().find(|line| line.starts_with("cv_sidecar_preemptions_total "));
+    line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
 }
--- a/crates/bench/src/experiment/shared_load.rs
+++ b/crates/bench/src/experiment/shared_load.rs
@@ -67,14 +67,10 @@
     pub fn spawn_closed(self, plan: LoadPlan, callers: usize) -> LoadHandle {
         LoadHandle::spawn(move || {
             let load = std::cell::RefCell::new(self);
-            run_to_end(run_closed_load(
-                &plan,
-                callers,
-                move |count, pool: Rc<_>, address| {
-                    let call = load.borrow_mut().next_call(count);
-                    async move { call.run(&pool, address).await }
-                },
-            ))
+            run_to_end(run_closed_load(&plan, callers, move |count, pool: Rc<_>, address| {
+                let call = load.borrow_mut().next_call(count);
+                async move { call.run(&pool, address).await }
+            }))
         })
     }
 }
@@ -114,14 +110,10 @@
     /// Keeps so many calls under way on a thread of its own.
     pub fn spawn_closed(self, plan: LoadPlan, callers: usize) -> LoadHandle {
         LoadHandle::spawn(move || {
-            run_to_end(run_closed_load(
-                &plan,
-                callers,
-                move |count, pool: Rc<_>, address| {
-                    let call = self.next_call(count);
-                    async move { call.run(&pool, address).await }
-                },
-            ))
+            run_to_end(run_closed_load(&plan, callers, move |count, pool: Rc<_>, address| {
+                let call = self.next_call(count);
+                async move { call.run(&pool, address).await }
+            }))
         })
     }
 }
@@ -137,9 +129,7 @@
     where
         L: FnOnce() -> Result<LoadReport, cv_runtime::RuntimeFault> + Send + 'static,
     {
-        Self {
-            thread: std::thread::spawn(move || load().expect("the load's runtime starts")),
-        }
+        Self { thread: std::thread::spawn(move || load().expect("the load's runtime starts")) }
     }
 
     /// Waits for the load's report.
@@ -180,16 +170,7 @@
     const TICKS: f64 = 100.0;
     let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
     // The fields are counted behind the program's name, which may hold spaces.
-    let fields: Vec<&str> = text
-        .rsplit(") ")
-        .next()
-        .unwrap_or_default()
-        .split(' ')
-        .collect();
-    let ticks = |index: usize| {
-        fields
-            .get(index)
-            .and_then(|field| field.parse::<f64>().ok())
-    };
+    let fields: Vec<&str> = text.rsplit(") ").next().unwrap_or_default().split(' ').collect();
+    let ticks = |index: usize| fields.get(index).and_then(|field| field.parse::<f64>().ok());
     (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS
 }
--- a/crates/bench/src/load/address_book.rs
+++ b/crates/bench/src/load/address_book.rs
@@ -14,9 +14,7 @@
     /// Creates a book of addresses.
     #[must_use]
     pub fn new(addresses: &[SocketAddr]) -> Self {
-        Self {
-            addresses: Arc::new(Mutex::new(addresses.to_vec())),
-        }
+        Self { addresses: Arc::new(Mutex::new(addresses.to_vec())) }
     }
 
     /// Replaces the addresses.
--- a/crates/bench/src/load/batch_audit.rs
+++ b/crates/bench/src/load/batch_audit.rs
@@ -19,16 +19,11 @@
     /// Makes an input of so many items of so many tokens.
     #[must_use]
     pub fn completions(name: &str, model: &str, items: usize, tokens: usize) -> Self {
-        let mut audit = Self {
-            expected: BTreeMap::new(),
-            lines: String::new(),
-        };
+        let mut audit = Self { expected: BTreeMap::new(), lines: String::new() };
         for item in 0..items {
             let custom_id = format!("{name}-{item}");
             let prompt = format!("chapter {name} line {item} please");
-            audit
-                .expected
-                .insert(custom_id.clone(), expected_text(&prompt, tokens));
+            audit.expected.insert(custom_id.clone(), expected_text(&prompt, tokens));
             let body = json!({"max_tokens": tokens, "model": model, "prompt": prompt});
             audit.push(&custom_id, "/v1/completions", &body);
         }
@@ -38,10 +33,7 @@
     /// Makes an input of so many calls to a plain service.
     #[must_use]
     pub fn calls(name: &str, service: &str, items: usize) -> Self {
-        let mut audit = Self {
-            expected: BTreeMap::new(),
-            lines: String::new(),
-        };
+        let mut audit = Self { expected: BTreeMap::new(), lines: String::new() };
         for item in 0..items {
             let custom_id = format!("{name}-{item}");
             audit.expected.insert(custom_id.clone(), String::new());
@@ -86,9 +78,7 @@
             promises.crossed += 1;
             return;
         };
-        let text = line["response"]["body"]["choices"][0]["text"]
-            .as_str()
-            .unwrap_or_default();
+        let text = line["response"]["body"]["choices"][0]["text"].as_str().unwrap_or_default();
         if text == expected {
             return;
         }
--- a/crates/bench/src/load/batch_client.rs
+++ b/crates/bench/src/load/batch_client.rs
@@ -27,10 +27,7 @@
     /// Creates a client of the entry at an address.
     #[must_use]
     pub fn new(address: SocketAddr, organisation: &str) -> Self {
-        Self {
-            client: AdminClient::new(address),
-            organisation: organisation.to_owned(),
-        }
+        Self { client: AdminClient::new(address), organisation: organisation.to_owned() }
     }
 
     /// Shows a token with every call.
@@ -91,12 +88,7 @@
     /// Cancels a job and returns the answer.
     #[must_use]
     pub fn cancel(&self, id: &str) -> Value {
-        value_of(self.call(
-            Method::POST,
-            &format!("/v1/batches/{id}/cancel"),
-            Vec::new(),
-            None,
-        ))
+        value_of(self.call(Method::POST, &format!("/v1/batches/{id}/cancel"), Vec::new(), None))
     }
 
     /// Waits until a job has ended, at most for `patience`; returns it as it is then.
@@ -121,17 +113,11 @@
         let path = format!("/v1/files/{id}-{kind}/content");
         let response = self.call(Method::GET, &path, Vec::new(), None)?;
         let text = String::from_utf8_lossy(&response.body);
-        Ok(text
-            .lines()
-            .filter_map(|line| serde_json::from_str(line).ok())
-            .collect())
+        Ok(text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect())
     }
 }
 
 /// Reads the value of an answer; null if there is none.
 fn value_of(answer: Result<ClientResponse, HttpFault>) -> Value {
-    answer
-        .ok()
-        .and_then(|response| serde_json::from_slice(&response.body).ok())
-        .unwrap_or_default()
+    answer.ok().and_then(|response| serde_json::from_slice(&response.body).ok()).unwrap_or_default()
 }
--- a/crates/bench/src/load/call_outcome.rs
+++ b/crates/bench/src/load/call_outcome.rs
@@ -31,3 +31,11 @@
     /// Time to the end.
     pub total: Duration,
 }
+
+impl CallRecord {
+    /// Tells whether the whole answer came within the deadline.
+    #[must_use]
+    pub fn is_in_time(&self, deadline: Duration) -> bool {
+        self.outcome == CallOutcome::Completed && self.total <= deadline
+    }
+}
--- a/crates/bench/src/load/completion_call.rs
+++ b/crates/bench/src/load/completion_call.rs
@@ -48,11 +48,7 @@
             Err(_) => CallOutcome::Unknown,
         };
         let total = begin.elapsed();
-        CallRecord {
-            first: first.unwrap_or(total),
-            outcome,
-            total,
-        }
+        CallRecord { first: first.unwrap_or(total), outcome, total }
     }
 
     /// Makes the exchange.
@@ -68,9 +64,7 @@
             return Ok(CallOutcome::NotRun);
         };
         connection.send(&self.request()).await?;
-        let head = connection
-            .read_head(&Method::POST, self.deadline + GRACE)
-            .await?;
+        let head = connection.read_head(&Method::POST, self.deadline + GRACE).await?;
         let mut body = Vec::new();
         while let Some(piece) = connection.read_piece().await? {
             if head.status == StatusCode::OK && first.is_none() {
--- a/crates/bench/src/load/load_report.rs
+++ b/crates/bench/src/load/load_report.rs
@@ -41,11 +41,7 @@
             (self.crossed, "crossed"),
             (self.truncated, "truncated"),
         ];
-        counts
-            .into_iter()
-            .filter(|(count, _)| *count > 0)
-            .map(|(_, name)| name)
-            .collect()
+        counts.into_iter().filter(|(count, _)| *count > 0).map(|(_, name)| name).collect()
     }
 
     /// Adds the counts of another load.
@@ -69,6 +65,8 @@
     pub failed: u64,
     /// Times to the first response of completed calls, in microseconds.
     pub first: Histogram<u64>,
+    /// Whole answers within the deadline that ended while the load ran.
+    pub goodput_calls: u64,
     /// Whole answers within the deadline.
     pub in_time: u64,
     /// Promises.
@@ -95,6 +93,7 @@
             cut_off: 0,
             failed: 0,
             first: histogram(),
+            goodput_calls: 0,
             in_time: 0,
             promises: PromiseCounts::default(),
             sent: 0,
@@ -109,11 +108,9 @@
         self.sent += 1;
         match record.outcome {
             CallOutcome::Completed => {
-                self.first
-                    .saturating_record(record.first.as_micros() as u64);
-                self.total
-                    .saturating_record(record.total.as_micros() as u64);
-                if record.total <= deadline {
+                self.first.saturating_record(record.first.as_micros() as u64);
+                self.total.saturating_record(record.total.as_micros() as u64);
+                if record.is_in_time(deadline) {
                     self.in_time += 1;
                 } else {
                     self.promises.late += 1;
@@ -132,6 +129,7 @@
     pub fn merge(&mut self, other: &Self) {
         self.cut_off += other.cut_off;
         self.failed += other.failed;
+        self.goodput_calls += other.goodput_calls;
         self.in_time += other.in_time;
         self.sent += other.sent;
         self.unknown += other.unknown;
@@ -154,10 +152,10 @@
         self.total.value_at_quantile(quantile) as f64 / 1_000.0
     }
 
-    /// Returns the whole answers within the deadline, per second.
+    /// Returns the whole answers within the deadline that ended while the load ran, per second.
     #[must_use]
     pub fn goodput(&self) -> f64 {
-        self.in_time as f64 / self.wall.as_secs_f64().max(1e-9)
+        self.goodput_calls as f64 / self.wall.as_secs_f64().max(1e-9)
     }
 }
 
--- a/crates/bench/src/load/open_load.rs
+++ b/crates/bench/src/load/open_load.rs
@@ -59,19 +59,25 @@
         let address = plan.addresses.pick(count);
         let call = make(count, Rc::clone(&pool), address);
         let counted = begin.elapsed() >= plan.warm_up;
-        let sender = sender.clone();
+        let (sender, warm_up) = (sender.clone(), plan.warm_up);
         monoio::spawn(async move {
             let record = call.await;
-            if counted {
-                let _ = sender.unbounded_send(record);
-            }
+            let ended = begin.elapsed();
+            let in_window = ended >= warm_up && ended < whole;
+            let _ = sender.unbounded_send((record, counted, in_window));
         });
         count += 1;
     }
-    report.wall = begin.elapsed().saturating_sub(plan.warm_up);
+    report.wall = plan.duration;
     drop(sender);
-    while let Some(record) = receiver.next().await {
-        report.record(&record, plan.deadline);
+    while let Some((record, counted, in_window)) = receiver.next().await {
+        if counted {
+            report.record(&record, plan.deadline);
+        }
+        // An answer counts where it ends, so that no phase gains from the queue it leaves behind.
+        if in_window && record.is_in_time(plan.deadline) {
+            report.goodput_calls += 1;
+        }
     }
     report
 }
@@ -95,7 +101,10 @@
             let mut count = caller << 32;
             while begin.elapsed() < duration {
                 let record = make(count, Rc::clone(&pool), address).await;
-                report.borrow_mut().record(&record, deadline);
+                let mut report = report.borrow_mut();
+                report.record(&record, deadline);
+                let in_time = record.is_in_time(deadline) && begin.elapsed() < duration;
+                report.goodput_calls += u64::from(in_time);
                 count += 1;
             }
         }));
@@ -104,6 +113,6 @@
         task.await;
     }
     let mut report = report.borrow().clone();
-    report.wall = begin.elapsed();
+    report.wall = plan.duration;
     report
 }
--- a/crates/bench/src/load/service_call.rs
+++ b/crates/bench/src/load/service_call.rs
@@ -42,11 +42,7 @@
         let begin = Instant::now();
         let outcome = self.exchange(pool, address).await;
         let total = begin.elapsed();
-        CallRecord {
-            first: total,
-            outcome,
-            total,
-        }
+        CallRecord { first: total, outcome, total }
     }
 
     /// Makes the exchange.
@@ -58,9 +54,7 @@
             .with_header("idempotency-key", &self.key)
             .with_header("x-request-id", &self.key)
             .with_header("x-deadline-ms", &self.deadline.as_millis().to_string());
-        let result = connection
-            .exchange(&request, self.deadline + GRACE, ANSWER_BYTES)
-            .await;
+        let result = connection.exchange(&request, self.deadline + GRACE, ANSWER_BYTES).await;
         let Ok(response) = result else {
             return CallOutcome::Unknown;
         };
@@ -70,10 +64,6 @@
         }
         let answer: Value = serde_json::from_slice(&response.body).unwrap_or_default();
         let own = answer["request_id"] == self.key && answer["received"] == self.body;
-        if own {
-            CallOutcome::Completed
-        } else {
-            CallOutcome::Crossed
-        }
+        if own { CallOutcome::Completed } else { CallOutcome::Crossed }
     }
 }
--- a/crates/clementinevale/src/main.rs
+++ b/crates/clementinevale/src/main.rs
@@ -73,11 +73,7 @@
     match arguments.command {
         ServerCommand::Check(command) => match read_settings(&command.settings) {
             Ok(settings) => {
-                println!(
-                    "{}: sound; instance {}",
-                    command.settings.display(),
-                    settings.name
-                );
+                println!("{}: sound; instance {}", command.settings.display(), settings.name);
                 ExitCode::SUCCESS
             }
             Err(report) => report_settings(&report),
@@ -143,7 +139,5 @@
     let filter = RustLogFilterBuilder::from_default_env_or("info").build();
     let append = Stderr::default().with_layout(JsonLayout::default());
     let builder = logforth::starter_log::builder();
-    builder
-        .dispatch(|dispatch| dispatch.filter(filter).append(append))
-        .apply();
+    builder.dispatch(|dispatch| dispatch.filter(filter).append(append)).apply();
 }
--- a/crates/control/src/sidecar_control.rs
+++ b/crates/control/src/sidecar_control.rs
@@ -15,6 +15,9 @@
     /// Tells how the target is; the caller offers its configuration's revision.
     async fn status(stamp: PeerStamp) -> Option<TargetStatus>;
 
+    /// Tells whether a request waits or runs here.
+    async fn knows(stamp: PeerStamp, key: RequestKey) -> Option<bool>;
+
     /// Tells what became of an attempt and keeps it from starting if it has not.
     async fn resolve(stamp: PeerStamp, key: RequestKey, attempt: u32) -> Option<ResolveAnswer>;
 
--- a/crates/cvctl/src/main.rs
+++ b/crates/cvctl/src/main.rs
@@ -72,11 +72,7 @@
 
 /// Runs the demo.
 fn demo(command: &DemoCommand) -> ExitCode {
-    let options = DemoOptions {
-        keep: command.keep,
-        seconds: command.seconds,
-        seed: command.seed,
-    };
+    let options = DemoOptions { keep: command.keep, seconds: command.seconds, seed: command.seed };
     match run_demo(options, &mut std::io::stdout()) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
@@ -99,21 +95,14 @@
         eprintln!("name an experiment; `cvctl experiment --list` describes them");
         return ExitCode::from(2);
     };
-    let options = ExperimentOptions {
-        seconds: command.seconds,
-        seed: command.seed,
-    };
+    let options = ExperimentOptions { seconds: command.seconds, seed: command.seed };
     let report = run_experiment(name, options);
     if command.json {
         println!("{}", serde_json::to_string(&report).unwrap_or_default());
     } else {
         print_report(&report);
     }
-    if report.broken.is_empty() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
+    if report.broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 /// Prints an experiment's figures for people.
@@ -123,10 +112,7 @@
     }
     for target in &report.targets {
         let word = if target.met { "met" } else { "MISSED" };
-        println!(
-            "target {:<32} {} (bound {})",
-            target.figure, word, target.bound
-        );
+        println!("target {:<32} {} (bound {})", target.figure, word, target.bound);
     }
     println!("counts {:?}", report.counts);
     println!("broken promises: {:?}", report.broken);
--- a/crates/entry/src/admin/admin_api.rs
+++ b/crates/entry/src/admin/admin_api.rs
@@ -97,16 +97,10 @@
     exchange: &mut ServerExchange<'_>,
     text: &str,
 ) -> Result<(), HttpFault> {
-    let Some(against) = exchange
-        .header(AGAINST_HEADER)
-        .and_then(|value| value.parse().ok())
-    else {
+    let Some(against) = exchange.header(AGAINST_HEADER).and_then(|value| value.parse().ok()) else {
         let message = "Name the revision that the change was made against; 0 for the first.";
-        let error = CallerError::not_run(
-            StatusCode::PRECONDITION_REQUIRED,
-            "revision_missing",
-            message,
-        );
+        let error =
+            CallerError::not_run(StatusCode::PRECONDITION_REQUIRED, "revision_missing", message);
         return error.respond(exchange).await;
     };
     let mut config = match check_fleet_document("configuration", text) {
@@ -156,9 +150,8 @@
         .if_revision(CONFIG_KEY, against)
         .put(CONFIG_KEY, &bytes)
         .put(&history_key, &bytes);
-    let answer = client
-        .put_resolved(CallPurpose::Config, &transaction, &bytes, CHANGE_PATIENCE)
-        .await?;
+    let answer =
+        client.put_resolved(CallPurpose::Config, &transaction, &bytes, CHANGE_PATIENCE).await?;
     if let WriteAnswer::Done(revision) = answer {
         let body = String::from_utf8_lossy(&bytes).into_owned();
         state.offer_config(ConfigDocument { body, revision });
@@ -177,10 +170,7 @@
         "revision": state.config.borrow().revision(),
     })];
     let records = state.instances.borrow().clone();
-    for record in records
-        .iter()
-        .filter(|record| record.name != state.settings.name)
-    {
+    for record in records.iter().filter(|record| record.name != state.settings.name) {
         let revision = match record.role.as_str() {
             "entry" => entry_revision(state, record.control).await,
             _ => sidecar_revision(state, record.control).await,
@@ -193,18 +183,14 @@
 /// Asks an entry for its revision; `None` if it does not answer.
 async fn entry_revision(state: &EntryState, address: std::net::SocketAddr) -> Option<u64> {
     let client = state.peers.client(address).await.ok()?;
-    let status = client
-        .status(call_context(STATUS_PATIENCE), state.stamp())
-        .await;
+    let status = client.status(call_context(STATUS_PATIENCE), state.stamp()).await;
     status.ok().flatten().map(|status| status.config_revision)
 }
 
 /// Asks a sidecar for its revision; `None` if it does not answer.
 async fn sidecar_revision(state: &EntryState, address: std::net::SocketAddr) -> Option<u64> {
     let client = state.sidecars.client(address).await.ok()?;
-    let status = client
-        .status(call_context(STATUS_PATIENCE), state.stamp())
-        .await;
+    let status = client.status(call_context(STATUS_PATIENCE), state.stamp()).await;
     status.ok().flatten().map(|status| status.config_revision)
 }
 
@@ -238,11 +224,7 @@
 
 /// Puts the time of the change on exceptions that have none.
 fn stamp_exceptions(config: &mut FleetConfig, wall_millis: u64) {
-    for exception in config
-        .exceptions
-        .iter_mut()
-        .filter(|row| row.created_ms == 0)
-    {
+    for exception in config.exceptions.iter_mut().filter(|row| row.created_ms == 0) {
         exception.created_ms = wall_millis;
     }
 }
--- a/crates/entry/src/api_router.rs
+++ b/crates/entry/src/api_router.rs
@@ -85,13 +85,7 @@
                     .await;
             }
         };
-        let known = self
-            .state
-            .config
-            .borrow()
-            .config()
-            .service(&outline.model)
-            .is_some();
+        let known = self.state.config.borrow().config().service(&outline.model).is_some();
         if !known {
             let message = format!("There is no model `{}`.", outline.model);
             let error = CallerError::not_run(StatusCode::NOT_FOUND, "no_such_model", message);
@@ -114,13 +108,7 @@
         let body = exchange.read_body(self.state.settings.max_body).await?;
         let rest = &path[SERVICES_PREFIX.len()..];
         let (service, inner) = rest.split_once('/').unwrap_or((rest, ""));
-        let known = self
-            .state
-            .config
-            .borrow()
-            .config()
-            .service(service)
-            .is_some();
+        let known = self.state.config.borrow().config().service(service).is_some();
         if !known {
             let message = format!("There is no service `{service}`.");
             let error = CallerError::not_run(StatusCode::NOT_FOUND, "no_such_service", message);
@@ -144,12 +132,7 @@
                 .map(|service| json!({"id": service.name, "object": "model"}))
                 .collect()
         };
-        respond_json(
-            exchange,
-            StatusCode::OK,
-            &json!({"object": "list", "data": data}),
-        )
-        .await
+        respond_json(exchange, StatusCode::OK, &json!({"object": "list", "data": data})).await
     }
 
     /// Answers the paths that are about the entry itself.
@@ -164,23 +147,14 @@
             "/metrics" => (StatusCode::OK, Bytes::from(self.state.metrics.render())),
             "/health" => (StatusCode::OK, Bytes::from_static(b"ok\n")),
             _ if self.is_ready() => (StatusCode::OK, Bytes::from_static(b"ready\n")),
-            _ => (
-                StatusCode::SERVICE_UNAVAILABLE,
-                Bytes::from_static(b"not ready\n"),
-            ),
+            _ => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
         };
         exchange.respond(status, &empty, &body).await
     }
 
     /// Tells whether the balancer should send requests here.
     fn is_ready(&self) -> bool {
-        let served = self
-            .state
-            .table
-            .borrow()
-            .rows()
-            .iter()
-            .any(TargetRow::is_eligible);
+        let served = self.state.table.borrow().rows().iter().any(TargetRow::is_eligible);
         served && self.state.config.borrow().revision() > 0 && !self.state.leaving.get()
     }
 }
@@ -199,9 +173,7 @@
         let Some(caller) = caller else {
             let message = "A token of an organisation is needed.";
             let status = StatusCode::UNAUTHORIZED;
-            return CallerError::not_run(status, "not_authorised", message)
-                .respond(exchange)
-                .await;
+            return CallerError::not_run(status, "not_authorised", message).respond(exchange).await;
         };
         self.serve(exchange, &path, &caller).await
     }
--- a/crates/entry/src/batch/batch_api.rs
+++ b/crates/entry/src/batch/batch_api.rs
@@ -78,16 +78,10 @@
     path: &str,
     caller: &CallerIdentity,
 ) -> Result<(), HttpFault> {
-    let call = BatchCall {
-        caller,
-        coordinator,
-    };
+    let call = BatchCall { caller, coordinator };
     let Some(client) = &coordinator.state.key_value else {
         exchange.read_body(CALL_BYTES).await?;
-        return call
-            .unavailable("no key-value service is configured")
-            .respond(exchange)
-            .await;
+        return call.unavailable("no key-value service is configured").respond(exchange).await;
     };
     let method = exchange.head().method.clone();
     let parts: Vec<&str> = path.trim_start_matches("/v1/").split('/').collect();
@@ -170,13 +164,9 @@
         record.write_id = state.new_id();
         let value = serde_json::to_vec(&record).unwrap_or_default();
         let key = FileRecord::key_of(&id);
-        let transaction = Transaction::about(&key)
-            .if_revision(&key, 0)
-            .put(&key, &value);
+        let transaction = Transaction::about(&key).if_revision(&key, 0).put(&key, &value);
         let purpose = CallPurpose::Job;
-        let answer = client
-            .put_resolved(purpose, &transaction, &value, WRITE_PATIENCE)
-            .await;
+        let answer = client.put_resolved(purpose, &transaction, &value, WRITE_PATIENCE).await;
         match answer {
             Ok(_) => respond_json(exchange, StatusCode::OK, &file_object(&record)).await,
             Err(fault) => self.platform_error(&fault).respond(exchange).await,
@@ -202,9 +192,7 @@
             return Ok(Err(self.missing("no_such_file", "There is no such file.")));
         };
         let mut record = self.job_record(exchange, &create, &file);
-        let opening = JournalRecord::Opened {
-            job: record.id.clone(),
-        };
+        let opening = JournalRecord::Opened { job: record.id.clone() };
         let link = &self.coordinator.link;
         let kept = link.append(&file.replicas, &record.id, &[opening]).await;
         if kept.len() < self.coordinator.state.section.min_replicas {
@@ -212,18 +200,13 @@
         }
         record.replicas = kept;
         let value = serde_json::to_vec(&record).unwrap_or_default();
-        let (key, done_key) = (
-            JobRecord::key_of(&record.id),
-            JobRecord::done_key_of(&record.id),
-        );
+        let (key, done_key) = (JobRecord::key_of(&record.id), JobRecord::done_key_of(&record.id));
         let transaction = Transaction::about(&key)
             .if_revision(&key, 0)
             .if_revision(&done_key, 0)
             .put(&key, &value);
         let purpose = CallPurpose::Job;
-        let answer = client
-            .put_resolved(purpose, &transaction, &value, WRITE_PATIENCE)
-            .await?;
+        let answer = client.put_resolved(purpose, &transaction, &value, WRITE_PATIENCE).await?;
         let accepted = match answer {
             WriteAnswer::Done(_) => {
                 let events = &self.coordinator.state.events;
@@ -252,12 +235,7 @@
             let own = jobs.filter(|job| job.record.organisation == self.caller.organisation);
             data.extend(own.map(|job| job_object(&job.record, job.record.counts)));
         }
-        respond_json(
-            exchange,
-            StatusCode::OK,
-            &json!({"data": data, "object": "list"}),
-        )
-        .await?;
+        respond_json(exchange, StatusCode::OK, &json!({"data": data, "object": "list"})).await?;
         Ok(Ok(()))
     }
 
@@ -299,9 +277,7 @@
                 return Ok(Ok(()));
             }
         }
-        Ok(Err(self.unavailable(
-            "the job changes too often to be cancelled now",
-        )))
+        Ok(Err(self.unavailable("the job changes too often to be cancelled now")))
     }
 
     /// Makes a cancellation durable; `None` if the job has changed meanwhile.
@@ -318,13 +294,10 @@
         record.write_id = self.coordinator.state.new_id();
         let value = serde_json::to_vec(&record).unwrap_or_default();
         let key = JobRecord::key_of(&record.id);
-        let transaction = Transaction::about(&key)
-            .if_revision(&key, job.revision)
-            .put(&key, &value);
+        let transaction =
+            Transaction::about(&key).if_revision(&key, job.revision).put(&key, &value);
         let purpose = CallPurpose::Job;
-        let answer = client
-            .put_resolved(purpose, &transaction, &value, WRITE_PATIENCE)
-            .await?;
+        let answer = client.put_resolved(purpose, &transaction, &value, WRITE_PATIENCE).await?;
         Ok(match answer {
             WriteAnswer::Done(revision) => Some(OpenJob { record, revision }),
             WriteAnswer::Conflict(_) => None,
@@ -347,9 +320,7 @@
         };
         if stopped {
             let (record, revision) = (&job.record, job.revision);
-            self.coordinator
-                .end_job(record, revision, JobState::Cancelled, None)
-                .await?;
+            self.coordinator.end_job(record, revision, JobState::Cancelled, None).await?;
         }
         // Whoever ended it, the service's record is what the caller is told.
         let found = self.find_job(client, &job.record.id).await?;
@@ -396,9 +367,7 @@
             (Some(job), _) => (job, ResultKind::Output),
             (None, Some(job)) => (job, ResultKind::Errors),
             (None, None) => {
-                return Ok(Err(
-                    self.missing("no_such_file", "Only results can be read.")
-                ));
+                return Ok(Err(self.missing("no_such_file", "Only results can be read.")));
             }
         };
         let Some(job) = self.find_own_job(client, job).await? else {
@@ -415,9 +384,7 @@
         client: &KeyValueClient,
         id: &str,
     ) -> Result<Option<FileRecord>, KeyValueFault> {
-        let entry = client
-            .get(CallPurpose::Job, &FileRecord::key_of(id))
-            .await?;
+        let entry = client.get(CallPurpose::Job, &FileRecord::key_of(id)).await?;
         let file = entry.and_then(|entry| serde_json::from_slice::<FileRecord>(&entry.value).ok());
         Ok(file.filter(|file| file.organisation == self.caller.organisation))
     }
@@ -470,9 +437,7 @@
         };
         let now = state.clock.wall_millis();
         let window = create.completion_window.as_deref().and_then(window_ms);
-        let due_ms = create
-            .due_ms
-            .unwrap_or(now + window.unwrap_or(DEFAULT_DUE_MS));
+        let due_ms = create.due_ms.unwrap_or(now + window.unwrap_or(DEFAULT_DUE_MS));
         JobRecord {
             chunk_items: file.chunk_items,
             counts: JobCounts::default(),
--- a/crates/entry/src/batch/batch_coordinator.rs
+++ b/crates/entry/src/batch/batch_coordinator.rs
@@ -88,8 +88,7 @@
                 return;
             };
             let view = Rc::clone(&this.view);
-            view.watch_jobs(client, |id, job| this.take_change(id, job))
-                .await;
+            view.watch_jobs(client, |id, job| this.take_change(id, job)).await;
         });
         let this = Rc::clone(self);
         monoio::spawn(async move {
@@ -112,9 +111,7 @@
     /// Gives the table an event and carries its commands out.
     pub(super) fn handle(self: &Rc<Self>, event: JobEvent) {
         let mut commands: Vec<JobCommand> = Vec::new();
-        self.table
-            .borrow_mut()
-            .handle(self.state.clock.now(), event, &mut commands);
+        self.table.borrow_mut().handle(self.state.clock.now(), event, &mut commands);
         for command in commands {
             self.carry_out(command);
         }
@@ -165,13 +162,8 @@
             return;
         }
         self.handle(JobEvent::Removed(job.id));
-        self.runtimes
-            .borrow_mut()
-            .retain(|known| known.id != job.id);
-        self.state
-            .metrics
-            .jobs_owned
-            .set(self.runtimes.borrow().len().cast_signed() as i64);
+        self.runtimes.borrow_mut().retain(|known| known.id != job.id);
+        self.state.metrics.jobs_owned.set(self.runtimes.borrow().len().cast_signed() as i64);
     }
 
     /// Stops a cancelled job, and keeps one that is being claimed just now from starting.
@@ -182,10 +174,7 @@
                 stopped.insert(position, id.to_owned());
             }
         }
-        let job = self
-            .runtimes()
-            .into_iter()
-            .find(|job| job.record.borrow().id == id);
+        let job = self.runtimes().into_iter().find(|job| job.record.borrow().id == id);
         if let Some(job) = job {
             self.stop(&job);
         }
@@ -193,10 +182,7 @@
 
     /// Tells whether a job was cancelled here.
     fn is_stopped(&self, id: &str) -> bool {
-        self.stopped
-            .borrow()
-            .binary_search_by(|known| known.as_str().cmp(id))
-            .is_ok()
+        self.stopped.borrow().binary_search_by(|known| known.as_str().cmp(id)).is_ok()
     }
 
     /// Moves a job to its last state; tells whether that took effect.
@@ -208,9 +194,7 @@
         lease: Option<(String, u64)>,
     ) -> Result<bool, KeyValueFault> {
         let Some(client) = &self.state.key_value else {
-            return Err(KeyValueFault::NotDone(
-                "no key-value service is configured".to_owned(),
-            ));
+            return Err(KeyValueFault::NotDone("no key-value service is configured".to_owned()));
         };
         let mut ended = record.clone();
         ended.counts = self.committed_counts(&record.id).await?;
@@ -218,10 +202,7 @@
         ended.state = state;
         ended.write_id = self.state.new_id();
         let value = serde_json::to_vec(&ended).unwrap_or_default();
-        let (key, done_key) = (
-            JobRecord::key_of(&record.id),
-            JobRecord::done_key_of(&record.id),
-        );
+        let (key, done_key) = (JobRecord::key_of(&record.id), JobRecord::done_key_of(&record.id));
         let mut transaction = Transaction::about(&done_key)
             .if_revision(&key, revision)
             .if_revision(&done_key, 0)
@@ -230,15 +211,12 @@
         if let Some((lease_key, epoch)) = lease {
             transaction = transaction.if_revision(&lease_key, epoch);
         }
-        let answer = client
-            .put_resolved(CallPurpose::Commit, &transaction, &value, END_PATIENCE)
-            .await?;
+        let answer =
+            client.put_resolved(CallPurpose::Commit, &transaction, &value, END_PATIENCE).await?;
         let done = matches!(answer, WriteAnswer::Done(_));
         if done {
             let detail = format!("state={state:?}");
-            self.state
-                .events
-                .record(EventKind::JobEnded, &record.id, detail);
+            self.state.events.record(EventKind::JobEnded, &record.id, detail);
             self.view.remove_job(&record.id);
         }
         Ok(done)
@@ -247,9 +225,7 @@
     /// Adds up the items of a job's committed chunks.
     pub async fn committed_counts(&self, id: &str) -> Result<JobCounts, KeyValueFault> {
         let Some(client) = &self.state.key_value else {
-            return Err(KeyValueFault::NotDone(
-                "no key-value service is configured".to_owned(),
-            ));
+            return Err(KeyValueFault::NotDone("no key-value service is configured".to_owned()));
         };
         let range = KeyRange::Prefix(ChunkCommit::prefix_of(id));
         let page = client.range(CallPurpose::Job, &range, 0).await?;
@@ -267,10 +243,7 @@
         if job.is_none() {
             self.stopped.borrow_mut().retain(|known| known != id);
         }
-        let runtime = self
-            .runtimes()
-            .into_iter()
-            .find(|job| job.record.borrow().id == id);
+        let runtime = self.runtimes().into_iter().find(|job| job.record.borrow().id == id);
         let Some(runtime) = runtime else { return };
         match job {
             Some(job) if self.is_owned(&job.record, runtime.epoch) => {
@@ -308,10 +281,7 @@
             }
             if epoch.is_some() {
                 let in_flight = self.table.borrow().in_flight();
-                self.state
-                    .metrics
-                    .batch_in_flight
-                    .set(in_flight.cast_signed() as i64);
+                self.state.metrics.batch_in_flight.set(in_flight.cast_signed() as i64);
                 let window = self.state.section.batch_window.saturating_sub(in_flight);
                 self.handle(JobEvent::Ticked(self.room().min(window)));
             }
@@ -322,10 +292,7 @@
     fn room(&self) -> usize {
         let now = self.state.clock.now();
         let table = self.state.table.borrow();
-        let open = table
-            .rows()
-            .iter()
-            .filter(|row| row.is_eligible() && !row.is_ejected(now));
+        let open = table.rows().iter().filter(|row| row.is_eligible() && !row.is_ejected(now));
         open.map(|row| row.batch_room() as usize).sum()
     }
 
@@ -348,10 +315,7 @@
 
     /// Tells whether a job is run here.
     fn runs(&self, id: &str) -> bool {
-        self.runtimes
-            .borrow()
-            .iter()
-            .any(|job| job.record.borrow().id == id)
+        self.runtimes.borrow().iter().any(|job| job.record.borrow().id == id)
     }
 
     /// Claims one job and starts it.
@@ -364,9 +328,7 @@
         };
         if job.record.state == JobState::Cancelling {
             // Its owner is gone, so nothing of it runs any more.
-            let _ = self
-                .end_job(&job.record, job.revision, JobState::Cancelled, None)
-                .await;
+            let _ = self.end_job(&job.record, job.revision, JobState::Cancelled, None).await;
             return;
         }
         let claimed = match self.claim(client, job, epoch).await {
@@ -399,9 +361,7 @@
         let (attempts, weight) = {
             let register = self.state.config.borrow();
             let wall_millis = self.state.clock.wall_millis();
-            let rules = register
-                .config()
-                .rules("", &record.organisation, wall_millis);
+            let rules = register.config().rules("", &record.organisation, wall_millis);
             (register.config().defaults.item_attempts, rules.weight)
         };
         let plan = JobPlan::builder()
@@ -414,34 +374,22 @@
             .repeatable(record.repeatable)
             .weight(weight)
             .build();
-        let super::job_claim::RecoveredJob {
-            chunk_pages,
-            recovery,
-            results,
-        } = recovered;
+        let super::job_claim::RecoveredJob { chunk_pages, recovery, results } = recovered;
         let open_attempts = recovery.open_attempts();
         let job = JobRuntime::new(id, record, revision, epoch, weight, chunk_pages, results);
         let job = Rc::new(job);
         // Attempts known from a journal that may be lost are written again on all.
         if !open_attempts.is_empty() {
-            let record = JournalRecord::Intent {
-                epoch,
-                items: open_attempts,
-            };
+            let record = JournalRecord::Intent { epoch, items: open_attempts };
             let journal = job.record.borrow().id.clone();
-            self.link
-                .append(&job.write_set(), &journal, &[record])
-                .await;
+            self.link.append(&job.write_set(), &journal, &[record]).await;
         }
         // The cancellation or the end of the lease may have come during the recovery.
         if self.is_stopped(&job.record.borrow().id) || self.lease.epoch() != Some(epoch) {
             return;
         }
         self.runtimes.borrow_mut().push(Rc::clone(&job));
-        self.state
-            .metrics
-            .jobs_owned
-            .set(self.runtimes.borrow().len().cast_signed() as i64);
+        self.state.metrics.jobs_owned.set(self.runtimes.borrow().len().cast_signed() as i64);
         self.handle(JobEvent::Added(id, plan, Box::new(recovery)));
     }
 
--- a/crates/entry/src/batch/batch_document.rs
+++ b/crates/entry/src/batch/batch_document.rs
@@ -82,11 +82,7 @@
     state: ResultState,
     reason: &str,
 ) -> String {
-    let run = if state == ResultState::Unknown {
-        "unknown"
-    } else {
-        "failed"
-    };
+    let run = if state == ResultState::Unknown { "unknown" } else { "failed" };
     json!({
         "custom_id": custom_id,
         "error": {"code": reason, "message": reason, "run": run},
--- a/crates/entry/src/batch/file_upload.rs
+++ b/crates/entry/src/batch/file_upload.rs
@@ -172,10 +172,7 @@
         let form = "{\"custom_id\": …, \"method\": \"POST\", \"url\": …, \"body\": {…}}";
         let parsed = InputLine::parse(line).map_err(|error| (error, form))?;
         if parsed.custom_id.is_empty() {
-            return Err((
-                "`custom_id` is empty".to_owned(),
-                "give each line a name of its own",
-            ));
+            return Err(("`custom_id` is empty".to_owned(), "give each line a name of its own"));
         }
         let (service, _) = parsed.route().map_err(|error| (error, form))?;
         let Some(policy) = self.config.service(&service) else {
@@ -189,11 +186,7 @@
     /// Finds names that two lines share.
     fn check_custom_ids(&mut self) {
         self.custom_ids.sort_unstable();
-        let repeated = self
-            .custom_ids
-            .windows(2)
-            .filter(|pair| pair[0] == pair[1])
-            .count();
+        let repeated = self.custom_ids.windows(2).filter(|pair| pair[0] == pair[1]).count();
         if repeated > 0 {
             let message = format!("{repeated} line(s) share a `custom_id` with an earlier one");
             self.find(&message, "give each line a name of its own");
@@ -208,10 +201,7 @@
         }
         let first = self.items - lines.len() as u32;
         let record = JournalRecord::Items { first, lines };
-        let kept = self
-            .link
-            .append(&self.replicas, &self.journal, &[record])
-            .await;
+        let kept = self.link.append(&self.replicas, &self.journal, &[record]).await;
         // A replica that missed a chunk is no replica of this file.
         if kept.len() < self.min_replicas {
             return Err(UploadFault::NotKept);
@@ -237,9 +227,7 @@
             bytes: self.bytes,
             chunk_items: self.chunk_items,
             created_ms: 0,
-            digest: digits
-                .filter_map(|digit| char::from_digit(digit.into(), 16))
-                .collect(),
+            digest: digits.filter_map(|digit| char::from_digit(digit.into(), 16)).collect(),
             id: self.journal.clone(),
             items: self.items,
             organisation: String::new(),
--- a/crates/entry/src/batch/instance_lease.rs
+++ b/crates/entry/src/batch/instance_lease.rs
@@ -35,11 +35,7 @@
 impl InstanceLease {
     /// Creates the holder of a lease that has not been granted yet.
     pub fn new(state: Rc<EntryState>) -> Self {
-        Self {
-            clock: RefCell::new(None),
-            lease: RefCell::new(0),
-            state,
-        }
+        Self { clock: RefCell::new(None), lease: RefCell::new(0), state }
     }
 
     /// Returns the key that lives as long as the lease.
@@ -50,9 +46,7 @@
     /// Returns the epoch while the lease provably holds.
     pub fn epoch(&self) -> Option<u64> {
         let clock = *self.clock.borrow();
-        clock
-            .filter(|clock| clock.holds(self.state.clock.now()))
-            .map(|clock| clock.epoch())
+        clock.filter(|clock| clock.holds(self.state.clock.now())).map(|clock| clock.epoch())
     }
 
     /// Keeps the lease for as long as the entry runs.
@@ -76,10 +70,7 @@
             } else {
                 self.renew_if_due(client).await;
             }
-            self.state
-                .metrics
-                .lease_held
-                .set(i64::from(self.epoch().is_some()));
+            self.state.metrics.lease_held.set(i64::from(self.epoch().is_some()));
         }
     }
 
@@ -100,25 +91,19 @@
         let sent = self.state.clock.now();
         let time_to_live = self.state.section.lease_ttl;
         let lease = client.grant_lease(time_to_live).await?;
-        let value = json!({"write_id": self.state.new_id()})
-            .to_string()
-            .into_bytes();
+        let value = json!({"write_id": self.state.new_id()}).to_string().into_bytes();
         let key = self.key();
         // An earlier life of this instance may have left the key; overwriting it fences that life.
         let current = client.get(CallPurpose::Lease, &key).await?;
         let revision = current.map_or(0, |entry| entry.revision);
-        let transaction = Transaction::about(&key)
-            .if_revision(&key, revision)
-            .put_leased(&key, &value, lease);
-        let answer = client
-            .put_resolved(CallPurpose::Lease, &transaction, &value, WRITE_PATIENCE)
-            .await?;
+        let transaction =
+            Transaction::about(&key).if_revision(&key, revision).put_leased(&key, &value, lease);
+        let answer =
+            client.put_resolved(CallPurpose::Lease, &transaction, &value, WRITE_PATIENCE).await?;
         if let WriteAnswer::Done(epoch) = answer {
             *self.lease.borrow_mut() = lease;
             *self.clock.borrow_mut() = Some(LeaseClock::new(epoch, sent, time_to_live));
-            self.state
-                .events
-                .record(EventKind::LeaseAcquired, "", format!("epoch={epoch}"));
+            self.state.events.record(EventKind::LeaseAcquired, "", format!("epoch={epoch}"));
         }
         Ok(())
     }
@@ -126,11 +111,7 @@
     /// Renews the lease when it is time to.
     async fn renew_if_due(&self, client: &KeyValueClient) {
         let now = self.state.clock.now();
-        if !self
-            .clock
-            .borrow()
-            .is_some_and(|clock| clock.is_renewal_due(now))
-        {
+        if !self.clock.borrow().is_some_and(|clock| clock.is_renewal_due(now)) {
             return;
         }
         let lease = *self.lease.borrow();
@@ -149,9 +130,7 @@
     /// Forgets the lease.
     fn drop_clock(&self) {
         if self.clock.borrow_mut().take().is_some() {
-            self.state
-                .events
-                .record(EventKind::LeaseLost, "", String::new());
+            self.state.events.record(EventKind::LeaseLost, "", String::new());
         }
     }
 }
--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -9,6 +9,7 @@
 use cv_http::HttpFault;
 use cv_http::HttpLimits;
 use cv_policy::LoadReading;
+use cv_policy::RequestKey;
 use cv_policy::TargetId;
 use cv_policy::WorkClass;
 use cv_policy::batch::ItemEnd;
@@ -30,6 +31,7 @@
 use crate::online::EventSplitter;
 use crate::online::GeneratedText;
 use crate::online::continued_body;
+use crate::watch::request_lost;
 
 /// Longest time to connect to a sidecar.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(500);
@@ -100,10 +102,7 @@
             service: stable_hash(&[service]),
         };
         let now = self.state.clock.now();
-        self.state
-            .router
-            .borrow_mut()
-            .choose(now, &self.state.table.borrow(), &request)
+        self.state.router.borrow_mut().choose(now, &self.state.table.borrow(), &request)
     }
 
     /// Returns the request's body; `None` if all tokens were generated before.
@@ -131,15 +130,13 @@
             return self.end(ItemEnd::NotRun);
         };
         // Batch has connections of its own, so that no online request waits behind it.
-        let limits = HttpLimits {
-            body_timeout: ITEM_PATIENCE,
-            ..HttpLimits::default()
-        };
+        let limits = HttpLimits { body_timeout: ITEM_PATIENCE, ..HttpLimits::default() };
         let connected = ClientConnection::connect(address, CONNECT_PATIENCE, limits).await;
         let Ok(mut connection) = connected else {
             return self.end(ItemEnd::NotRun);
         };
         let request = self.message(input, path, body);
+        let key = RequestKey::derive(self.organisation, &self.request_id);
         let answer = async {
             connection.send(&request).await?;
             connection.read_head(&request.method, ITEM_PATIENCE).await
@@ -147,16 +144,14 @@
         let head = monoio::select! {
             head = answer => head,
             () = self.state.lost(target) => Err(HttpFault::Closed),
+            () = request_lost(self.state, target, key) => Err(HttpFault::Closed),
         };
         let Ok(head) = head else {
             return self.end(ItemEnd::Lost);
         };
         self.take_reading(&head, target);
         match header(&head, headers::RUN) {
-            Some("completed") => {
-                self.read_answer(input, &mut connection, &head, target)
-                    .await
-            }
+            Some("completed") => self.read_answer(input, &mut connection, &head, target).await,
             Some("not_run") => self.end(ItemEnd::NotRun),
             Some("failed") => self.end(ItemEnd::Failed),
             _ => self.end(ItemEnd::Lost),
@@ -173,10 +168,7 @@
             .with_header(headers::CLOCK, &self.state.events.stamp().encode())
             .with_header(headers::DEADLINE_MS, &millis)
             .with_header(headers::ORGANISATION, self.organisation)
-            .with_header(
-                headers::REPEATABLE,
-                if self.repeatable { "true" } else { "false" },
-            )
+            .with_header(headers::REPEATABLE, if self.repeatable { "true" } else { "false" })
             .with_header(headers::REQUEST_ID, &self.request_id)
             .with_header(headers::SECRET, &self.state.settings.secret)
             .with_header(headers::WEIGHT, &self.weight.to_string())
@@ -242,11 +234,7 @@
 
     /// Reports an answer whose tokens had all been generated when its last run was cut.
     fn whole(&self, input: &InputLine<'_>) -> RunReport {
-        self.completed(
-            input,
-            StatusCode::OK,
-            &completion_body(input, &self.partial),
-        )
+        self.completed(input, StatusCode::OK, &completion_body(input, &self.partial))
     }
 
     /// Reports a result.
@@ -254,37 +242,16 @@
         let status = status.as_u16();
         let line = answer_line(&input.custom_id, &self.request_id, status, body);
         let state = ResultState::Completed;
-        let result = ItemResult {
-            body: line,
-            item: self.item,
-            state,
-            status,
-        };
-        self.state
-            .metrics
-            .items
-            .with_label_values(&["completed"])
-            .inc();
-        RunReport {
-            end: ItemEnd::Final,
-            partial: GeneratedText::default(),
-            result: Some(result),
-        }
+        let result = ItemResult { body: line, item: self.item, state, status };
+        self.state.metrics.items.with_label_values(&["completed"]).inc();
+        RunReport { end: ItemEnd::Final, partial: GeneratedText::default(), result: Some(result) }
     }
 
     /// Reports an item that can never be completed.
     fn failed(&self, reason: &str) -> RunReport {
-        self.state
-            .metrics
-            .items
-            .with_label_values(&["failed"])
-            .inc();
+        self.state.metrics.items.with_label_values(&["failed"]).inc();
         let result = failed_result(self.line, self.item, ResultState::Failed, reason);
-        RunReport {
-            end: ItemEnd::Final,
-            partial: GeneratedText::default(),
-            result: Some(result),
-        }
+        RunReport { end: ItemEnd::Final, partial: GeneratedText::default(), result: Some(result) }
     }
 
     /// Reports an end without a result.
@@ -297,19 +264,12 @@
             ItemEnd::Final => "completed",
         };
         self.state.metrics.items.with_label_values(&[outcome]).inc();
-        RunReport {
-            end,
-            partial: self.partial.clone(),
-            result: None,
-        }
+        RunReport { end, partial: self.partial.clone(), result: None }
     }
 
     /// Reports an end with what was generated until then.
     fn cut(&self, end: ItemEnd, partial: GeneratedText) -> RunReport {
-        RunReport {
-            partial,
-            ..self.end(end)
-        }
+        RunReport { partial, ..self.end(end) }
     }
 
     /// Takes the sidecar's reading from its answer.
@@ -328,12 +288,7 @@
     let parsed = InputLine::parse(line);
     let custom_id = parsed.as_ref().map_or("", |input| &*input.custom_id);
     let body = error_line(custom_id, &format!("item-{item}"), state, reason);
-    ItemResult {
-        body,
-        item,
-        state,
-        status: 0,
-    }
+    ItemResult { body, item, state, status: 0 }
 }
 
 /// Returns the body of a whole completion.
@@ -370,10 +325,7 @@
         if let Some(row) = state.table.borrow_mut().get_mut(target) {
             row.batch_in_flight += 1;
         }
-        Self {
-            state: Rc::clone(state),
-            target,
-        }
+        Self { state: Rc::clone(state), target }
     }
 }
 
--- a/crates/entry/src/batch/item_task.rs
+++ b/crates/entry/src/batch/item_task.rs
@@ -37,10 +37,7 @@
     pub(super) fn carry_out(self: &Rc<Self>, command: JobCommand) {
         match command {
             JobCommand::LoadChunk(id, chunk) => {
-                self.with_runtime(
-                    id,
-                    |this, job| async move { this.load_chunk(job, chunk).await },
-                );
+                self.with_runtime(id, |this, job| async move { this.load_chunk(job, chunk).await });
             }
             JobCommand::RecordIntents(id, items) => {
                 self.with_runtime(id, |this, job| async move {
@@ -48,10 +45,7 @@
                 });
             }
             JobCommand::HandOver(id, item) => {
-                self.with_runtime(
-                    id,
-                    |this, job| async move { this.run_item(job, item).await },
-                );
+                self.with_runtime(id, |this, job| async move { this.run_item(job, item).await });
             }
             JobCommand::FailItem(id, item) => {
                 let reason = "the item's attempts are used up";
@@ -93,10 +87,7 @@
                 self.handle(JobEvent::ChunkLoaded(job.id, chunk));
                 return;
             }
-            log::error!(
-                "chunk {chunk} of job {} cannot be read now",
-                job.record.borrow().id
-            );
+            log::error!("chunk {chunk} of job {} cannot be read now", job.record.borrow().id);
             monoio::time::sleep(WRITE_PAUSE).await;
         }
     }
@@ -131,10 +122,7 @@
     /// Makes the intents of items durable.
     async fn record_intents(self: Rc<Self>, job: Rc<JobRuntime>, intents: Vec<(u32, u8)>) {
         let items: Vec<u32> = intents.iter().map(|(item, _)| *item).collect();
-        let record = JournalRecord::Intent {
-            epoch: job.epoch,
-            items: intents,
-        };
+        let record = JournalRecord::Intent { epoch: job.epoch, items: intents };
         let event = if self.write(&job, &record).await {
             JobEvent::IntentsDurable(job.id, items)
         } else {
@@ -150,22 +138,13 @@
         // The lease may have ended since the table decided, and nothing may be handed over then.
         let line = line.filter(|_| self.lease.epoch() == Some(job.epoch) && !job.ended.get());
         let Some(line) = line else {
-            self.handle(JobEvent::ItemEnded(
-                job.id,
-                item,
-                ItemEnd::NotRun,
-                Duration::ZERO,
-            ));
+            self.handle(JobEvent::ItemEnded(job.id, item, ItemEnd::NotRun, Duration::ZERO));
             return;
         };
         let stopped = job.register(item);
         let (organisation, repeatable, request_id) = {
             let record = job.record.borrow();
-            (
-                record.organisation.clone(),
-                record.repeatable,
-                format!("{}-{item}", record.id),
-            )
+            (record.organisation.clone(), record.repeatable, format!("{}-{item}", record.id))
         };
         let run = ItemRun {
             item,
@@ -189,30 +168,20 @@
         if let Some(result) = report.result {
             job.unflushed.borrow_mut().push(result);
         }
-        self.handle(JobEvent::ItemEnded(
-            job.id,
-            item,
-            report.end,
-            begin.elapsed(),
-        ));
+        self.handle(JobEvent::ItemEnded(job.id, item, report.end, begin.elapsed()));
     }
 
     /// Ends an item without an answer.
     fn end_item(&self, id: JobId, item: u32, state: ResultState, reason: &str) {
         let Some(job) = self.runtime(id) else { return };
         let line = job.line(item).unwrap_or_default();
-        job.unflushed
-            .borrow_mut()
-            .push(failed_result(&line, item, state, reason));
+        job.unflushed.borrow_mut().push(failed_result(&line, item, state, reason));
     }
 
     /// Makes the results that have come since the last time durable.
     pub(super) async fn flush_results(self: Rc<Self>, job: Rc<JobRuntime>) {
         let results: Vec<ItemResult> = std::mem::take(&mut *job.unflushed.borrow_mut());
-        let record = JournalRecord::Results {
-            epoch: job.epoch,
-            results,
-        };
+        let record = JournalRecord::Results { epoch: job.epoch, results };
         let written = self.write(&job, &record).await;
         let JournalRecord::Results { results, .. } = record else {
             return;
@@ -238,9 +207,7 @@
             job.close_chunk(chunk);
             let detail = format!("chunk={chunk} epoch={}", job.epoch);
             let id = job.record.borrow().id.clone();
-            self.state
-                .events
-                .record(EventKind::ChunkCommitted, &id, detail);
+            self.state.events.record(EventKind::ChunkCommitted, &id, detail);
             self.handle(JobEvent::ChunkCommitted(job.id, chunk));
         } else {
             monoio::time::sleep(WRITE_PAUSE).await;
@@ -258,22 +225,14 @@
         };
         let counts = count_results(&results);
         if !job.chunks_written.borrow().contains(&chunk) {
-            let record = JournalRecord::Chunk {
-                chunk,
-                epoch: job.epoch,
-                results,
-            };
+            let record = JournalRecord::Chunk { chunk, epoch: job.epoch, results };
             if !self.write(job, &record).await {
                 return false;
             }
             job.chunks_written.borrow_mut().push(chunk);
         }
         let id = job.record.borrow().id.clone();
-        let commit = ChunkCommit {
-            counts,
-            epoch: job.epoch,
-            write_id: self.state.new_id(),
-        };
+        let commit = ChunkCommit { counts, epoch: job.epoch, write_id: self.state.new_id() };
         let value = serde_json::to_vec(&commit).unwrap_or_default();
         let (key, job_key) = (ChunkCommit::key_of(&id, chunk), JobRecord::key_of(&id));
         let transaction = Transaction::about(&key)
@@ -282,9 +241,7 @@
             .if_revision(&self.lease.key(), job.epoch)
             .put(&key, &value);
         let patience = COMMIT_PATIENCE;
-        let answer = client
-            .put_resolved(CallPurpose::Commit, &transaction, &value, patience)
-            .await;
+        let answer = client.put_resolved(CallPurpose::Commit, &transaction, &value, patience).await;
         match answer {
             Ok(WriteAnswer::Done(_)) => true,
             Ok(WriteAnswer::Conflict(Some(entry))) => {
@@ -312,10 +269,7 @@
             let record = job.record.borrow().clone();
             let revision = job.revision.get();
             let lease = Some((self.lease.key(), job.epoch));
-            match self
-                .end_job(&record, revision, JobState::Completed, lease)
-                .await
-            {
+            match self.end_job(&record, revision, JobState::Completed, lease).await {
                 Ok(true) => {
                     self.stop(&job);
                     return;
@@ -351,10 +305,7 @@
             let record = job.record.borrow();
             (record.id.clone(), record.replicas.clone())
         };
-        let kept = self
-            .link
-            .append(&job.write_set(), &journal, std::slice::from_ref(record))
-            .await;
+        let kept = self.link.append(&job.write_set(), &journal, std::slice::from_ref(record)).await;
         kept.iter().filter(|name| counted.contains(name)).count() >= self.min_replicas()
     }
 }
@@ -363,10 +314,7 @@
 fn lines_in(records: &[Vec<u8>], record: &JobRecord, chunk: u32) -> Option<Vec<String>> {
     let first = chunk * record.chunk_items;
     records.iter().find_map(|bytes| match decode_record(bytes) {
-        Some(JournalRecord::Items {
-            first: found,
-            lines,
-        }) if found == first => Some(lines),
+        Some(JournalRecord::Items { first: found, lines }) if found == first => Some(lines),
         _ => None,
     })
 }
--- a/crates/entry/src/batch/job_claim.rs
+++ b/crates/entry/src/batch/job_claim.rs
@@ -80,9 +80,8 @@
             .if_revision(&key, job.revision)
             .if_revision(&self.lease.key(), epoch)
             .put(&key, &value);
-        let answer = client
-            .put_resolved(CallPurpose::Commit, &transaction, &value, CLAIM_PATIENCE)
-            .await?;
+        let answer =
+            client.put_resolved(CallPurpose::Commit, &transaction, &value, CLAIM_PATIENCE).await?;
         Ok(match answer {
             WriteAnswer::Done(revision) => Some(OpenJob { record, revision }),
             WriteAnswer::Conflict(_) => None,
@@ -106,9 +105,7 @@
         }
         self.restore_own_journals(record).await;
         // A record counts as kept on `min_replicas` disks, so one of this many must have it.
-        let needed = (record.replicas.len() + 1)
-            .saturating_sub(self.min_replicas())
-            .max(1);
+        let needed = (record.replicas.len() + 1).saturating_sub(self.min_replicas()).max(1);
         let mut read: Vec<&String> = Vec::new();
         for _ in 0..RECOVERY_TRIES {
             for replica in &record.replicas {
@@ -121,11 +118,7 @@
             if read.len() >= needed {
                 let chunk_pages = self.find_chunk_pages(record).await;
                 let results = recovered_results(record, &recovery);
-                return Ok(Some(RecoveredJob {
-                    chunk_pages,
-                    recovery,
-                    results,
-                }));
+                return Ok(Some(RecoveredJob { chunk_pages, recovery, results }));
             }
             monoio::time::sleep(RECOVERY_PAUSE).await;
         }
@@ -181,12 +174,7 @@
     async fn restore_own_journals(&self, record: &JobRecord) {
         let own = &self.state.settings.name;
         for journal in [&record.file, &record.id] {
-            if self
-                .link
-                .read_at(own, journal, 0)
-                .await
-                .is_some_and(|page| page.next > 0)
-            {
+            if self.link.read_at(own, journal, 0).await.is_some_and(|page| page.next > 0) {
                 continue;
             }
             for replica in record.replicas.iter().filter(|name| *name != own) {
@@ -219,7 +207,5 @@
 /// Lists the recovered results in the order of their items.
 fn recovered_results(record: &JobRecord, recovery: &JobRecovery) -> Vec<ItemResult> {
     let items = 0..record.items;
-    items
-        .filter_map(|item| recovery.result_of(item).cloned())
-        .collect()
+    items.filter_map(|item| recovery.result_of(item).cloned()).collect()
 }
--- a/crates/entry/src/batch/job_runtime.rs
+++ b/crates/entry/src/batch/job_runtime.rs
@@ -93,10 +93,7 @@
     pub fn take_partial(&self, item: u32) -> GeneratedText {
         let mut partials = self.partials.borrow_mut();
         let found = partials.binary_search_by_key(&item, |row| row.0);
-        found.map_or_else(
-            |_| GeneratedText::default(),
-            |position| partials.remove(position).1,
-        )
+        found.map_or_else(|_| GeneratedText::default(), |position| partials.remove(position).1)
     }
 
     /// Keeps what a run of an item has generated.
@@ -133,12 +130,8 @@
     pub fn close_chunk(&self, chunk: u32) {
         let range = self.chunk_range(chunk);
         self.lines.borrow_mut().retain(|row| row.0 != chunk);
-        self.results
-            .borrow_mut()
-            .retain(|result| !range.contains(&result.item));
-        self.chunks_written
-            .borrow_mut()
-            .retain(|written| *written != chunk);
+        self.results.borrow_mut().retain(|result| !range.contains(&result.item));
+        self.chunks_written.borrow_mut().retain(|written| *written != chunk);
     }
 
     /// Registers a running item and returns the channel that stops it.
--- a/crates/entry/src/batch/job_view.rs
+++ b/crates/entry/src/batch/job_view.rs
@@ -144,10 +144,7 @@
             Ok(page) => page,
             Err(fault) => return fault,
         };
-        let rows = page
-            .entries
-            .iter()
-            .map(|entry| (instance_of(&entry.key), entry.revision));
+        let rows = page.entries.iter().map(|entry| (instance_of(&entry.key), entry.revision));
         let mut listed: Vec<(String, u64)> = rows.collect();
         listed.sort();
         *self.instances.borrow_mut() = listed;
@@ -181,15 +178,10 @@
 /// Decodes a job; `None` for a value that is none.
 pub(crate) fn job_of(entry: &KeyValueEntry) -> Option<OpenJob> {
     let record = serde_json::from_slice(&entry.value).ok()?;
-    Some(OpenJob {
-        record,
-        revision: entry.revision,
-    })
+    Some(OpenJob { record, revision: entry.revision })
 }
 
 /// Returns the name in the key of an instance.
 fn instance_of(key: &str) -> String {
-    key.strip_prefix(INSTANCE_PREFIX)
-        .unwrap_or_default()
-        .to_owned()
+    key.strip_prefix(INSTANCE_PREFIX).unwrap_or_default().to_owned()
 }
--- a/crates/entry/src/batch/journal_link.rs
+++ b/crates/entry/src/batch/journal_link.rs
@@ -74,11 +74,7 @@
         }
         let writes = replicas.iter().map(|replica| {
             let encoded = encoded.clone();
-            async move {
-                self.append_at(replica, journal, encoded)
-                    .await
-                    .then(|| replica.clone())
-            }
+            async move { self.append_at(replica, journal, encoded).await.then(|| replica.clone()) }
         });
         join_all(writes).await.into_iter().flatten().collect()
     }
@@ -98,9 +94,7 @@
             return false;
         };
         let context = call_context(APPEND_PATIENCE);
-        let answer = client
-            .append(context, self.state.stamp(), journal.to_owned(), records)
-            .await;
+        let answer = client.append(context, self.state.stamp(), journal.to_owned(), records).await;
         if answer.is_err() {
             self.state.peers.forget(address);
         }
@@ -121,9 +115,7 @@
         let address = self.control_of(replica)?;
         let client = self.state.peers.client(address).await.ok()?;
         let context = call_context(READ_PATIENCE);
-        let answer = client
-            .read(context, self.state.stamp(), journal.to_owned(), position)
-            .await;
+        let answer = client.read(context, self.state.stamp(), journal.to_owned(), position).await;
         if answer.is_err() {
             self.state.peers.forget(address);
         }
@@ -144,9 +136,7 @@
         if let Ok(client) = self.state.peers.client(address).await {
             let context = call_context(APPEND_PATIENCE);
             // What stays is removed by the replica's own sweep.
-            let _ = client
-                .remove(context, self.state.stamp(), journal.to_owned())
-                .await;
+            let _ = client.remove(context, self.state.stamp(), journal.to_owned()).await;
         }
     }
 
@@ -173,10 +163,7 @@
     /// Returns where a peer takes control calls.
     fn control_of(&self, name: &str) -> Option<std::net::SocketAddr> {
         let instances = self.state.instances.borrow();
-        instances
-            .iter()
-            .find(|record| record.name == name)
-            .map(|record| record.control)
+        instances.iter().find(|record| record.name == name).map(|record| record.control)
     }
 }
 
@@ -188,15 +175,9 @@
 ) -> Result<JournalPage, StoreFault> {
     let page = store.read(journal, position, PAGE_BYTES).await?;
     if page.damaged > 0 {
-        log::error!(
-            "journal {journal}: {} damaged record(s) skipped",
-            page.damaged
-        );
+        log::error!("journal {journal}: {} damaged record(s) skipped", page.damaged);
     }
-    Ok(JournalPage {
-        next: page.next,
-        records: page.records,
-    })
+    Ok(JournalPage { next: page.next, records: page.records })
 }
 
 /// Encodes a record.
--- a/crates/entry/src/batch/replica_repair.rs
+++ b/crates/entry/src/batch/replica_repair.rs
@@ -61,10 +61,7 @@
     /// Replaces one lost replica of a job.
     async fn repair_job(self: &Rc<Self>, job: &Rc<JobRuntime>, misses: &mut Vec<(String, u32)>) {
         let record = job.record.borrow().clone();
-        let lost = record
-            .replicas
-            .iter()
-            .find(|name| self.is_lost(name, misses));
+        let lost = record.replicas.iter().find(|name| self.is_lost(name, misses));
         let short = record.replicas.len() < self.state.section.replicas;
         if lost.is_none() && !short {
             return;
@@ -112,14 +109,9 @@
                 .if_revision(&self.lease.key(), job.epoch)
                 .put(&key, &value);
             let purpose = CallPurpose::Commit;
-            let answer = client
-                .put_resolved(purpose, &transaction, &value, CHANGE_PATIENCE)
-                .await;
+            let answer = client.put_resolved(purpose, &transaction, &value, CHANGE_PATIENCE).await;
             if let Ok(WriteAnswer::Done(revision)) = answer {
-                log::info!(
-                    "job {}: replica {candidate} in place of {lost:?}",
-                    record.id
-                );
+                log::info!("job {}: replica {candidate} in place of {lost:?}", record.id);
                 job.revision.set(revision);
                 *job.record.borrow_mut() = record;
             }
@@ -168,9 +160,8 @@
     /// Tells whether this instance is the one that removes what these replicas hold.
     fn sweeps(&self, id: &str, replicas: &[String]) -> bool {
         let own = &self.state.settings.name;
-        let live = replicas
-            .iter()
-            .filter(|name| *name == own || self.view.epoch_of(name).is_some());
+        let live =
+            replicas.iter().filter(|name| *name == own || self.view.epoch_of(name).is_some());
         live.min_by_key(|name| stable_hash(&[id, name])) == Some(own)
     }
 
--- a/crates/entry/src/batch/result_stream.rs
+++ b/crates/entry/src/batch/result_stream.rs
@@ -52,10 +52,7 @@
     for replica in &record.replicas {
         let mut position = 0;
         while !missing.is_empty() {
-            let page = coordinator
-                .link
-                .read_at(replica, &record.id, position)
-                .await;
+            let page = coordinator.link.read_at(replica, &record.id, position).await;
             let Some(page) = page.filter(|page| !page.records.is_empty()) else {
                 break;
             };
@@ -67,11 +64,7 @@
         }
     }
     if !missing.is_empty() {
-        log::error!(
-            "job {}: {} committed chunk(s) not found",
-            record.id,
-            missing.len()
-        );
+        log::error!("job {}: {} committed chunk(s) not found", record.id, missing.len());
         return Err(HttpFault::Truncated);
     }
     exchange.finish_stream().await
@@ -96,12 +89,7 @@
 
 /// Returns the lines of a record if it is a committed chunk that is still missing.
 fn take_chunk(bytes: &[u8], kind: ResultKind, missing: &mut Vec<(u32, u64)>) -> Bytes {
-    let Some(JournalRecord::Chunk {
-        chunk,
-        epoch,
-        results,
-    }) = decode_record(bytes)
-    else {
+    let Some(JournalRecord::Chunk { chunk, epoch, results }) = decode_record(bytes) else {
         return Bytes::new();
     };
     let Ok(position) = missing.binary_search(&(chunk, epoch)) else {
--- a/crates/entry/src/caller_answer.rs
+++ b/crates/entry/src/caller_answer.rs
@@ -53,11 +53,7 @@
         let (status, reason, message) = match outcome {
             RunOutcome::NotRun(proof) => {
                 let reason = proof.reason();
-                (
-                    status_of(reason),
-                    reason.as_str(),
-                    "The request was not run.",
-                )
+                (status_of(reason), reason.as_str(), "The request was not run.")
             }
             RunOutcome::Unknown if late => {
                 let message = "No answer came in time. The request may have run.";
@@ -67,11 +63,9 @@
                 let message = "The answer was lost. The request may have run.";
                 (StatusCode::BAD_GATEWAY, "answer_lost", message)
             }
-            RunOutcome::Failed | RunOutcome::Completed => (
-                StatusCode::BAD_GATEWAY,
-                "target_failed",
-                "The request ran and failed.",
-            ),
+            RunOutcome::Failed | RunOutcome::Completed => {
+                (StatusCode::BAD_GATEWAY, "target_failed", "The request ran and failed.")
+            }
         };
         let retry_after = match outcome {
             RunOutcome::NotRun(proof) => proof.retry_after(),
@@ -99,11 +93,7 @@
             // The header knows whole seconds only; the other one is for finer clients.
             let seconds = after.as_secs_f64().ceil().max(1.0) as u64;
             headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
-            put(
-                &mut headers,
-                headers::RETRY_AFTER_MS,
-                &after.as_millis().to_string(),
-            );
+            put(&mut headers, headers::RETRY_AFTER_MS, &after.as_millis().to_string());
         }
         let body = json!({"error": {
             "message": self.message,
@@ -112,9 +102,7 @@
             "run": self.run,
             "type": error_type(self.status),
         }});
-        exchange
-            .respond(self.status, &headers, &Bytes::from(body.to_string()))
-            .await
+        exchange.respond(self.status, &headers, &Bytes::from(body.to_string())).await
     }
 }
 
@@ -125,9 +113,7 @@
     value: &T,
 ) -> Result<(), HttpFault> {
     let body = serde_json::to_vec(value).unwrap_or_default();
-    exchange
-        .respond(status, &json_headers(), &Bytes::from(body))
-        .await
+    exchange.respond(status, &json_headers(), &Bytes::from(body)).await
 }
 
 /// Answers an exchange with findings.
--- a/crates/entry/src/caller_identity.rs
+++ b/crates/entry/src/caller_identity.rs
@@ -23,10 +23,7 @@
             let hash = hash_token(bearer_token(exchange)?);
             register.organisation_of_token(&hash)?.to_owned()
         } else {
-            exchange
-                .header(headers::ORGANISATION)
-                .unwrap_or(OPEN_ORGANISATION)
-                .to_owned()
+            exchange.header(headers::ORGANISATION).unwrap_or(OPEN_ORGANISATION).to_owned()
         };
         Some(Self { organisation })
     }
@@ -43,7 +40,5 @@
 
 /// Returns the token of the authorisation header.
 fn bearer_token<'e>(exchange: &'e ServerExchange<'_>) -> Option<&'e str> {
-    exchange
-        .header(AUTHORIZATION.as_str())?
-        .strip_prefix("Bearer ")
+    exchange.header(AUTHORIZATION.as_str())?.strip_prefix("Bearer ")
 }
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -11,9 +11,8 @@
 use prometheus::TextEncoder;
 
 /// Upper bounds of the latencies' buckets, in seconds.
-const LATENCY_BUCKETS: [f64; 11] = [
-    0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.52, 1.0, 2.5, 10.0, 60.0,
-];
+const LATENCY_BUCKETS: [f64; 11] =
+    [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.52, 1.0, 2.5, 10.0, 60.0];
 
 /// The metrics of one entry, in a registry of their own.
 #[derive(Debug)]
@@ -39,15 +38,11 @@
     /// Fails if two metrics have the same name.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let outcome_opts = Opts::new(
-            "cv_entry_requests_total",
-            "Online requests by outcome and reason.",
-        );
+        let outcome_opts =
+            Opts::new("cv_entry_requests_total", "Online requests by outcome and reason.");
         let item_opts = Opts::new("cv_entry_batch_items_total", "Batch item runs by outcome.");
-        let latency_opts = HistogramOpts::new(
-            "cv_entry_first_response_seconds",
-            "Time to the first response.",
-        );
+        let latency_opts =
+            HistogramOpts::new("cv_entry_first_response_seconds", "Time to the first response.");
         let metrics = Self {
             attempts: IntCounter::new("cv_entry_attempts_total", "Attempts sent to sidecars.")?,
             batch_in_flight: IntGauge::new(
@@ -86,16 +81,12 @@
     /// Registers all metrics.
     fn register(&self) -> prometheus::Result<()> {
         self.registry.register(Box::new(self.attempts.clone()))?;
-        self.registry
-            .register(Box::new(self.batch_in_flight.clone()))?;
-        self.registry
-            .register(Box::new(self.config_revision.clone()))?;
-        self.registry
-            .register(Box::new(self.first_response.clone()))?;
+        self.registry.register(Box::new(self.batch_in_flight.clone()))?;
+        self.registry.register(Box::new(self.config_revision.clone()))?;
+        self.registry.register(Box::new(self.first_response.clone()))?;
         self.registry.register(Box::new(self.items.clone()))?;
         self.registry.register(Box::new(self.jobs_owned.clone()))?;
-        self.registry
-            .register(Box::new(self.jobs_at_risk.clone()))?;
+        self.registry.register(Box::new(self.jobs_at_risk.clone()))?;
         self.registry.register(Box::new(self.lease_held.clone()))?;
         self.registry.register(Box::new(self.outcomes.clone()))?;
         self.registry.register(Box::new(self.resumes.clone()))?;
--- a/crates/entry/src/entry_server.rs
+++ b/crates/entry/src/entry_server.rs
@@ -77,13 +77,7 @@
         let state = Rc::new(EntryState::new(settings, section, events, metrics, clock));
         let link = JournalLink::new(Rc::clone(&state), store);
         let coordinator = Rc::new(BatchCoordinator::new(Rc::clone(&state), link));
-        Ok(Self {
-            control,
-            coordinator,
-            data,
-            state,
-            timers,
-        })
+        Ok(Self { control, coordinator, data, state, timers })
     }
 
     /// Returns where requests arrive.
@@ -104,29 +98,11 @@
 
     /// Serves until the signal is given, then drains and returns.
     pub async fn run(self, shutdown: ShutdownSignal) {
-        let Self {
-            control,
-            coordinator,
-            data,
-            state,
-            timers,
-        } = self;
+        let Self { control, coordinator, data, state, timers } = self;
         let finished = ShutdownSignal::new();
-        state.events.record(
-            EventKind::Started,
-            "",
-            format!("zone={}", state.settings.zone),
-        );
-        let disk = if state.section.data_folder.is_some() {
-            "with"
-        } else {
-            "without"
-        };
-        log::info!(
-            "entry {} serves in {}, {disk} disk",
-            state.settings.name,
-            state.settings.zone
-        );
+        state.events.record(EventKind::Started, "", format!("zone={}", state.settings.zone));
+        let disk = if state.section.data_folder.is_some() { "with" } else { "without" };
+        log::info!("entry {} serves in {}, {disk} disk", state.settings.name, state.settings.zone);
         monoio::spawn(watch_instances(Rc::clone(&state), timers.clone()));
         monoio::spawn(watch_targets(Rc::clone(&state), timers.clone()));
         coordinator.start(&timers);
@@ -148,9 +124,7 @@
 
 /// Lets the balancer notice and lets what runs finish.
 async fn drain(state: &EntryState, coordinator: &Rc<BatchCoordinator>) {
-    state
-        .events
-        .record(EventKind::DrainStarted, "", String::new());
+    state.events.record(EventKind::DrainStarted, "", String::new());
     let limit = state.settings.drain_limit;
     state.leaving.set(true);
     coordinator.shut_down().await;
--- a/crates/entry/src/entry_state.rs
+++ b/crates/entry/src/entry_state.rs
@@ -113,10 +113,7 @@
 
     /// Returns what calls to the system's own processes carry.
     pub fn stamp(&self) -> PeerStamp {
-        PeerStamp {
-            clock: self.events.stamp(),
-            secret: self.settings.secret.clone(),
-        }
+        PeerStamp { clock: self.events.stamp(), secret: self.settings.secret.clone() }
     }
 
     /// Tells whether a caller belongs to the system, and takes its clock.
@@ -132,8 +129,7 @@
         }
         let revision = self.config.borrow().revision();
         self.metrics.config_revision.set(revision.cast_signed());
-        self.events
-            .record(EventKind::ConfigInForce, "", format!("revision={revision}"));
+        self.events.record(EventKind::ConfigInForce, "", format!("revision={revision}"));
         self.config_changed.notify_waiters();
         true
     }
@@ -152,10 +148,7 @@
         if let Some(row) = self.table.borrow_mut().get_mut(target) {
             row.in_flight += 1;
         }
-        InFlightGuard {
-            state: Rc::clone(self),
-            target,
-        }
+        InFlightGuard { state: Rc::clone(self), target }
     }
 
     /// Resolves when a target is known to be lost.
--- a/crates/entry/src/online/answer_relay.rs
+++ b/crates/entry/src/online/answer_relay.rs
@@ -29,10 +29,7 @@
 impl EventSplitter {
     /// Creates a splitter that keeps nothing for a continuation.
     pub fn without_history() -> Self {
-        Self {
-            overflow: true,
-            ..Self::default()
-        }
+        Self { overflow: true, ..Self::default() }
     }
 
     /// Takes a piece of a stream and returns the whole events that it completes.
@@ -43,11 +40,7 @@
         if self.tail.len() > EVENT_BYTES {
             return None;
         }
-        let end = self
-            .tail
-            .windows(2)
-            .rposition(|window| window == b"\n\n")
-            .map_or(0, |at| at + 2);
+        let end = self.tail.windows(2).rposition(|window| window == b"\n\n").map_or(0, |at| at + 2);
         let events = self.tail.split_to(end).freeze();
         self.done |= events.ends_with(DONE_EVENT);
         self.preempted |= memchr::memmem::find(&events, PREEMPTED_LINE).is_some();
@@ -125,9 +118,7 @@
 
     /// Takes the choice of one event.
     fn take(&mut self, choice: &Value) {
-        let word = choice["text"]
-            .as_str()
-            .or_else(|| choice["delta"]["content"].as_str());
+        let word = choice["text"].as_str().or_else(|| choice["delta"]["content"].as_str());
         if let Some(word) = word {
             self.text.push_str(word);
             self.tokens += 1;
--- a/crates/entry/src/online/online_driver.rs
+++ b/crates/entry/src/online/online_driver.rs
@@ -7,7 +7,6 @@
 use cv_control::call_context;
 use cv_http::HttpFault;
 use cv_http::ServerExchange;
-use cv_policy::RequestKey;
 use cv_policy::RunOutcome;
 use cv_policy::TargetId;
 use cv_policy::WorkClass;
@@ -55,20 +54,12 @@
             repeatable: request.rules.repeatable,
             resumable: request.is_resumable(),
         });
-        Self {
-            flow,
-            incarnation: 0,
-            request,
-            splitter: EventSplitter::default(),
-            state,
-        }
+        Self { flow, incarnation: 0, request, splitter: EventSplitter::default(), state }
     }
 
     /// Drives the request to its end.
     pub async fn run(mut self, exchange: &mut ServerExchange<'_>) -> Result<(), HttpFault> {
-        self.record(EventKind::RequestReceived, || {
-            format!("service={}", self.request.service)
-        });
+        self.record(EventKind::RequestReceived, || format!("service={}", self.request.service));
         let mut command = FlowCommand::Route;
         loop {
             let event = match command {
@@ -104,10 +95,7 @@
             service: stable_hash(&[&self.request.service]),
         };
         let now = self.state.clock.now();
-        self.state
-            .router
-            .borrow_mut()
-            .choose(now, &self.state.table.borrow(), &request)
+        self.state.router.borrow_mut().choose(now, &self.state.table.borrow(), &request)
     }
 
     /// Makes one attempt.
@@ -116,12 +104,7 @@
             // All tokens were relayed and only the end of the stream is missing.
             return self.finish_relayed(exchange).await;
         };
-        self.incarnation = self
-            .state
-            .table
-            .borrow()
-            .get(target)
-            .map_or(0, |row| row.incarnation);
+        self.incarnation = self.state.table.borrow().get(target).map_or(0, |row| row.incarnation);
         self.record(EventKind::AttemptSent, || {
             let table = self.state.table.borrow();
             let name = table.get(target).map_or("", |row| row.name.as_str());
@@ -161,15 +144,13 @@
         let Some(address) = self.state.table.borrow().get(target).map(|row| row.control) else {
             return FlowEvent::Unresolved;
         };
-        let key = RequestKey::derive(&self.request.organisation, &self.request.request_id);
+        let key = self.request.key();
         for _ in 0..RESOLVE_TRIES {
             let Ok(client) = self.state.sidecars.client(address).await else {
                 continue;
             };
             let (stamp, attempt) = (self.state.stamp(), self.flow.attempts());
-            let answer = client
-                .resolve(call_context(RESOLVE_PATIENCE), stamp, key, attempt)
-                .await;
+            let answer = client.resolve(call_context(RESOLVE_PATIENCE), stamp, key, attempt).await;
             match answer {
                 // A sidecar that has restarted since knows nothing of the attempt.
                 Ok(Some(answer)) if answer.incarnation == self.incarnation => {
@@ -202,11 +183,7 @@
             RunOutcome::NotRun(proof) => proof.reason().as_str(),
             _ => "",
         };
-        self.state
-            .metrics
-            .outcomes
-            .with_label_values(&[outcome.as_str(), reason])
-            .inc();
+        self.state.metrics.outcomes.with_label_values(&[outcome.as_str(), reason]).inc();
         self.record(EventKind::RequestConcluded, || {
             format!("outcome={} reason={reason}", outcome.as_str())
         });
@@ -225,14 +202,8 @@
         exchange: &mut ServerExchange<'_>,
         run: &str,
     ) -> Result<(), HttpFault> {
-        self.state
-            .metrics
-            .outcomes
-            .with_label_values(&["duplicate", ""])
-            .inc();
-        self.record(EventKind::RequestConcluded, || {
-            "outcome=duplicate".to_owned()
-        });
+        self.state.metrics.outcomes.with_label_values(&["duplicate", ""]).inc();
+        self.record(EventKind::RequestConcluded, || "outcome=duplicate".to_owned());
         let run = match run {
             "completed" => "completed",
             "failed" => "failed",
@@ -251,24 +222,14 @@
 
     /// Ends a request whose caller has gone away.
     fn abandon(&self) -> Result<(), HttpFault> {
-        self.state
-            .metrics
-            .outcomes
-            .with_label_values(&["abandoned", ""])
-            .inc();
-        self.record(EventKind::RequestConcluded, || {
-            "outcome=abandoned".to_owned()
-        });
+        self.state.metrics.outcomes.with_label_values(&["abandoned", ""]).inc();
+        self.record(EventKind::RequestConcluded, || "outcome=abandoned".to_owned());
         Err(HttpFault::Closed)
     }
 
     /// Cuts the caller's connection, which shows that the answer is not whole.
     fn cut_off(&self) -> Result<(), HttpFault> {
-        self.state
-            .metrics
-            .outcomes
-            .with_label_values(&["cut_off", ""])
-            .inc();
+        self.state.metrics.outcomes.with_label_values(&["cut_off", ""]).inc();
         self.record(EventKind::RequestConcluded, || "outcome=cut_off".to_owned());
         Err(HttpFault::Truncated)
     }
@@ -276,9 +237,7 @@
     /// Records an event about the request.
     fn record(&self, kind: EventKind, detail: impl FnOnce() -> String) {
         if self.state.events.is_enabled() {
-            self.state
-                .events
-                .record(kind, &self.request.request_id, detail());
+            self.state.events.record(kind, &self.request.request_id, detail());
         }
     }
 }
--- a/crates/entry/src/online/online_request.rs
+++ b/crates/entry/src/online/online_request.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cv_http::ServerExchange;
+use cv_policy::RequestKey;
 use cv_policy::config::ServiceKind;
 use cv_policy::config::ServiceRules;
 use cv_policy::headers;
@@ -46,11 +47,7 @@
 impl CompletionOutline<'_> {
     /// Hashes the beginning of the prompt, by which targets cache.
     pub fn affinity(&self) -> u64 {
-        let text = self
-            .prompt
-            .as_deref()
-            .or(self.messages.map(RawValue::get))
-            .unwrap_or("");
+        let text = self.prompt.as_deref().or(self.messages.map(RawValue::get)).unwrap_or("");
         let mut end = text.len().min(AFFINITY_BYTES);
         while !text.is_char_boundary(end) {
             end -= 1;
@@ -102,21 +99,14 @@
     ) -> Self {
         let wall_millis = state.clock.wall_millis();
         let rules =
-            state
-                .config
-                .borrow()
-                .config()
-                .rules(service, &caller.organisation, wall_millis);
+            state.config.borrow().config().rules(service, &caller.organisation, wall_millis);
         let named = named_id(exchange);
         let binding = !rules.repeatable && named.is_some();
         let request_id = named.unwrap_or_else(|| state.new_id());
         let affinity = binding.then(|| stable_hash(&[&caller.organisation, &request_id]));
-        let own = exchange
-            .header(headers::DEADLINE_MS)
-            .and_then(|text| text.parse().ok());
-        let deadline = own.map_or(rules.deadline, |millis| {
-            rules.deadline.min(Duration::from_millis(millis))
-        });
+        let own = exchange.header(headers::DEADLINE_MS).and_then(|text| text.parse().ok());
+        let deadline =
+            own.map_or(rules.deadline, |millis| rules.deadline.min(Duration::from_millis(millis)));
         Self {
             affinity,
             arrived: Instant::now(),
@@ -144,6 +134,11 @@
         self
     }
 
+    /// Returns the key of the request in every process that it passes.
+    pub fn key(&self) -> RequestKey {
+        RequestKey::derive(&self.organisation, &self.request_id)
+    }
+
     /// Returns the time left for the whole answer.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.arrived.elapsed())
--- a/crates/entry/src/online/target_attempt.rs
+++ b/crates/entry/src/online/target_attempt.rs
@@ -28,6 +28,7 @@
 use super::OnlineRequest;
 use crate::caller_answer::put;
 use crate::entry_state::EntryState;
+use crate::watch::request_lost;
 
 /// Longest time to connect to a sidecar.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(500);
@@ -70,13 +71,7 @@
         exchange: &mut ServerExchange<'_>,
         splitter: &mut EventSplitter,
     ) -> AttemptEnd {
-        let Some(address) = self
-            .state
-            .table
-            .borrow()
-            .get(self.target)
-            .map(|row| row.data)
-        else {
+        let Some(address) = self.state.table.borrow().get(self.target).map(|row| row.data) else {
             return AttemptEnd::Event(FlowEvent::ConnectFailed);
         };
         let begin = Instant::now();
@@ -102,6 +97,9 @@
             head = answer => head,
             () = exchange.closed() => return AttemptEnd::CallerGone,
             () = self.state.lost(self.target) => Err(HttpFault::Closed),
+            () = request_lost(self.state, self.target, self.request.key()) => {
+                Err(HttpFault::Closed)
+            }
         };
         let head = match head {
             Ok(head) => head,
@@ -110,8 +108,7 @@
         self.take_reading(&head);
         let end = match header(&head, headers::RUN) {
             Some("completed") => {
-                self.relay(exchange, splitter, &mut connection, &head, begin)
-                    .await
+                self.relay(exchange, splitter, &mut connection, &head, begin).await
             }
             run => self.read_refusal(&mut connection, &head, run).await,
         };
@@ -123,31 +120,16 @@
 
     /// Returns the message to the sidecar.
     fn message(&self) -> ClientRequest {
-        let OnlineRequest {
-            method,
-            path,
-            organisation,
-            request_id,
-            rules,
-            ..
-        } = self.request;
+        let OnlineRequest { method, path, organisation, request_id, rules, .. } = self.request;
         let mut message = ClientRequest::new(method.clone(), path.clone(), self.body.clone());
         message.headers = passed_headers(&self.request.headers);
         let fields = &mut message.headers;
         put(fields, headers::ATTEMPT, &self.number.to_string());
         put(fields, headers::CLASS, "online");
         put(fields, headers::CLOCK, &self.state.events.stamp().encode());
-        put(
-            fields,
-            headers::DEADLINE_MS,
-            &self.request.time_left().as_millis().to_string(),
-        );
+        put(fields, headers::DEADLINE_MS, &self.request.time_left().as_millis().to_string());
         put(fields, headers::ORGANISATION, organisation);
-        put(
-            fields,
-            headers::REPEATABLE,
-            if rules.repeatable { "true" } else { "false" },
-        );
+        put(fields, headers::REPEATABLE, if rules.repeatable { "true" } else { "false" });
         put(fields, headers::REQUEST_ID, request_id);
         put(fields, headers::SECRET, &self.state.settings.secret);
         put(fields, headers::WEIGHT, &rules.weight.to_string());
@@ -178,8 +160,7 @@
             }
         }
         let events = self.request.stream && head.status == StatusCode::OK;
-        self.relay_stream(exchange, splitter, connection, events, begin)
-            .await
+        self.relay_stream(exchange, splitter, connection, events, begin).await
     }
 
     /// Passes on an answer of moderate length once it is whole.
@@ -206,15 +187,9 @@
         if self.request.rules.kind == ServiceKind::Plain {
             self.record_success(begin);
         }
-        self.state
-            .metrics
-            .first_response
-            .observe(self.request.arrived.elapsed().as_secs_f64());
+        self.state.metrics.first_response.observe(self.request.arrived.elapsed().as_secs_f64());
         let headers = answer_headers(&head.headers);
-        match exchange
-            .respond(head.status, &headers, &body.freeze())
-            .await
-        {
+        match exchange.respond(head.status, &headers, &body.freeze()).await {
             Ok(()) => AttemptEnd::Event(FlowEvent::Completed),
             Err(_) => AttemptEnd::CallerGone,
         }
@@ -249,11 +224,7 @@
                 let latency = self.request.arrived.elapsed().as_secs_f64();
                 self.state.metrics.first_response.observe(latency);
             }
-            let passed = if events {
-                splitter.take(&piece)
-            } else {
-                Some(piece)
-            };
+            let passed = if events { splitter.take(&piece) } else { Some(piece) };
             let Some(passed) = passed else {
                 return self.lost_inside_answer(splitter);
             };
@@ -363,10 +334,7 @@
 
 /// Tells whether an answer is short enough to be read whole before it is passed on.
 fn is_whole(head: &ResponseHead) -> bool {
-    let length = head
-        .headers
-        .get(CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok());
+    let length = head.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
     length
         .and_then(|text| text.parse::<usize>().ok())
         .is_some_and(|size| size <= WHOLE_ANSWER_BYTES)
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -99,10 +99,7 @@
         // The deadline ends the wait; whether a change came is read off the register.
         let _ = timeout(HOLD, newer_config(&self.state, revision)).await;
         let register = self.state.config.borrow();
-        register
-            .document()
-            .filter(|document| document.revision > revision)
-            .cloned()
+        register.document().filter(|document| document.revision > revision).cloned()
     }
 
     async fn status(self, _: Context, stamp: PeerStamp) -> Option<EntryStatus> {
--- a/crates/entry/src/watch/config_watch.rs
+++ b/crates/entry/src/watch/config_watch.rs
@@ -93,8 +93,5 @@
 /// Makes a document of a stored entry.
 fn document_of(entry: &KeyValueEntry) -> ConfigDocument {
     let body = String::from_utf8_lossy(&entry.value).into_owned();
-    ConfigDocument {
-        body,
-        revision: entry.revision,
-    }
+    ConfigDocument { body, revision: entry.revision }
 }
--- a/crates/entry/src/watch/instance_watch.rs
+++ b/crates/entry/src/watch/instance_watch.rs
@@ -31,10 +31,8 @@
 
 /// Takes a new list.
 fn apply(state: &EntryState, records: Vec<InstanceRecord>) {
-    let listings: Vec<TargetListing> = records
-        .iter()
-        .filter_map(InstanceRecord::target_listing)
-        .collect();
+    let listings: Vec<TargetListing> =
+        records.iter().filter_map(InstanceRecord::target_listing).collect();
     state.table.borrow_mut().apply(state.clock.now(), &listings);
     *state.instances.borrow_mut() = records;
     state.target_lost.notify_waiters();
--- a/crates/entry/src/watch/target_watch.rs
+++ b/crates/entry/src/watch/target_watch.rs
@@ -27,13 +27,8 @@
     let ticks = timers.subscribe(PERIOD);
     let asked: Rc<std::cell::RefCell<Vec<(TargetId, u32)>>> = Rc::default();
     loop {
-        let rows: Vec<(TargetId, SocketAddr)> = state
-            .table
-            .borrow()
-            .rows()
-            .iter()
-            .map(|row| (row.id, row.control))
-            .collect();
+        let rows: Vec<(TargetId, SocketAddr)> =
+            state.table.borrow().rows().iter().map(|row| (row.id, row.control)).collect();
         for (target, address) in rows {
             let (state, asked) = (Rc::clone(&state), Rc::clone(&asked));
             monoio::spawn(async move {
@@ -67,9 +62,7 @@
                 && status.config_revision < document.revision
             {
                 // A lost offer is made again with the next question.
-                let _ = client
-                    .offer_config(call_context(PATIENCE), state.stamp(), document)
-                    .await;
+                let _ = client.offer_config(call_context(PATIENCE), state.stamp(), document).await;
             }
             Some(status)
         }
@@ -123,13 +116,7 @@
         }
         lost = lost || (was_ready && !row.ready);
     }
-    let ready = state
-        .table
-        .borrow()
-        .rows()
-        .iter()
-        .filter(|row| row.is_eligible())
-        .count();
+    let ready = state.table.borrow().rows().iter().filter(|row| row.is_eligible()).count();
     state.metrics.targets_ready.set(ready.cast_signed() as i64);
     if lost {
         state.target_lost.notify_waiters();
@@ -139,9 +126,6 @@
 /// Returns the names of the targets that are ejected.
 fn ejected(state: &EntryState) -> Vec<String> {
     let table = state.table.borrow();
-    let rows = table
-        .rows()
-        .iter()
-        .filter(|row| row.ejected_until.is_some());
+    let rows = table.rows().iter().filter(|row| row.ejected_until.is_some());
     rows.map(|row| row.name.clone()).collect()
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -37,12 +37,7 @@
 impl ClientRequest {
     /// Creates a request without headers.
     pub fn new(method: Method, path: impl Into<String>, body: impl Into<Bytes>) -> Self {
-        Self {
-            body: body.into(),
-            headers: HeaderMap::new(),
-            method,
-            path: path.into(),
-        }
+        Self { body: body.into(), headers: HeaderMap::new(), method, path: path.into() }
     }
 
     /// Adds a header; a value that is not printable ASCII is left out.
@@ -105,12 +100,7 @@
     /// Faults of the connection; the server may have received the request all the same.
     pub async fn send(&mut self, request: &ClientRequest) -> Result<(), HttpFault> {
         self.reusable = false;
-        let ClientRequest {
-            body,
-            headers,
-            method,
-            path,
-        } = request;
+        let ClientRequest { body, headers, method, path } = request;
         self.writer.write_request(method, path, headers, body).await
     }
 
@@ -129,10 +119,7 @@
         }
         self.framing = BodyFraming::of_response(method, head.status, &head.headers)?;
         let closes = matches!(self.framing, BodyFraming::UntilClose)
-            || head
-                .headers
-                .get(CONNECTION)
-                .is_some_and(|value| value == "close");
+            || head.headers.get(CONNECTION).is_some_and(|value| value == "close");
         self.reusable = !closes;
         Ok(head)
     }
@@ -165,11 +152,7 @@
         if body.is_err() {
             self.reusable = false;
         }
-        Ok(ClientResponse {
-            body: body?,
-            headers: head.headers,
-            status: head.status,
-        })
+        Ok(ClientResponse { body: body?, headers: head.headers, status: head.status })
     }
 
     /// Tells whether another request may be sent.
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -49,15 +49,7 @@
         let keep_alive = wants_keep_alive(&head);
         let expects_continue = head.headers.contains_key(http::header::EXPECT);
         let stage = ResponseStage::Waiting;
-        Self {
-            expects_continue,
-            framing,
-            head,
-            keep_alive,
-            reader,
-            stage,
-            writer,
-        }
+        Self { expects_continue, framing, head, keep_alive, reader, stage, writer }
     }
 
     /// Returns the request's head.
@@ -69,10 +61,7 @@
     /// Returns the value of a request header as text.
     #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.head
-            .headers
-            .get(name)
-            .and_then(|value| value.to_str().ok())
+        self.head.headers.get(name).and_then(|value| value.to_str().ok())
     }
 
     /// Tells whether the connection may serve another request afterwards.
@@ -97,11 +86,7 @@
     /// # Errors
     /// `BodyTooLarge` over the limit; faults of the connection.
     pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, HttpFault> {
-        if self
-            .framing
-            .declared_length()
-            .is_some_and(|length| length > limit as u64)
-        {
+        if self.framing.declared_length().is_some_and(|length| length > limit as u64) {
             return Err(HttpFault::BodyTooLarge);
         }
         self.invite_body().await?;
@@ -134,9 +119,7 @@
     ) -> Result<(), HttpFault> {
         let headers = self.response_headers(headers);
         let bodiless = self.head.method == Method::HEAD;
-        self.writer
-            .write_response(status, &headers, body, bodiless)
-            .await?;
+        self.writer.write_response(status, &headers, body, bodiless).await?;
         self.stage = ResponseStage::Finished;
         Ok(())
     }
@@ -198,10 +181,7 @@
 
 /// Tells whether the request leaves the connection open.
 fn wants_keep_alive(head: &RequestHead) -> bool {
-    let connection = head
-        .headers
-        .get(CONNECTION)
-        .map_or(&b""[..], HeaderValue::as_bytes);
+    let connection = head.headers.get(CONNECTION).map_or(&b""[..], HeaderValue::as_bytes);
     if head.version == http::Version::HTTP_11 {
         !connection.eq_ignore_ascii_case(b"close")
     } else {
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -40,19 +40,14 @@
     /// Creates an empty pool whose connections keep the given limits.
     #[must_use]
     pub fn new(limits: HttpLimits) -> Self {
-        Self {
-            limits,
-            rows: RefCell::default(),
-        }
+        Self { limits, rows: RefCell::default() }
     }
 
     /// Takes an idle connection, if there is one that is young enough.
     #[must_use]
     pub fn take(&self, address: SocketAddr) -> Option<ClientConnection> {
         let mut rows = self.rows.borrow_mut();
-        let position = rows
-            .binary_search_by_key(&address, |row| row.address)
-            .ok()?;
+        let position = rows.binary_search_by_key(&address, |row| row.address).ok()?;
         let idle = rows[position].idle.pop()?;
         if idle.since.elapsed() < IDLE_AGE {
             return Some(idle.connection);
@@ -86,22 +81,13 @@
         let position = match rows.binary_search_by_key(&address, |row| row.address) {
             Ok(position) => position,
             Err(position) => {
-                rows.insert(
-                    position,
-                    PoolRow {
-                        address,
-                        idle: Vec::new(),
-                    },
-                );
+                rows.insert(position, PoolRow { address, idle: Vec::new() });
                 position
             }
         };
         let idle = &mut rows[position].idle;
         if idle.len() < IDLE_PER_ADDRESS {
-            idle.push(IdleConnection {
-                connection,
-                since: Instant::now(),
-            });
+            idle.push(IdleConnection { connection, since: Instant::now() });
         }
     }
 
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -40,11 +40,7 @@
 impl<R: AsyncReadRent> HttpReader<R> {
     /// Wraps the receiving half of a connection.
     pub fn new(half: R, limits: HttpLimits) -> Self {
-        Self {
-            buffer: BytesMut::new(),
-            half,
-            limits,
-        }
+        Self { buffer: BytesMut::new(), half, limits }
     }
 
     /// Waits until the first byte of the next message is there.
@@ -137,10 +133,7 @@
         framing: &mut BodyFraming,
         limit: usize,
     ) -> Result<Bytes, HttpFault> {
-        if framing
-            .declared_length()
-            .is_some_and(|length| length > limit as u64)
-        {
+        if framing.declared_length().is_some_and(|length| length > limit as u64) {
             return Err(HttpFault::BodyTooLarge);
         }
         let mut body = BytesMut::new();
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -48,12 +48,7 @@
 impl<H: RequestHandler> HttpServer<H> {
     /// Creates a server on a bound listener.
     pub fn new(listener: TcpListener, handler: Rc<H>, gate: DrainGate, limits: HttpLimits) -> Self {
-        Self {
-            gate,
-            handler,
-            limits,
-            listener,
-        }
+        Self { gate, handler, limits, listener }
     }
 
     /// Serves until the gate drains; running exchanges go on after that.
@@ -95,10 +90,7 @@
 /// # Errors
 /// Fails if the address is taken or not of this machine.
 pub fn bind_listener(address: SocketAddr) -> io::Result<TcpListener> {
-    let options = ListenerOpts::new()
-        .reuse_port(false)
-        .reuse_addr(true)
-        .backlog(BACKLOG);
+    let options = ListenerOpts::new().reuse_port(false).reuse_addr(true).backlog(BACKLOG);
     TcpListener::bind_with_config(address, &options)
 }
 
@@ -161,9 +153,7 @@
             "{{\"error\":{{\"message\":\"{fault}\",\"reason\":\"{}\",\"run\":\"not_run\"}}}}",
             fault.reason()
         );
-        let _ = writer
-            .write_response(status, &headers, &Bytes::from(body), false)
-            .await;
+        let _ = writer.write_response(status, &headers, &Bytes::from(body), false).await;
     }
     false
 }
--- a/crates/http/src/writer.rs
+++ b/crates/http/src/writer.rs
@@ -30,10 +30,7 @@
 impl<W: AsyncWriteRent> HttpWriter<W> {
     /// Wraps the sending half of a connection.
     pub fn new(half: W, write_timeout: Duration) -> Self {
-        Self {
-            half,
-            write_timeout,
-        }
+        Self { half, write_timeout }
     }
 
     /// Writes a request with its whole body.
@@ -73,8 +70,7 @@
         put_headers(&mut head, headers);
         put_length(&mut head, body.len());
         let empty = Bytes::new();
-        self.write_with_body(head, if bodiless { &empty } else { body })
-            .await
+        self.write_with_body(head, if bodiless { &empty } else { body }).await
     }
 
     /// Writes the head of a response whose body follows in chunks.
@@ -121,8 +117,7 @@
     /// # Errors
     /// Fails if the connection does.
     pub async fn write_continue(&mut self) -> Result<(), HttpFault> {
-        self.write(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"))
-            .await
+        self.write(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n")).await
     }
 
     /// Ends the sending direction.
--- a/crates/platform/src/call_budget.rs
+++ b/crates/platform/src/call_budget.rs
@@ -40,10 +40,7 @@
     #[must_use]
     pub fn new(calls_per_second: u32) -> Self {
         let rate = f64::from(calls_per_second);
-        Self {
-            rate,
-            state: RefCell::new((rate, Instant::now())),
-        }
+        Self { rate, state: RefCell::new((rate, Instant::now())) }
     }
 
     /// Takes one call's credit; tells whether there was enough for the purpose.
--- a/crates/platform/src/instance_client.rs
+++ b/crates/platform/src/instance_client.rs
@@ -67,20 +67,13 @@
     /// Creates a client.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            pool: ConnectionPool::new(HttpLimits::default()),
-        }
+        Self { address, pool: ConnectionPool::new(HttpLimits::default()) }
     }
 
     /// Reads the list; `None` if the platform does not answer with one.
     pub async fn list(&self) -> Option<Vec<InstanceRecord>> {
         let request = ClientRequest::new(Method::GET, "/instances", "");
-        let answer = self
-            .pool
-            .exchange(self.address, &request, PATIENCE, LIST_BYTES)
-            .await
-            .ok()?;
+        let answer = self.pool.exchange(self.address, &request, PATIENCE, LIST_BYTES).await.ok()?;
         if answer.status != StatusCode::OK {
             return None;
         }
--- a/crates/platform/src/key_value_client.rs
+++ b/crates/platform/src/key_value_client.rs
@@ -97,10 +97,7 @@
     /// Creates a transaction; a conflict shows the value of `key`.
     #[must_use]
     pub fn about(key: &str) -> Self {
-        Self {
-            first_key: key.to_owned(),
-            ..Self::default()
-        }
+        Self { first_key: key.to_owned(), ..Self::default() }
     }
 
     /// Demands that a key is at a revision; 0 demands that it does not exist.
@@ -135,8 +132,7 @@
     /// Removes a range of keys.
     #[must_use]
     pub fn delete(mut self, range: &KeyRange) -> Self {
-        self.puts
-            .push(json!({"request_delete_range": range_fields(range)}));
+        self.puts.push(json!({"request_delete_range": range_fields(range)}));
         self
     }
 
@@ -192,9 +188,7 @@
         purpose: CallPurpose,
         key: &str,
     ) -> Result<Option<KeyValueEntry>, KeyValueFault> {
-        let page = self
-            .range(purpose, &KeyRange::One(key.to_owned()), 1)
-            .await?;
+        let page = self.range(purpose, &KeyRange::One(key.to_owned()), 1).await?;
         Ok(page.entries.into_iter().next())
     }
 
@@ -207,19 +201,13 @@
         purpose: CallPurpose,
         transaction: &Transaction,
     ) -> Result<WriteAnswer, KeyValueFault> {
-        let answer: TransactionMessage = self
-            .call(purpose, "/v3/kv/txn", &transaction.message())
-            .await?;
+        let answer: TransactionMessage =
+            self.call(purpose, "/v3/kv/txn", &transaction.message()).await?;
         if answer.succeeded {
             return Ok(WriteAnswer::Done(number(&answer.header.revision)));
         }
-        let range = answer
-            .responses
-            .first()
-            .and_then(|part| part.response_range.as_ref());
-        let current = range
-            .and_then(|range| range.kvs.first())
-            .map(KeyValueMessage::decode);
+        let range = answer.responses.first().and_then(|part| part.response_range.as_ref());
+        let current = range.and_then(|range| range.kvs.first()).map(KeyValueMessage::decode);
         Ok(WriteAnswer::Conflict(current))
     }
 
@@ -254,11 +242,7 @@
             ambiguous |= matches!(fault, KeyValueFault::Ambiguous(_));
             if begin.elapsed() + pause > patience {
                 let detail = fault.to_string();
-                return Err(if ambiguous {
-                    KeyValueFault::Ambiguous(detail)
-                } else {
-                    fault
-                });
+                return Err(if ambiguous { KeyValueFault::Ambiguous(detail) } else { fault });
             }
             monoio::time::sleep(self.jittered(pause)).await;
             pause = (pause * 2).min(MAX_PAUSE);
@@ -271,9 +255,8 @@
     /// Fails if the service does not answer; a lease granted all the same ends by itself.
     pub async fn grant_lease(&self, time_to_live: Duration) -> Result<u64, KeyValueFault> {
         let message = json!({"TTL": time_to_live.as_secs().max(1).to_string(), "ID": "0"});
-        let answer: LeaseMessage = self
-            .call(CallPurpose::Lease, "/v3/lease/grant", &message)
-            .await?;
+        let answer: LeaseMessage =
+            self.call(CallPurpose::Lease, "/v3/lease/grant", &message).await?;
         Ok(number(&answer.id))
     }
 
@@ -283,12 +266,9 @@
     /// Fails if the service does not answer.
     pub async fn keep_alive(&self, lease: u64) -> Result<bool, KeyValueFault> {
         let message = json!({"ID": lease.to_string()});
-        let answer: LeaseMessage = self
-            .call(CallPurpose::Lease, "/v3/lease/keepalive", &message)
-            .await?;
-        Ok(answer
-            .result
-            .is_some_and(|result| number(&result.time_to_live) > 0))
+        let answer: LeaseMessage =
+            self.call(CallPurpose::Lease, "/v3/lease/keepalive", &message).await?;
+        Ok(answer.result.is_some_and(|result| number(&result.time_to_live) > 0))
     }
 
     /// Ends a lease and removes its keys.
@@ -297,9 +277,7 @@
     /// Fails if the service does not answer.
     pub async fn revoke_lease(&self, lease: u64) -> Result<(), KeyValueFault> {
         let message = json!({"ID": lease.to_string()});
-        let _: Value = self
-            .call(CallPurpose::Lease, "/v3/lease/revoke", &message)
-            .await?;
+        let _: Value = self.call(CallPurpose::Lease, "/v3/lease/revoke", &message).await?;
         Ok(())
     }
 
@@ -333,17 +311,13 @@
         message: &Value,
     ) -> Result<T, KeyValueFault> {
         if !self.budget.try_take(purpose) {
-            return Err(KeyValueFault::NotDone(
-                "this process's call budget is spent".to_owned(),
-            ));
+            return Err(KeyValueFault::NotDone("this process's call budget is spent".to_owned()));
         }
         let address = self.address();
         let connected = self.pool.connect(address, CONNECT_PATIENCE).await;
         let mut connection = connected.map_err(|fault| not_done(&fault))?;
         let request = ClientRequest::new(Method::POST, path, message.to_string());
-        let result = connection
-            .exchange(&request, CALL_PATIENCE, ANSWER_BYTES)
-            .await;
+        let result = connection.exchange(&request, CALL_PATIENCE, ANSWER_BYTES).await;
         let response = result.map_err(|fault| KeyValueFault::Ambiguous(fault.to_string()))?;
         self.pool.put(address, connection);
         let text = || String::from_utf8_lossy(&response.body).into_owned();
--- a/crates/platform/src/key_value_watch.rs
+++ b/crates/platform/src/key_value_watch.rs
@@ -59,27 +59,17 @@
         patience: Duration,
     ) -> Result<Self, KeyValueFault> {
         let fault = |detail: String| KeyValueFault::NotDone(detail);
-        let limits = HttpLimits {
-            body_timeout: SILENCE,
-            ..HttpLimits::default()
-        };
+        let limits = HttpLimits { body_timeout: SILENCE, ..HttpLimits::default() };
         let mut connection = ClientConnection::connect(address, patience, limits)
             .await
             .map_err(|error| fault(error.to_string()))?;
-        connection
-            .send(request)
-            .await
-            .map_err(|error| fault(error.to_string()))?;
+        connection.send(request).await.map_err(|error| fault(error.to_string()))?;
         let head = connection.read_head(&Method::POST, OPEN_PATIENCE).await;
         let head = head.map_err(|error| fault(error.to_string()))?;
         if head.status != StatusCode::OK {
             return Err(fault(format!("watch refused with {}", head.status)));
         }
-        Ok(Self {
-            buffer: BytesMut::new(),
-            connection,
-            events: VecDeque::new(),
-        })
+        Ok(Self { buffer: BytesMut::new(), connection, events: VecDeque::new() })
     }
 
     /// Waits for the next change.
--- a/crates/policy/src/admission/admission_queue.rs
+++ b/crates/policy/src/admission/admission_queue.rs
@@ -148,22 +148,14 @@
     ) {
         let ticket = arrival.ticket;
         if self.draining {
-            commands.push(AdmissionCommand::Refuse(
-                ticket,
-                RefusalReason::Leaving,
-                None,
-            ));
+            commands.push(AdmissionCommand::Refuse(ticket, RefusalReason::Leaving, None));
             return;
         }
         match arrival.class {
             WorkClass::Online => self.arrive_online(now, arrival, commands),
             WorkClass::Batch if self.waiting_batch.len() >= BATCH_WAITING => {
                 let after = Some(BATCH_PATIENCE);
-                commands.push(AdmissionCommand::Refuse(
-                    ticket,
-                    RefusalReason::NoSlack,
-                    after,
-                ));
+                commands.push(AdmissionCommand::Refuse(ticket, RefusalReason::NoSlack, after));
             }
             WorkClass::Batch => {
                 self.waits.push((ticket, now));
@@ -181,7 +173,7 @@
     ) {
         if self.settings.early_refusal {
             let wait = self.predicted_wait(arrival.organisation, arrival.weight);
-            let needed = wait + self.estimate.service();
+            let needed = wait + self.estimate.cautious_service();
             if !wait.is_zero() && needed > now.until(arrival.deadline) {
                 let reason = RefusalReason::DeadlineUnreachable;
                 let after = Some(wait.max(MIN_RETRY_AFTER));
@@ -194,15 +186,8 @@
             && let Some(victim) = self.overflow_victim()
         {
             self.waiting_online.remove(victim);
-            let after = Some(
-                self.estimate
-                    .wait(self.settings.waiting as f64, self.online_limit()),
-            );
-            commands.push(AdmissionCommand::Refuse(
-                victim,
-                RefusalReason::OverShare,
-                after,
-            ));
+            let after = Some(self.estimate.wait(self.settings.waiting as f64, self.online_limit()));
+            commands.push(AdmissionCommand::Refuse(victim, RefusalReason::OverShare, after));
         }
     }
 
@@ -256,9 +241,7 @@
         let burden = |row: &RequestArrival| {
             u64::from(self.waiting_of(row.organisation)) * 1_000 / u64::from(row.weight.max(1))
         };
-        rows.iter()
-            .max_by_key(|row| (burden(row), row.ticket))
-            .map(|row| row.ticket)
+        rows.iter().max_by_key(|row| (burden(row), row.ticket)).map(|row| row.ticket)
     }
 
     /// Notes the first response of a running request.
@@ -285,16 +268,10 @@
     /// Drops a waiting request or cancels a running one.
     fn abandon(&mut self, ticket: TicketId, commands: &mut Vec<AdmissionCommand>) {
         self.waits.retain(|wait| wait.0 != ticket);
-        let waiting = self
-            .waiting_online
-            .remove(ticket)
-            .or_else(|| self.waiting_batch.remove(ticket));
+        let waiting =
+            self.waiting_online.remove(ticket).or_else(|| self.waiting_batch.remove(ticket));
         if waiting.is_some() {
-            commands.push(AdmissionCommand::Refuse(
-                ticket,
-                RefusalReason::CallerGone,
-                None,
-            ));
+            commands.push(AdmissionCommand::Refuse(ticket, RefusalReason::CallerGone, None));
         } else if let Some(row) = self.running.get_mut(ticket) {
             row.preempted = true;
             commands.push(AdmissionCommand::Cancel(ticket));
@@ -307,11 +284,7 @@
         self.waits.clear();
         while let Some(row) = self.waiting_batch.rows().first().copied() {
             self.waiting_batch.remove(row.ticket);
-            commands.push(AdmissionCommand::Refuse(
-                row.ticket,
-                RefusalReason::Leaving,
-                None,
-            ));
+            commands.push(AdmissionCommand::Refuse(row.ticket, RefusalReason::Leaving, None));
         }
     }
 
@@ -337,18 +310,14 @@
         for ticket in late {
             self.waiting_online.remove(ticket);
             let reason = RefusalReason::DeadlinePassed;
-            commands.push(AdmissionCommand::Refuse(
-                ticket,
-                reason,
-                Some(MIN_RETRY_AFTER),
-            ));
+            commands.push(AdmissionCommand::Refuse(ticket, reason, Some(MIN_RETRY_AFTER)));
         }
     }
 
     /// Tells whether a request that starts now would end after its deadline.
     fn is_late(&self, now: MonotonicTime, row: &RequestArrival) -> bool {
         let left = now.until(row.deadline);
-        left.is_zero() || (self.settings.early_refusal && left < self.estimate.service())
+        left.is_zero() || (self.settings.early_refusal && left < self.estimate.cautious_service())
     }
 
     /// Gives batch requests back to their entries when they found no slack for long.
@@ -360,11 +329,7 @@
             self.waits.remove(0);
             if self.waiting_batch.remove(ticket).is_some() {
                 let after = Some(BATCH_PATIENCE);
-                commands.push(AdmissionCommand::Refuse(
-                    ticket,
-                    RefusalReason::NoSlack,
-                    after,
-                ));
+                commands.push(AdmissionCommand::Refuse(ticket, RefusalReason::NoSlack, after));
             }
         }
     }
@@ -429,10 +394,7 @@
                 return;
             }
             let interval = self.settings.batch_start_interval;
-            if self
-                .last_batch_start
-                .is_some_and(|start| now.since(start) < interval)
-            {
+            if self.last_batch_start.is_some_and(|start| now.since(start) < interval) {
                 return;
             }
             self.last_batch_start = Some(now);
@@ -450,8 +412,7 @@
         commands: &mut Vec<AdmissionCommand>,
     ) {
         if arrival.class == WorkClass::Online {
-            self.shares
-                .charge(arrival.organisation, arrival.cost, arrival.weight);
+            self.shares.charge(arrival.organisation, arrival.cost, arrival.weight);
         }
         self.running.insert(RunningRow {
             class: arrival.class,
@@ -483,15 +444,8 @@
             return self.settings.slots.saturating_sub(online);
         }
         let peak = self.window.peak(now).max(online);
-        let free = self
-            .settings
-            .slots
-            .saturating_sub(peak + self.settings.reserve);
-        if peak > 0 {
-            free.min(self.settings.batch_beside_online)
-        } else {
-            free
-        }
+        let free = self.settings.slots.saturating_sub(peak + self.settings.reserve);
+        if peak > 0 { free.min(self.settings.batch_beside_online) } else { free }
     }
 
     /// Cancels batch requests over the number that may run beside the online ones.
--- a/crates/policy/src/admission/request_tables.rs
+++ b/crates/policy/src/admission/request_tables.rs
@@ -57,10 +57,7 @@
 
     /// Removes a request and returns it.
     pub fn remove(&mut self, ticket: TicketId) -> Option<RequestArrival> {
-        let position = self
-            .rows
-            .binary_search_by_key(&ticket, |row| row.ticket)
-            .ok()?;
+        let position = self.rows.binary_search_by_key(&ticket, |row| row.ticket).ok()?;
         Some(self.rows.remove(position))
     }
 
@@ -91,9 +88,7 @@
 
     /// Removes a request and returns it.
     pub fn remove(&mut self, ticket: TicketId) -> Option<RunningRow> {
-        self.position(ticket)
-            .ok()
-            .map(|position| self.rows.remove(position))
+        self.position(ticket).ok().map(|position| self.rows.remove(position))
     }
 
     /// Finds a request for change.
@@ -104,10 +99,7 @@
 
     /// Counts the requests of a class that hold a slot.
     pub fn count(&self, class: WorkClass) -> u32 {
-        self.rows
-            .iter()
-            .filter(|row| row.class == class && !row.preempted)
-            .count() as u32
+        self.rows.iter().filter(|row| row.class == class && !row.preempted).count() as u32
     }
 
     /// Finds the batch request with the least progress that was not told to stop yet.
--- a/crates/policy/src/admission/service_estimate.rs
+++ b/crates/policy/src/admission/service_estimate.rs
@@ -5,6 +5,9 @@
 /// Weight of a new sample in the running means.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
+/// Mean deviations above the mean within which nearly all requests end.
+const CAUTION: f64 = 2.0;
+
 /// Running means of the times that online requests take at the target.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceEstimate {
@@ -34,7 +37,7 @@
     /// Returns a time within which most requests end once started.
     #[must_use]
     pub fn cautious_service(&self) -> Duration {
-        Duration::from_secs_f64(self.mean + self.deviation)
+        Duration::from_secs_f64(self.mean + CAUTION * self.deviation)
     }
 
     /// Returns the wait behind `ahead` requests when `slots` run at once.
--- a/crates/policy/src/admission/share_table.rs
+++ b/crates/policy/src/admission/share_table.rs
@@ -38,13 +38,7 @@
         match self.position(organisation) {
             Ok(position) => self.rows[position].virtual_time = finish,
             Err(position) => {
-                self.rows.insert(
-                    position,
-                    ShareRow {
-                        organisation,
-                        virtual_time: finish,
-                    },
-                );
+                self.rows.insert(position, ShareRow { organisation, virtual_time: finish });
             }
         }
     }
@@ -57,7 +51,6 @@
 
     /// Finds an organisation's row, or the place where it belongs.
     fn position(&self, organisation: OrganisationId) -> Result<usize, usize> {
-        self.rows
-            .binary_search_by_key(&organisation, |row| row.organisation)
+        self.rows.binary_search_by_key(&organisation, |row| row.organisation)
     }
 }
--- a/crates/policy/src/batch/item_row.rs
+++ b/crates/policy/src/batch/item_row.rs
@@ -47,10 +47,6 @@
 impl ItemRow {
     /// Creates the row of an item that has used so many attempts.
     pub fn new(attempts: u8) -> Self {
-        Self {
-            attempts,
-            not_before: MonotonicTime::ZERO,
-            state: ItemState::Pending,
-        }
+        Self { attempts, not_before: MonotonicTime::ZERO, state: ItemState::Pending }
     }
 }
--- a/crates/policy/src/batch/job_order.rs
+++ b/crates/policy/src/batch/job_order.rs
@@ -24,14 +24,12 @@
     /// Returns the time by which the work that is left could be put off; `None` if it is late.
     pub fn slack(&self, now: MonotonicTime, seconds_per_item: f64) -> Option<Duration> {
         let work = Duration::try_from_secs_f64(f64::from(self.remaining) * seconds_per_item);
-        now.until(self.plan.due)
-            .checked_sub(work.unwrap_or(Duration::MAX))
+        now.until(self.plan.due).checked_sub(work.unwrap_or(Duration::MAX))
     }
 
     /// Tells whether the job will probably miss its due time.
     pub fn is_at_risk(&self, now: MonotonicTime, seconds_per_item: f64) -> bool {
-        self.slack(now, seconds_per_item)
-            .is_none_or(|slack| slack <= RISK_SLACK)
+        self.slack(now, seconds_per_item).is_none_or(|slack| slack <= RISK_SLACK)
     }
 }
 
@@ -47,20 +45,12 @@
 ) {
     jobs.sort_by(|(left, _), (right, _)| {
         let key = |standing: &JobStanding| {
-            let slack = standing
-                .slack(now, seconds_per_item)
-                .unwrap_or(Duration::ZERO);
+            let slack = standing.slack(now, seconds_per_item).unwrap_or(Duration::ZERO);
             let urgent = slack < URGENT_SLACK;
-            let turn = if urgent {
-                0.0
-            } else {
-                shares.start_time(standing.plan.organisation)
-            };
+            let turn = if urgent { 0.0 } else { shares.start_time(standing.plan.organisation) };
             let priority = if urgent { 0 } else { standing.plan.priority };
             (!urgent, turn, Reverse(priority), slack)
         };
-        key(left)
-            .partial_cmp(&key(right))
-            .unwrap_or(std::cmp::Ordering::Equal)
+        key(left).partial_cmp(&key(right)).unwrap_or(std::cmp::Ordering::Equal)
     });
 }
--- a/crates/policy/src/batch/job_recovery.rs
+++ b/crates/policy/src/batch/job_recovery.rs
@@ -25,10 +25,7 @@
     /// Creates the recovery of a job with chunks of this size.
     #[must_use]
     pub fn new(chunk_items: u32) -> Self {
-        Self {
-            chunk_items,
-            ..Self::default()
-        }
+        Self { chunk_items, ..Self::default() }
     }
 
     /// Takes a committed chunk; take all of them before the journals.
@@ -61,9 +58,7 @@
     /// Tells whether a chunk is committed.
     #[must_use]
     pub fn is_committed(&self, chunk: u32) -> bool {
-        self.committed
-            .binary_search_by_key(&chunk, |row| row.0)
-            .is_ok()
+        self.committed.binary_search_by_key(&chunk, |row| row.0).is_ok()
     }
 
     /// Returns the committed chunks with their epochs.
@@ -88,9 +83,7 @@
     /// Returns the recovered result of an item.
     #[must_use]
     pub fn result_of(&self, item: u32) -> Option<&ItemResult> {
-        let found = self
-            .results
-            .binary_search_by_key(&item, |result| result.item);
+        let found = self.results.binary_search_by_key(&item, |result| result.item);
         found.ok().map(|position| &self.results[position])
     }
 
@@ -117,9 +110,7 @@
         if self.is_committed(result.item / self.chunk_items.max(1)) {
             return;
         }
-        let found = self
-            .results
-            .binary_search_by_key(&result.item, |known| known.item);
+        let found = self.results.binary_search_by_key(&result.item, |known| known.item);
         if let Err(position) = found {
             self.results.insert(position, result);
         }
--- a/crates/policy/src/batch/job_table.rs
+++ b/crates/policy/src/batch/job_table.rs
@@ -192,11 +192,7 @@
         let row = &mut self.rows[position];
         let own = row.chunks.len();
         let first_of_front = place < FRONT_JOBS && own == 0;
-        let room = if first_of_front {
-            1
-        } else {
-            ALL_OPEN_CHUNKS.saturating_sub(open)
-        };
+        let room = if first_of_front { 1 } else { ALL_OPEN_CHUNKS.saturating_sub(open) };
         let most = OPEN_CHUNKS.min(own + room);
         while row.chunks.len() < most && row.next_chunk < row.plan.chunks() {
             let chunk = row.next_chunk;
@@ -205,17 +201,10 @@
                 continue;
             }
             let range = row.plan.chunk_range(chunk);
-            let rows = range
-                .clone()
-                .map(|item| ItemRow::new(row.recovery.attempts_of(item)));
+            let rows = range.clone().map(|item| ItemRow::new(row.recovery.attempts_of(item)));
             let rows = rows.collect();
             let stage = ChunkStage::Loading;
-            row.chunks.push(ChunkRow {
-                chunk,
-                first: range.start,
-                rows,
-                stage,
-            });
+            row.chunks.push(ChunkRow { chunk, first: range.start, rows, stage });
             commands.push(JobCommand::LoadChunk(row.id, chunk));
         }
     }
@@ -387,9 +376,8 @@
     /// Returns the positions of the jobs, the next one first.
     fn ordered(&self, now: MonotonicTime) -> Vec<usize> {
         let rows = self.rows.iter().enumerate();
-        let mut jobs: Vec<(JobStanding, usize)> = rows
-            .map(|(position, row)| (row.standing(), position))
-            .collect();
+        let mut jobs: Vec<(JobStanding, usize)> =
+            rows.map(|(position, row)| (row.standing(), position)).collect();
         sort_jobs(now, self.seconds_per_item(), &self.shares, &mut jobs);
         jobs.into_iter().map(|(_, position)| position).collect()
     }
@@ -414,8 +402,7 @@
         let handed = room - left;
         self.in_flight += handed;
         if handed > 0 {
-            self.shares
-                .charge(row.plan.organisation, handed as u32, row.plan.weight);
+            self.shares.charge(row.plan.organisation, handed as u32, row.plan.weight);
         }
         left
     }
@@ -430,20 +417,11 @@
     ) {
         let row = &mut self.rows[position];
         let wanted = (free * 2).min(INTENT_GROUP);
-        let count = |state| {
-            row.chunks
-                .iter()
-                .map(|open| open.count(state))
-                .sum::<usize>()
-        };
+        let count = |state| row.chunks.iter().map(|open| open.count(state)).sum::<usize>();
         let prepared = count(ItemState::Ready) + count(ItemState::Intending);
         let mut room = wanted.saturating_sub(prepared);
         let mut intents = Vec::new();
-        for open in row
-            .chunks
-            .iter_mut()
-            .filter(|open| open.stage == ChunkStage::Running)
-        {
+        for open in row.chunks.iter_mut().filter(|open| open.stage == ChunkStage::Running) {
             for item in open.due_items(now, ItemState::Pending, room) {
                 let item_row = &mut open.rows[(item - open.first) as usize];
                 item_row.attempts = item_row.attempts.saturating_add(1);
@@ -487,19 +465,13 @@
         let position = self.position(id).ok()?;
         let row = &mut self.rows[position];
         let chunk = item / row.plan.chunk_items.max(1);
-        row.chunks
-            .iter_mut()
-            .find(|open| open.chunk == chunk)?
-            .item_mut(item)
+        row.chunks.iter_mut().find(|open| open.chunk == chunk)?.item_mut(item)
     }
 
     /// Finds an open chunk for change.
     fn chunk_mut(&mut self, id: JobId, chunk: u32) -> Option<&mut ChunkRow> {
         let position = self.position(id).ok()?;
-        self.rows[position]
-            .chunks
-            .iter_mut()
-            .find(|open| open.chunk == chunk)
+        self.rows[position].chunks.iter_mut().find(|open| open.chunk == chunk)
     }
 
     /// Finds a job's row, or the place where it belongs.
@@ -513,10 +485,7 @@
     fn standing(&self) -> JobStanding {
         let left = self.plan.chunks() - self.committed;
         let remaining = (left * self.plan.chunk_items).min(self.plan.items);
-        JobStanding {
-            plan: self.plan,
-            remaining,
-        }
+        JobStanding { plan: self.plan, remaining }
     }
 }
 
--- a/crates/policy/src/config/config_register.rs
+++ b/crates/policy/src/config/config_register.rs
@@ -42,9 +42,7 @@
     /// Returns the revision in force, 0 before the first.
     #[must_use]
     pub fn revision(&self) -> u64 {
-        self.document
-            .as_ref()
-            .map_or(0, |document| document.revision)
+        self.document.as_ref().map_or(0, |document| document.revision)
     }
 
     /// Tells whether callers have to show a token: as soon as one organisation has one.
@@ -81,12 +79,7 @@
 fn token_index(config: &FleetConfig) -> Vec<(String, usize)> {
     let mut index = Vec::new();
     for (position, organisation) in config.organisations.iter().enumerate() {
-        index.extend(
-            organisation
-                .token_hashes
-                .iter()
-                .map(|hash| (hash.clone(), position)),
-        );
+        index.extend(organisation.token_hashes.iter().map(|hash| (hash.clone(), position)));
     }
     index.sort();
     index
--- a/crates/policy/src/config/fleet_config.rs
+++ b/crates/policy/src/config/fleet_config.rs
@@ -26,12 +26,7 @@
 
 impl Default for FleetDefaults {
     fn default() -> Self {
-        Self {
-            deadline_ms: 30_000,
-            item_attempts: 3,
-            request_attempts: 3,
-            retention_hours: 168,
-        }
+        Self { deadline_ms: 30_000, item_attempts: 3, request_attempts: 3, retention_hours: 168 }
     }
 }
 
@@ -121,18 +116,14 @@
 impl FleetConfig {
     /// Sorts the tables for binary search.
     pub fn sort(&mut self) {
-        self.organisations
-            .sort_by(|left, right| left.name.cmp(&right.name));
-        self.services
-            .sort_by(|left, right| left.name.cmp(&right.name));
+        self.organisations.sort_by(|left, right| left.name.cmp(&right.name));
+        self.services.sort_by(|left, right| left.name.cmp(&right.name));
     }
 
     /// Finds a service.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServicePolicy> {
-        let found = self
-            .services
-            .binary_search_by(|service| service.name.as_str().cmp(name));
+        let found = self.services.binary_search_by(|service| service.name.as_str().cmp(name));
         found.ok().map(|position| &self.services[position])
     }
 
@@ -151,17 +142,13 @@
         let kind = policy.map_or(ServiceKind::Plain, |policy| policy.kind);
         let mut rules = ServiceRules {
             deadline: Duration::from_millis(
-                policy
-                    .and_then(|policy| policy.deadline_ms)
-                    .unwrap_or(self.defaults.deadline_ms),
+                policy.and_then(|policy| policy.deadline_ms).unwrap_or(self.defaults.deadline_ms),
             ),
             kind,
             request_attempts: self.defaults.request_attempts,
             // A call that may not be repeated is the safe assumption for what nobody described.
             repeatable: policy.is_some_and(|policy| policy.repeatable),
-            weight: self
-                .organisation(organisation)
-                .map_or(DEFAULT_WEIGHT, |row| row.weight),
+            weight: self.organisation(organisation).map_or(DEFAULT_WEIGHT, |row| row.weight),
         };
         for exception in &self.exceptions {
             if exception.applies(service, organisation, wall_millis) {
@@ -176,10 +163,7 @@
     /// Tells whether the exception is for this service and organisation at this time.
     fn applies(&self, service: &str, organisation: &str, wall_millis: u64) -> bool {
         self.service.as_deref().is_none_or(|name| name == service)
-            && self
-                .organisation
-                .as_deref()
-                .is_none_or(|name| name == organisation)
+            && self.organisation.as_deref().is_none_or(|name| name == organisation)
             && self.until_ms.is_none_or(|until| wall_millis < until)
     }
 
--- a/crates/policy/src/execution_log.rs
+++ b/crates/policy/src/execution_log.rs
@@ -56,11 +56,7 @@
     /// Creates an empty log that remembers each key for `retention`.
     #[must_use]
     pub fn new(retention: Duration) -> Self {
-        Self {
-            ages: VecDeque::new(),
-            retention,
-            rows: Vec::new(),
-        }
+        Self { ages: VecDeque::new(), retention, rows: Vec::new() }
     }
 
     /// Records the arrival of an attempt, unless its request is known.
@@ -74,11 +70,7 @@
                 self.insert(
                     now,
                     position,
-                    ExecutionRow {
-                        attempt,
-                        key,
-                        state: ExecutionState::Queued,
-                    },
+                    ExecutionRow { attempt, key, state: ExecutionState::Queued },
                 );
                 return AdmitDecision::Fresh;
             }
@@ -128,11 +120,8 @@
         if let Ok(position) = self.position(key)
             && self.rows[position].state == ExecutionState::HandedOver
         {
-            self.rows[position].state = if completed {
-                ExecutionState::Completed
-            } else {
-                ExecutionState::Failed
-            };
+            self.rows[position].state =
+                if completed { ExecutionState::Completed } else { ExecutionState::Failed };
         }
     }
 
@@ -152,11 +141,7 @@
                 self.insert(
                     now,
                     position,
-                    ExecutionRow {
-                        attempt,
-                        key,
-                        state: ExecutionState::Voided,
-                    },
+                    ExecutionRow { attempt, key, state: ExecutionState::Voided },
                 );
                 ExecutionState::Voided
             }
--- a/crates/policy/src/flow/request_flow.rs
+++ b/crates/policy/src/flow/request_flow.rs
@@ -127,11 +127,7 @@
             (FlowStage::Resolving(_), event) => self.handle_resolving(event),
             (FlowStage::AwaitingGrant { inside, .. }, FlowEvent::RetryGranted(true)) => {
                 self.stage = FlowStage::Routing;
-                if inside {
-                    FlowCommand::Resume
-                } else {
-                    FlowCommand::Route
-                }
+                if inside { FlowCommand::Resume } else { FlowCommand::Route }
             }
             (FlowStage::AwaitingGrant { last, .. }, _) => self.finish(last),
             // Events that belong to an earlier stage change nothing that was told.
@@ -220,10 +216,7 @@
         if !possible || self.attempts >= self.settings.max_attempts {
             return self.finish(outcome);
         }
-        self.stage = FlowStage::AwaitingGrant {
-            last: outcome,
-            inside,
-        };
+        self.stage = FlowStage::AwaitingGrant { last: outcome, inside };
         FlowCommand::AskRetry
     }
 
--- a/crates/policy/src/identity.rs
+++ b/crates/policy/src/identity.rs
@@ -51,9 +51,7 @@
 pub fn hash_token(token: &str) -> String {
     let digest = Sha256::digest(token.as_bytes());
     let digits = digest.iter().flat_map(|byte| [byte >> 4, byte & 0xf]);
-    digits
-        .filter_map(|digit| char::from_digit(digit.into(), 16))
-        .collect()
+    digits.filter_map(|digit| char::from_digit(digit.into(), 16)).collect()
 }
 
 /// Digests texts with their lengths, so that no two lists of parts run together.
--- a/crates/policy/src/lease/lease_clock.rs
+++ b/crates/policy/src/lease/lease_clock.rs
@@ -23,11 +23,7 @@
     /// Creates the clock of a lease that was granted in answer to a message sent at `sent`.
     #[must_use]
     pub fn new(epoch: u64, sent: MonotonicTime, time_to_live: Duration) -> Self {
-        Self {
-            epoch,
-            renewed: sent,
-            time_to_live,
-        }
+        Self { epoch, renewed: sent, time_to_live }
     }
 
     /// Returns the fencing epoch, which grows with each holder.
--- a/crates/policy/src/load_reading.rs
+++ b/crates/policy/src/load_reading.rs
@@ -22,13 +22,7 @@
     /// Encodes the reading for a message header.
     #[must_use]
     pub fn encode(&self) -> String {
-        let Self {
-            limit,
-            running,
-            waiting,
-            batch_running,
-            batch_slack,
-        } = self;
+        let Self { limit, running, waiting, batch_running, batch_slack } = self;
         format!("{limit},{running},{waiting},{batch_running},{batch_slack}")
     }
 
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -54,10 +54,7 @@
     /// Finds the reason that a text names.
     #[must_use]
     pub fn from_text(text: &str) -> Option<Self> {
-        Self::ALL
-            .iter()
-            .copied()
-            .find(|reason| reason.as_str() == text)
+        Self::ALL.iter().copied().find(|reason| reason.as_str() == text)
     }
 
     /// Tells whether another target may accept the request now.
@@ -105,29 +102,22 @@
     /// No byte of the request was ever sent to a sidecar.
     #[must_use]
     pub fn never_sent(reason: RefusalReason) -> Self {
-        Self {
-            reason,
-            retry_after: None,
-        }
+        Self { reason, retry_after: None }
     }
 
     /// A sidecar refused the request before it handed it to its target.
     #[must_use]
     pub fn refused_by_sidecar(reason: RefusalReason, retry_after: Option<Duration>) -> Self {
-        Self {
-            reason,
-            retry_after,
-        }
+        Self { reason, retry_after }
     }
 
     /// A sidecar's execution log shows that the request was not run and now never will be.
     #[must_use]
     pub fn from_execution_state(state: ExecutionState) -> Option<Self> {
         match state {
-            ExecutionState::Voided | ExecutionState::Refused => Some(Self {
-                reason: RefusalReason::TargetDown,
-                retry_after: None,
-            }),
+            ExecutionState::Voided | ExecutionState::Refused => {
+                Some(Self { reason: RefusalReason::TargetDown, retry_after: None })
+            }
             ExecutionState::Queued
             | ExecutionState::HandedOver
             | ExecutionState::Completed
--- a/crates/policy/src/random.rs
+++ b/crates/policy/src/random.rs
@@ -17,11 +17,7 @@
 
     /// Returns a number below `bound`, or 0 if the bound is 0.
     pub fn below(&mut self, bound: usize) -> usize {
-        if bound == 0 {
-            0
-        } else {
-            self.0.random_range(0..bound)
-        }
+        if bound == 0 { 0 } else { self.0.random_range(0..bound) }
     }
 
     /// Returns a number from 0 up to, but not including, 1.
--- a/crates/policy/src/routing/outlier_detector.rs
+++ b/crates/policy/src/routing/outlier_detector.rs
@@ -71,6 +71,7 @@
             row.ejected_until = None;
             row.failures = 0;
             row.latency = 0.0;
+            row.probation = true;
             row.samples = 0;
             row.started = now;
         }
@@ -80,23 +81,18 @@
 /// Ejects the outliers of one service, as far as its other targets can carry the load.
 fn eject_outliers(now: MonotonicTime, table: &mut TargetTable, service: u64) {
     let median = median_latency(table, service);
-    let total = table
-        .rows()
-        .iter()
-        .filter(|row| row.service == service)
-        .count();
+    let total = table.rows().iter().filter(|row| row.service == service).count();
     let allowed = (total as f64 * MAX_EJECTED) as usize;
     let is_out = |row: &TargetRow| row.service == service && row.is_ejected(now);
     let mut ejected = table.rows().iter().filter(|row| is_out(row)).count();
-    for row in table
-        .rows_mut()
-        .iter_mut()
-        .filter(|row| row.service == service)
-    {
+    for row in table.rows_mut().iter_mut().filter(|row| row.service == service) {
         let judged = row.is_eligible() && !row.is_ejected(now);
         if ejected < allowed && judged && is_outlier(row, median) {
             eject(now, row);
             ejected += 1;
+        } else if judged && row.probation && row.samples > 0 {
+            row.probation = false;
+            row.started = now;
         } else if judged && row.samples >= 4 * MIN_SAMPLES {
             // Only a target that has done well for a while gets its short pauses back.
             row.ejections = row.ejections.saturating_sub(1);
@@ -106,11 +102,14 @@
 }
 
 /// Tells whether a target does much worse than its peers.
+///
+/// On probation the first sample decides, so that a target that is still bad costs one request.
 fn is_outlier(row: &TargetRow, median: f64) -> bool {
-    let slow = row.samples >= MIN_SAMPLES
+    let enough = if row.probation { 1 } else { MIN_SAMPLES };
+    let slow = row.samples >= enough
         && row.latency > median * SLOW_RATIO
         && row.latency > median + SLOW_MARGIN;
-    slow || row.failures >= FAILURES
+    slow || row.failures >= if row.probation { 1 } else { FAILURES }
 }
 
 /// Takes a target out for a pause that grows with each ejection.
@@ -123,10 +122,8 @@
 /// Returns the median latency of a service's targets, in seconds.
 fn median_latency(table: &TargetTable, service: u64) -> f64 {
     let of_service = table.rows().iter().filter(|row| row.service == service);
-    let mut latencies: Vec<f64> = of_service
-        .filter(|row| row.samples >= MIN_SAMPLES)
-        .map(|row| row.latency)
-        .collect();
+    let mut latencies: Vec<f64> =
+        of_service.filter(|row| row.samples >= MIN_SAMPLES).map(|row| row.latency).collect();
     if latencies.len() < 3 {
         return f64::INFINITY;
     }
--- a/crates/policy/src/routing/retry_budget.rs
+++ b/crates/policy/src/routing/retry_budget.rs
@@ -17,9 +17,7 @@
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            credit: INITIAL_CREDIT,
-        }
+        Self { credit: INITIAL_CREDIT }
     }
 }
 
--- a/crates/policy/src/routing/target_router.rs
+++ b/crates/policy/src/routing/target_router.rs
@@ -31,12 +31,7 @@
     /// Creates a router for an entry in the given availability zone.
     #[must_use]
     pub fn new(policy: RoutingPolicy, zone: &str, seed: u64) -> Self {
-        Self {
-            policy,
-            random: SeededRandom::new(seed),
-            turn: 0,
-            zone: zone.to_owned(),
-        }
+        Self { policy, random: SeededRandom::new(seed), turn: 0, zone: zone.to_owned() }
     }
 
     /// Picks a target, or returns `None` if no target of the service may get the request.
@@ -55,9 +50,7 @@
         }
         if let Some(affinity) = request.affinity {
             if request.binding {
-                return by_rendezvous(&candidates, affinity)
-                    .first()
-                    .map(|row| row.id);
+                return by_rendezvous(&candidates, affinity).first().map(|row| row.id);
             }
             if self.policy == RoutingPolicy::BoundedAffinity
                 && let Some(id) = Self::affine(now, &candidates, affinity)
@@ -80,10 +73,7 @@
         table: &'t TargetTable,
         request: &RouteRequest<'_>,
     ) -> Vec<&'t TargetRow> {
-        let of_service = table
-            .rows()
-            .iter()
-            .filter(|row| row.service == request.service);
+        let of_service = table.rows().iter().filter(|row| row.service == request.service);
         let open: Vec<&TargetRow> = of_service
             .filter(|row| row.is_eligible() && !request.excluded.contains(&row.id))
             .collect();
@@ -91,11 +81,8 @@
         if self.policy == RoutingPolicy::RoundRobin || binding {
             return open;
         }
-        let sound: Vec<&TargetRow> = open
-            .iter()
-            .copied()
-            .filter(|row| !row.is_ejected(now))
-            .collect();
+        let sound: Vec<&TargetRow> =
+            open.iter().copied().filter(|row| !row.is_ejected(now) && !row.is_proving()).collect();
         // A target in doubt is better than none.
         if sound.is_empty() { open } else { sound }
     }
@@ -106,26 +93,16 @@
         let bound = total / candidates.len() as f64 + AFFINITY_MARGIN;
         let ranked = by_rendezvous(candidates, affinity);
         let first = ranked.iter().take(AFFINITY_RANKS);
-        first
-            .copied()
-            .find(|row| row.load(now) <= bound)
-            .map(|row| row.id)
+        first.copied().find(|row| row.load(now) <= bound).map(|row| row.id)
     }
 
     /// Picks the less loaded of two random targets; those of other zones carry a penalty.
     fn better_of_two(&mut self, now: MonotonicTime, candidates: &[&TargetRow]) -> TargetId {
         let first = candidates[self.random.below(candidates.len())];
         let second = candidates[self.random.below(candidates.len())];
-        let local: Vec<&TargetRow> = candidates
-            .iter()
-            .copied()
-            .filter(|row| row.zone == self.zone)
-            .collect();
-        let mut best = if self.cost(now, second) < self.cost(now, first) {
-            second
-        } else {
-            first
-        };
+        let local: Vec<&TargetRow> =
+            candidates.iter().copied().filter(|row| row.zone == self.zone).collect();
+        let mut best = if self.cost(now, second) < self.cost(now, first) { second } else { first };
         for _ in 0..2 {
             if local.is_empty() {
                 break;
@@ -140,11 +117,7 @@
 
     /// Returns what it costs to send a request to a target, in loads.
     fn cost(&self, now: MonotonicTime, row: &TargetRow) -> f64 {
-        let distance = if row.zone == self.zone {
-            0.0
-        } else {
-            ZONE_PENALTY
-        };
+        let distance = if row.zone == self.zone { 0.0 } else { ZONE_PENALTY };
         row.load(now) + distance
     }
 
--- a/crates/policy/src/routing/target_table.rs
+++ b/crates/policy/src/routing/target_table.rs
@@ -66,6 +66,8 @@
     pub name_hash: u64,
     /// Batch requests of this entry that are under way.
     pub batch_in_flight: u32,
+    /// Whether the target has to prove itself, one request at a time, after an ejection.
+    pub probation: bool,
     /// Whether the sidecar answers and its target is up.
     pub ready: bool,
     /// The sidecar's last reading, and when it came.
@@ -97,6 +99,7 @@
             leaving: listing.leaving,
             name: listing.name.clone(),
             name_hash: stable_hash(&[&listing.name]),
+            probation: false,
             ready: false,
             reading: None,
             samples: 0,
@@ -112,6 +115,12 @@
         self.ready && !self.leaving
     }
 
+    /// Tells whether the target has had its one request on probation already.
+    #[must_use]
+    pub fn is_proving(&self) -> bool {
+        self.probation && (self.in_flight > 0 || self.samples > 0 || self.failures > 0)
+    }
+
     /// Tells whether the target is ejected now.
     #[must_use]
     pub fn is_ejected(&self, now: MonotonicTime) -> bool {
@@ -122,9 +131,7 @@
     #[must_use]
     pub fn load(&self, now: MonotonicTime) -> f64 {
         let own = f64::from(self.in_flight);
-        let reading = self
-            .reading
-            .filter(|(taken, _)| now.since(*taken) < READING_AGE);
+        let reading = self.reading.filter(|(taken, _)| now.since(*taken) < READING_AGE);
         let Some((_, reading)) = reading else {
             return own;
         };
@@ -164,14 +171,9 @@
     ///
     /// The list lags behind reality, so a target's own word that it is leaving stays in force.
     pub fn apply(&mut self, now: MonotonicTime, listings: &[TargetListing]) {
-        self.rows
-            .retain(|row| listings.iter().any(|listing| is_same_target(row, listing)));
+        self.rows.retain(|row| listings.iter().any(|listing| is_same_target(row, listing)));
         for listing in listings {
-            match self
-                .rows
-                .iter_mut()
-                .find(|row| is_same_target(row, listing))
-            {
+            match self.rows.iter_mut().find(|row| is_same_target(row, listing)) {
                 Some(row) => row.leaving |= listing.leaving,
                 None => self.add(now, listing),
             }
--- a/crates/runtime/src/serving_thread.rs
+++ b/crates/runtime/src/serving_thread.rs
@@ -45,11 +45,7 @@
         return Ok(runtime.handle().clone());
     }
     let mut builder = tokio::runtime::Builder::new_multi_thread();
-    let runtime = builder
-        .worker_threads(1)
-        .thread_name("timers")
-        .enable_time()
-        .build()?;
+    let runtime = builder.worker_threads(1).thread_name("timers").enable_time().build()?;
     Ok(TIMER_RUNTIME.get_or_init(|| runtime).handle().clone())
 }
 
@@ -77,13 +73,8 @@
                 log::error!("{fault}");
             }
         };
-        let join = std::thread::Builder::new()
-            .name(name.to_owned())
-            .spawn(body);
-        Self {
-            join: Some(join.expect("the machine gives no thread")),
-            shutdown,
-        }
+        let join = std::thread::Builder::new().name(name.to_owned()).spawn(body);
+        Self { join: Some(join.expect("the machine gives no thread")), shutdown }
     }
 
     /// Asks the thread to end.
--- a/crates/runtime/src/shutdown_signal.rs
+++ b/crates/runtime/src/shutdown_signal.rs
@@ -17,9 +17,7 @@
     /// Creates a signal that has not been given.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            sender: std::sync::Arc::new(watch::channel(false).0),
-        }
+        Self { sender: std::sync::Arc::new(watch::channel(false).0) }
     }
 
     /// Gives the signal.
@@ -53,12 +51,10 @@
 /// Fails if the handlers cannot be installed.
 pub fn watch_termination(shutdown: ShutdownSignal) -> io::Result<()> {
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
-    std::thread::Builder::new()
-        .name("signals".to_owned())
-        .spawn(move || {
-            for _ in signals.forever() {
-                shutdown.give();
-            }
-        })?;
+    std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for _ in signals.forever() {
+            shutdown.give();
+        }
+    })?;
     Ok(())
 }
