--- a/crates/settings/src/document_reader.rs
+++ b/crates/settings/src/document_reader.rs
@@ -29,16 +29,9 @@
     #[must_use]
     pub fn parse(file: &str, text: &str) -> Self {
         let options = LoaderOptions::default().error_on_duplicate_keys(true);
-        let document = Self {
-            file: file.to_owned(),
-            findings: RefCell::default(),
-            root: None,
-        };
+        let document = Self { file: file.to_owned(), findings: RefCell::default(), root: None };
         match marked_yaml::parse_yaml_with_options(0, text, options) {
-            Ok(root) => Self {
-                root: Some(root),
-                ..document
-            },
+            Ok(root) => Self { root: Some(root), ..document },
             Err(error) => {
                 let marker = marker_of(&error);
                 let hint = "check the indentation and the quotes around this place";
@@ -76,11 +69,7 @@
     /// Returns a reader of a mapping, or reports that the node is none.
     fn reader_of<'d>(&'d self, node: &'d Node, name: &str) -> Option<DocumentReader<'d>> {
         if let Some(mapping) = node.as_mapping() {
-            Some(DocumentReader {
-                document: self,
-                known: RefCell::default(),
-                mapping,
-            })
+            Some(DocumentReader { document: self, known: RefCell::default(), mapping })
         } else {
             self.report(
                 node.span(),
@@ -122,11 +111,7 @@
     pub fn text(&self, name: &'static str) -> Option<&'d str> {
         let scalar = self.required_scalar(name)?;
         if scalar.as_str().is_empty() {
-            self.document.report(
-                scalar.span(),
-                format!("`{name}` is empty"),
-                "give it a value",
-            );
+            self.document.report(scalar.span(), format!("`{name}` is empty"), "give it a value");
             return None;
         }
         Some(scalar.as_str())
@@ -153,14 +138,11 @@
         };
         let Some(sequence) = node.as_sequence() else {
             let hint = "write a list, one `- address:port` a line";
-            self.document
-                .report(node.span(), format!("`{name}` is not a list"), hint);
+            self.document.report(node.span(), format!("`{name}` is not a list"), hint);
             return Vec::new();
         };
         let scalars = sequence.iter().filter_map(Node::as_scalar);
-        scalars
-            .filter_map(|scalar| self.parse_address(scalar, name))
-            .collect()
+        scalars.filter_map(|scalar| self.parse_address(scalar, name)).collect()
     }
 
     /// Reads a whole number within a range, or takes the default.
@@ -194,8 +176,7 @@
         };
         scalar.as_bool().unwrap_or_else(|| {
             let message = format!("`{name}` is `{}`", scalar.as_str());
-            self.document
-                .report(scalar.span(), message, "write `true` or `false`");
+            self.document.report(scalar.span(), message, "write `true` or `false`");
             default
         })
     }
@@ -207,11 +188,7 @@
         let found = words.iter().copied().find(|word| *word == scalar.as_str());
         if found.is_none() {
             let message = format!("`{name}` is `{}`", scalar.as_str());
-            self.document.report(
-                scalar.span(),
-                message,
-                format!("one of: {}", words.join(", ")),
-            );
+            self.document.report(scalar.span(), message, format!("one of: {}", words.join(", ")));
         }
         found
     }
@@ -223,18 +200,10 @@
             return Vec::new();
         };
         let Some(sequence) = node.as_sequence() else {
-            self.document.report(
-                node.span(),
-                format!("`{name}` is not a list"),
-                "write a list",
-            );
+            self.document.report(node.span(), format!("`{name}` is not a list"), "write a list");
             return Vec::new();
         };
-        sequence
-            .iter()
-            .filter_map(Node::as_scalar)
-            .map(MarkedScalarNode::as_str)
-            .collect()
+        sequence.iter().filter_map(Node::as_scalar).map(MarkedScalarNode::as_str).collect()
     }
 
     /// Reads a mapping that may be left out.
@@ -260,17 +229,10 @@
             return Vec::new();
         };
         let Some(sequence) = node.as_sequence() else {
-            self.document.report(
-                node.span(),
-                format!("`{name}` is not a list"),
-                "write a list",
-            );
+            self.document.report(node.span(), format!("`{name}` is not a list"), "write a list");
             return Vec::new();
         };
-        sequence
-            .iter()
-            .filter_map(|item| self.document.reader_of(item, name))
-            .collect()
+        sequence.iter().filter_map(|item| self.document.reader_of(item, name)).collect()
     }
 
     /// Reports a finding about a field, or about the mapping where the field is left out.
@@ -310,8 +272,7 @@
         let scalar = node.as_scalar();
         if scalar.is_none() {
             let message = format!("`{name}` is not a single value");
-            self.document
-                .report(node.span(), message, "write one value behind the colon");
+            self.document.report(node.span(), message, "write one value behind the colon");
         }
         scalar
     }
@@ -327,8 +288,7 @@
     /// Reports a field that has to be there.
     fn report_missing(&self, name: &str) {
         let message = format!("`{name}` is missing");
-        self.document
-            .report(self.mapping.span(), message, format!("add `{name}: …`"));
+        self.document.report(self.mapping.span(), message, format!("add `{name}: …`"));
     }
 
     /// Parses an address or reports it.
--- a/crates/settings/src/finding.rs
+++ b/crates/settings/src/finding.rs
@@ -20,17 +20,8 @@
 
 impl fmt::Display for Finding {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            column,
-            file,
-            hint,
-            line,
-            message,
-        } = self;
-        write!(
-            formatter,
-            "{file}:{line}:{column}: {message}\n  hint: {hint}"
-        )
+        let Self { column, file, hint, line, message } = self;
+        write!(formatter, "{file}:{line}:{column}: {message}\n  hint: {hint}")
     }
 }
 
--- a/crates/settings/src/fleet_document.rs
+++ b/crates/settings/src/fleet_document.rs
@@ -32,22 +32,14 @@
 
 /// Reads the top level.
 fn read_fleet(reader: DocumentReader<'_>) -> FleetConfig {
-    let defaults = reader
-        .section("defaults")
-        .map(read_defaults)
-        .unwrap_or_default();
+    let defaults = reader.section("defaults").map(read_defaults).unwrap_or_default();
     let services = read_services(&reader);
     let organisations = read_organisations(&reader);
     let exceptions = read_exceptions(&reader, &services);
     let operator_token_hashes = read_hashes(&reader, "operator_token_hashes");
     reader.finish();
-    let mut config = FleetConfig {
-        defaults,
-        exceptions,
-        operator_token_hashes,
-        organisations,
-        services,
-    };
+    let mut config =
+        FleetConfig { defaults, exceptions, operator_token_hashes, organisations, services };
     config.sort();
     config
 }
@@ -72,11 +64,7 @@
     for section in reader.sections("services") {
         let name = section.text("name").unwrap_or_default().to_owned();
         if services.iter().any(|service| service.name == name) {
-            section.report(
-                "name",
-                "this service is listed twice",
-                "join the two entries",
-            );
+            section.report("name", "this service is listed twice", "join the two entries");
         }
         let kind = match section.choice("kind", &["model", "plain"]) {
             Some("model") => ServiceKind::Model,
@@ -86,12 +74,7 @@
         let repeatable = section.flag("repeatable", kind == ServiceKind::Model);
         let deadline_ms = optional_number(&section, "deadline_ms", MAX_DEADLINE_MS);
         section.finish();
-        services.push(ServicePolicy {
-            deadline_ms,
-            kind,
-            name,
-            repeatable,
-        });
+        services.push(ServicePolicy { deadline_ms, kind, name, repeatable });
     }
     services
 }
@@ -102,20 +85,12 @@
     for section in reader.sections("organisations") {
         let name = section.text("name").unwrap_or_default().to_owned();
         if organisations.iter().any(|row| row.name == name) {
-            section.report(
-                "name",
-                "this organisation is listed twice",
-                "join the two entries",
-            );
+            section.report("name", "this organisation is listed twice", "join the two entries");
         }
         let weight = section.number("weight", 1..=1_000, 1) as u32;
         let token_hashes = read_hashes(&section, "token_hashes");
         section.finish();
-        organisations.push(OrganisationPolicy {
-            name,
-            token_hashes,
-            weight,
-        });
+        organisations.push(OrganisationPolicy { name, token_hashes, weight });
     }
     organisations
 }
@@ -127,16 +102,9 @@
 ) -> Vec<ConfigException> {
     let sections = reader.sections("exceptions");
     if sections.len() > MAX_EXCEPTIONS {
-        reader.report(
-            "exceptions",
-            "too many exceptions",
-            "change the defaults instead",
-        );
+        reader.report("exceptions", "too many exceptions", "change the defaults instead");
     }
-    sections
-        .into_iter()
-        .map(|section| read_exception(section, services))
-        .collect()
+    sections.into_iter().map(|section| read_exception(section, services)).collect()
 }
 
 /// Reads one exception.
@@ -162,11 +130,7 @@
         section.report("reason", "the exception holds for everything", hint);
     }
     if exception.deadline_ms.is_none() && exception.weight.is_none() {
-        section.report(
-            "reason",
-            "the exception changes nothing",
-            "set `deadline_ms` or `weight`",
-        );
+        section.report("reason", "the exception changes nothing", "set `deadline_ms` or `weight`");
     }
     section.finish();
     exception
@@ -187,7 +151,5 @@
 
 /// Reads a positive number that may be left out.
 fn optional_number(reader: &DocumentReader<'_>, name: &'static str, most: u64) -> Option<u64> {
-    reader
-        .optional_text(name)
-        .map(|_| reader.number(name, 1..=most, 1))
+    reader.optional_text(name).map(|_| reader.number(name, 1..=most, 1))
 }
--- a/crates/settings/src/server_settings.rs
+++ b/crates/settings/src/server_settings.rs
@@ -157,9 +157,7 @@
     let role = match reader.choice("role", &["entry", "sidecar"]) {
         Some("entry") => {
             let section = reader.section("entry");
-            Some(RoleSection::Entry(
-                section.map_or_else(default_entry, read_entry),
-            ))
+            Some(RoleSection::Entry(section.map_or_else(default_entry, read_entry)))
         }
         Some(_) => reader
             .required_section("sidecar")
@@ -176,20 +174,13 @@
     let region = reader.optional_text("region").unwrap_or_default();
     let listen = reader.address("listen");
     let control_listen = reader.address("control_listen");
-    let platform = reader
-        .section("platform")
-        .map(read_platform)
-        .unwrap_or_default();
+    let platform = reader.section("platform").map(read_platform).unwrap_or_default();
     let events = reader.optional_text("events").map(PathBuf::from);
     let drain_limit = reader.millis("drain_limit_ms", 0..=3_600_000, DRAIN_LIMIT_MS);
     let max_body = reader.number("max_body_bytes", 1_024..=67_108_864, BODY_BYTES) as usize;
     let secret = reader.optional_text("secret").unwrap_or_default();
     if listen.is_some_and(|address| address.port() != 0) && listen == control_listen {
-        reader.report(
-            "control_listen",
-            "`control_listen` equals `listen`",
-            "use another port",
-        );
+        reader.report("control_listen", "`control_listen` equals `listen`", "use another port");
     }
     reader.finish();
     Some(ServerSettings {
@@ -210,14 +201,9 @@
 /// Reads where the platform's services are.
 fn read_platform(reader: DocumentReader<'_>) -> PlatformSection {
     let key_value = reader.addresses("key_value");
-    let instances = reader
-        .optional_text("instances")
-        .and_then(|_| reader.address("instances"));
+    let instances = reader.optional_text("instances").and_then(|_| reader.address("instances"));
     reader.finish();
-    PlatformSection {
-        instances,
-        key_value,
-    }
+    PlatformSection { instances, key_value }
 }
 
 /// Returns the settings of an entry that names none.
@@ -235,18 +221,12 @@
     let min_replicas = reader.number("min_replicas", 1..=5, MIN_REPLICAS) as usize;
     if min_replicas > replicas {
         let hint = "make it at most `replicas`";
-        reader.report(
-            "min_replicas",
-            "`min_replicas` is more than `replicas`",
-            hint,
-        );
+        reader.report("min_replicas", "`min_replicas` is more than `replicas`", hint);
     }
-    let routing = match reader.optional_text("routing").map(|_| {
-        reader.choice(
-            "routing",
-            &["bounded_affinity", "two_choices", "round_robin"],
-        )
-    }) {
+    let routing = match reader
+        .optional_text("routing")
+        .map(|_| reader.choice("routing", &["bounded_affinity", "two_choices", "round_robin"]))
+    {
         Some(Some("two_choices")) => RoutingPolicy::TwoChoices,
         Some(Some("round_robin")) => RoutingPolicy::RoundRobin,
         _ => RoutingPolicy::BoundedAffinity,
@@ -272,10 +252,7 @@
         _ => ServiceKind::Plain,
     };
     let checks_fencing = reader.flag("checks_fencing", false);
-    let admission = reader
-        .section("admission")
-        .map(read_admission)
-        .unwrap_or_default();
+    let admission = reader.section("admission").map(read_admission).unwrap_or_default();
     reader.finish();
     Some(SidecarSection {
         admission,
@@ -310,11 +287,7 @@
         .waiting(reader.number("waiting", 1..=1_000_000, 256) as usize)
         .build();
     if settings.reserve >= slots {
-        reader.report(
-            "reserve",
-            "`reserve` leaves no slot",
-            "make it smaller than `slots`",
-        );
+        reader.report("reserve", "`reserve` leaves no slot", "make it smaller than `slots`");
     }
     reader.finish();
     AdmissionSection(settings)
--- a/crates/sidecar/src/control_service.rs
+++ b/crates/sidecar/src/control_service.rs
@@ -26,10 +26,7 @@
 impl ControlService {
     /// Creates the service.
     pub fn new(state: Rc<SidecarState>) -> Self {
-        Self {
-            orders: Rc::new(OrderGate::new()),
-            state,
-        }
+        Self { orders: Rc::new(OrderGate::new()), state }
     }
 
     /// Takes the caller's clock; tells whether the caller belongs to the system.
@@ -51,6 +48,10 @@
         })
     }
 
+    async fn knows(self, _: Context, stamp: PeerStamp, key: RequestKey) -> Option<bool> {
+        self.accepts(&stamp).then(|| self.state.is_present(key))
+    }
+
     async fn resolve(
         self,
         _: Context,
@@ -64,13 +65,8 @@
         let now = self.state.clock.now();
         let state = self.state.log.borrow_mut().resolve(now, key, attempt);
         let detail = format!("state={state:?}");
-        self.state
-            .events
-            .record(EventKind::Resolved, &format!("{:032x}", key.0), detail);
-        Some(ResolveAnswer {
-            incarnation: self.state.incarnation,
-            state,
-        })
+        self.state.events.record(EventKind::Resolved, &format!("{:032x}", key.0), detail);
+        Some(ResolveAnswer { incarnation: self.state.incarnation, state })
     }
 
     async fn order(self, _: Context, stamp: PeerStamp, order: TargetOrder) -> OrderAnswer {
@@ -83,9 +79,7 @@
     async fn offer_config(self, _: Context, stamp: PeerStamp, document: ConfigDocument) -> u64 {
         if self.accepts(&stamp) && self.state.config.borrow_mut().offer(document) {
             let detail = format!("revision={}", self.state.config.borrow().revision());
-            self.state
-                .events
-                .record(EventKind::ConfigInForce, "", detail);
+            self.state.events.record(EventKind::ConfigInForce, "", detail);
         }
         self.state.config.borrow().revision()
     }
--- a/crates/sidecar/src/message_labels.rs
+++ b/crates/sidecar/src/message_labels.rs
@@ -30,11 +30,7 @@
     /// Reads the labels; what is missing gets the careful value.
     pub fn read(exchange: &ServerExchange<'_>) -> Self {
         let text = |name| exchange.header(name).unwrap_or_default().to_owned();
-        let number = |name| {
-            exchange
-                .header(name)
-                .and_then(|value| value.parse::<u64>().ok())
-        };
+        let number = |name| exchange.header(name).and_then(|value| value.parse::<u64>().ok());
         let organisation = text(headers::ORGANISATION);
         let request_id = text(headers::REQUEST_ID);
         let class = match exchange.header(headers::CLASS) {
@@ -44,9 +40,7 @@
         Self {
             attempt: number(headers::ATTEMPT).unwrap_or(1) as u32,
             class,
-            clock: exchange
-                .header(headers::CLOCK)
-                .and_then(ClockReading::decode),
+            clock: exchange.header(headers::CLOCK).and_then(ClockReading::decode),
             deadline: number(headers::DEADLINE_MS).map_or(DEFAULT_DEADLINE, Duration::from_millis),
             key: RequestKey::derive(&organisation, &request_id),
             organisation,
--- a/crates/sidecar/src/request_handler.rs
+++ b/crates/sidecar/src/request_handler.rs
@@ -75,11 +75,7 @@
     /// Creates the handler of a sidecar.
     pub fn new(state: Rc<SidecarState>, max_body: usize) -> Self {
         let link = TargetLink::new(state.section.target);
-        Self {
-            link,
-            max_body,
-            state,
-        }
+        Self { link, max_body, state }
     }
 
     /// Queues a request, runs it when its turn comes and answers it.
@@ -99,14 +95,11 @@
                 return self.answer_duplicate(exchange, labels, state).await;
             }
         }
-        self.record(EventKind::AttemptQueued, labels, || {
-            format!("attempt={}", labels.attempt)
-        });
+        self.record(EventKind::AttemptQueued, labels, || format!("attempt={}", labels.attempt));
         let queued = Instant::now();
         let cost = 1 + (body.len() / BYTES_PER_COST) as u32;
         let (ticket, mut signals) =
-            self.state
-                .enqueue(labels, cost, is_preemptible(&self.state.section, labels));
+            self.state.enqueue(labels, cost, is_preemptible(&self.state.section, labels));
         let signal = monoio::select! {
             biased;
             signal = signals.recv() => signal,
@@ -117,10 +110,7 @@
         };
         let result = match signal {
             Some(TicketSignal::Start) => {
-                self.state
-                    .metrics
-                    .wait
-                    .observe(queued.elapsed().as_secs_f64());
+                self.state.metrics.wait.observe(queued.elapsed().as_secs_f64());
                 self.run(exchange, labels, body, ticket, &mut signals).await
             }
             Some(TicketSignal::Refuse(reason, after)) => {
@@ -146,9 +136,7 @@
         signals: &mut UnboundedReceiver<TicketSignal>,
     ) -> Result<(), HttpFault> {
         let request = target_request(exchange, labels, body);
-        let end = self
-            .exchange_with_target(exchange, labels, &request, ticket, signals)
-            .await;
+        let end = self.exchange_with_target(exchange, labels, &request, ticket, signals).await;
         let outcome = match &end {
             TargetEnd::Answered => "completed",
             TargetEnd::Preempted => "preempted",
@@ -171,15 +159,13 @@
                 Err(HttpFault::Closed)
             }
             TargetEnd::NotReached | TargetEnd::Voided => {
-                self.refuse(exchange, labels, RefusalReason::TargetDown, None)
-                    .await
+                self.refuse(exchange, labels, RefusalReason::TargetDown, None).await
             }
             // A part of the answer has gone out: only a cut connection says that the rest is lost.
             TargetEnd::Lost(fault) if exchange.has_responded() => Err(fault),
             TargetEnd::Lost(fault) => {
                 let headers = self.answer_headers(labels, "unknown", fault.reason());
-                self.answer_error(exchange, StatusCode::BAD_GATEWAY, &headers, "unknown")
-                    .await
+                self.answer_error(exchange, StatusCode::BAD_GATEWAY, &headers, "unknown").await
             }
         }
     }
@@ -215,11 +201,9 @@
             Err(fault) => return TargetEnd::Lost(fault),
         };
         let end = if is_whole(&head) {
-            self.pass_whole(exchange, labels, &mut target, head, ticket)
-                .await
+            self.pass_whole(exchange, labels, &mut target, head, ticket).await
         } else {
-            self.pass_stream(exchange, labels, &mut target, head, ticket, signals)
-                .await
+            self.pass_stream(exchange, labels, &mut target, head, ticket, signals).await
         };
         if matches!(end, TargetEnd::Answered) {
             self.link.close(target);
@@ -250,10 +234,7 @@
         }
         self.state.handle(AdmissionEvent::Responded(ticket));
         let headers = self.pass_headers(labels, &head);
-        match exchange
-            .respond(head.status, &headers, &body.freeze())
-            .await
-        {
+        match exchange.respond(head.status, &headers, &body.freeze()).await {
             Ok(()) => TargetEnd::Answered,
             Err(_) => TargetEnd::Cancelled,
         }
@@ -288,8 +269,7 @@
                     }
                     tokens += count_events(&piece).max(1);
                     if labels.class == WorkClass::Batch {
-                        self.state
-                            .handle(AdmissionEvent::Progressed(ticket, tokens));
+                        self.state.handle(AdmissionEvent::Progressed(ticket, tokens));
                     }
                     if exchange.send_piece(&piece).await.is_err() {
                         return TargetEnd::Cancelled;
@@ -318,17 +298,12 @@
         if !exchange.has_responded() {
             let headers = self.answer_headers(labels, "not_run", RefusalReason::NoSlack.as_str());
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            return match self
-                .answer_error(exchange, status, &headers, "not_run")
-                .await
-            {
+            return match self.answer_error(exchange, status, &headers, "not_run").await {
                 Ok(()) => TargetEnd::Preempted,
                 Err(_) => TargetEnd::Cancelled,
             };
         }
-        let sent = exchange
-            .send_piece(&Bytes::from_static(PREEMPTED_EVENT))
-            .await;
+        let sent = exchange.send_piece(&Bytes::from_static(PREEMPTED_EVENT)).await;
         if sent.is_ok() && exchange.finish_stream().await.is_ok() {
             TargetEnd::Preempted
         } else {
@@ -354,8 +329,7 @@
         };
         self.count(labels, "duplicate");
         let headers = self.answer_headers(labels, run, RefusalReason::Duplicate.as_str());
-        self.answer_error(exchange, StatusCode::CONFLICT, &headers, run)
-            .await
+        self.answer_error(exchange, StatusCode::CONFLICT, &headers, run).await
     }
 
     /// Refuses a request that was not handed over.
@@ -368,24 +342,12 @@
     ) -> Result<(), HttpFault> {
         self.refuse_silently(labels);
         self.count(labels, "refused");
-        self.record(EventKind::Refused, labels, || {
-            format!("reason={}", reason.as_str())
-        });
+        self.record(EventKind::Refused, labels, || format!("reason={}", reason.as_str()));
         let mut headers = self.answer_headers(labels, "not_run", reason.as_str());
         if let Some(after) = after {
-            put(
-                &mut headers,
-                headers::RETRY_AFTER_MS,
-                &after.as_millis().to_string(),
-            );
+            put(&mut headers, headers::RETRY_AFTER_MS, &after.as_millis().to_string());
         }
-        self.answer_error(
-            exchange,
-            StatusCode::SERVICE_UNAVAILABLE,
-            &headers,
-            "not_run",
-        )
-        .await
+        self.answer_error(exchange, StatusCode::SERVICE_UNAVAILABLE, &headers, "not_run").await
     }
 
     /// Notes in the log that a request was not handed over.
@@ -410,9 +372,7 @@
         headers: &HeaderMap,
         run: &str,
     ) -> Result<(), HttpFault> {
-        let reason = headers
-            .get(headers::REASON)
-            .and_then(|value| value.to_str().ok());
+        let reason = headers.get(headers::REASON).and_then(|value| value.to_str().ok());
         let body = json!({"error": {"reason": reason, "run": run}}).to_string();
         exchange.respond(status, headers, &Bytes::from(body)).await
     }
@@ -438,26 +398,14 @@
         put(headers, headers::RUN, run);
         put(headers, headers::LOAD, &self.state.reading().encode());
         put(headers, headers::CLOCK, &self.state.events.stamp().encode());
-        put(
-            headers,
-            headers::INCARNATION,
-            &self.state.incarnation.to_string(),
-        );
+        put(headers, headers::INCARNATION, &self.state.incarnation.to_string());
         put(headers, headers::REQUEST_ID, &labels.request_id);
     }
 
     /// Counts a request's outcome.
     fn count(&self, labels: &MessageLabels, outcome: &str) {
-        let class = if labels.class == WorkClass::Batch {
-            "batch"
-        } else {
-            "online"
-        };
-        self.state
-            .metrics
-            .outcomes
-            .with_label_values(&[class, outcome])
-            .inc();
+        let class = if labels.class == WorkClass::Batch { "batch" } else { "online" };
+        self.state.metrics.outcomes.with_label_values(&[class, outcome]).inc();
     }
 
     /// Records an event about a request.
@@ -477,26 +425,16 @@
         match path {
             "/-/metrics" => {
                 let text = self.state.metrics.render(&self.state.reading());
-                exchange
-                    .respond(StatusCode::OK, &empty, &Bytes::from(text))
-                    .await
+                exchange.respond(StatusCode::OK, &empty, &Bytes::from(text)).await
             }
             "/-/ready" if !self.state.target_up.get() || self.state.is_leaving() => {
                 let status = StatusCode::SERVICE_UNAVAILABLE;
-                exchange
-                    .respond(status, &empty, &Bytes::from_static(b"not ready\n"))
-                    .await
+                exchange.respond(status, &empty, &Bytes::from_static(b"not ready\n")).await
             }
             "/-/ready" | "/-/health" => {
-                exchange
-                    .respond(StatusCode::OK, &empty, &Bytes::from_static(b"ok\n"))
-                    .await
-            }
-            _ => {
-                exchange
-                    .respond(StatusCode::NOT_FOUND, &empty, &Bytes::new())
-                    .await
+                exchange.respond(StatusCode::OK, &empty, &Bytes::from_static(b"ok\n")).await
             }
+            _ => exchange.respond(StatusCode::NOT_FOUND, &empty, &Bytes::new()).await,
         }
     }
 }
@@ -516,16 +454,15 @@
         let body = exchange.read_body(self.max_body).await?;
         if !known {
             let headers = self.answer_headers(&labels, "not_run", "not_authorised");
-            return self
-                .answer_error(exchange, StatusCode::FORBIDDEN, &headers, "not_run")
-                .await;
+            return self.answer_error(exchange, StatusCode::FORBIDDEN, &headers, "not_run").await;
         }
         if !self.state.target_up.get() {
-            return self
-                .refuse(exchange, &labels, RefusalReason::TargetDown, None)
-                .await;
+            return self.refuse(exchange, &labels, RefusalReason::TargetDown, None).await;
         }
-        self.serve(exchange, &labels, body).await
+        self.state.enter(labels.key);
+        let result = self.serve(exchange, &labels, body).await;
+        self.state.leave(labels.key);
+        result
     }
 }
 
@@ -539,11 +476,7 @@
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut request = ClientRequest::new(head.method.clone(), path, body);
     request.headers = end_to_end_headers(&head.headers);
-    put(
-        &mut request.headers,
-        headers::REQUEST_ID,
-        &labels.request_id,
-    );
+    put(&mut request.headers, headers::REQUEST_ID, &labels.request_id);
     request
 }
 
@@ -555,10 +488,7 @@
 
 /// Tells whether an answer is short enough to be read whole before it is passed on.
 fn is_whole(head: &ResponseHead) -> bool {
-    let length = head
-        .headers
-        .get(CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok());
+    let length = head.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
     length
         .and_then(|text| text.parse::<u64>().ok())
         .is_some_and(|bytes| bytes <= WHOLE_ANSWER_BYTES)
--- a/crates/sidecar/src/sidecar_metrics.rs
+++ b/crates/sidecar/src/sidecar_metrics.rs
@@ -35,10 +35,7 @@
     /// Fails if two metrics have the same name.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let outcome_opts = Opts::new(
-            "cv_sidecar_requests_total",
-            "Requests by class and outcome.",
-        );
+        let outcome_opts = Opts::new("cv_sidecar_requests_total", "Requests by class and outcome.");
         let wait_opts = HistogramOpts::new("cv_sidecar_wait_seconds", "Time in the queue.");
         let metrics = Self {
             limit: IntGauge::new("cv_sidecar_online_limit", "Online requests that may run.")?,
@@ -79,8 +76,7 @@
         self.registry.register(Box::new(self.outcomes.clone()))?;
         self.registry.register(Box::new(self.preemptions.clone()))?;
         self.registry.register(Box::new(self.running.clone()))?;
-        self.registry
-            .register(Box::new(self.running_batch.clone()))?;
+        self.registry.register(Box::new(self.running_batch.clone()))?;
         self.registry.register(Box::new(self.target_up.clone()))?;
         self.registry.register(Box::new(self.wait.clone()))?;
         self.registry.register(Box::new(self.waiting.clone()))
--- a/crates/sidecar/src/sidecar_server.rs
+++ b/crates/sidecar/src/sidecar_server.rs
@@ -71,13 +71,7 @@
         let timers = TimerService::start(clock);
         let secret = settings.secret.clone();
         let state = Rc::new(SidecarState::new(section, secret, clock, events, metrics));
-        Ok(Self {
-            control,
-            data,
-            settings,
-            state,
-            timers,
-        })
+        Ok(Self { control, data, settings, state, timers })
     }
 
     /// Returns where requests arrive.
@@ -98,17 +92,9 @@
 
     /// Serves until the signal is given, then drains and returns.
     pub async fn run(self, shutdown: ShutdownSignal) {
-        let Self {
-            control,
-            data,
-            settings,
-            state,
-            timers,
-        } = self;
+        let Self { control, data, settings, state, timers } = self;
         let finished = ShutdownSignal::new();
-        state
-            .events
-            .record(EventKind::Started, "", format!("zone={}", settings.zone));
+        state.events.record(EventKind::Started, "", format!("zone={}", settings.zone));
         log::info!("sidecar {} serves {}", settings.name, state.section.service);
         monoio::spawn(probe_target(Rc::clone(&state), timers.clone()));
         monoio::spawn(tick(Rc::clone(&state), timers));
@@ -130,9 +116,7 @@
 
 /// Refuses new work, lets entries notice, and lets what runs finish.
 async fn drain(state: &SidecarState, gate: &DrainGate, limit: Duration) {
-    state
-        .events
-        .record(EventKind::DrainStarted, "", String::new());
+    state.events.record(EventKind::DrainStarted, "", String::new());
     state.start_drain();
     monoio::time::sleep(FAREWELL.min(limit)).await;
     gate.start_drain();
--- a/crates/sidecar/src/sidecar_state.rs
+++ b/crates/sidecar/src/sidecar_state.rs
@@ -10,6 +10,7 @@
 use cv_policy::MonotonicTime;
 use cv_policy::OrganisationId;
 use cv_policy::RefusalReason;
+use cv_policy::RequestKey;
 use cv_policy::TicketId;
 use cv_policy::admission::AdmissionCommand;
 use cv_policy::admission::AdmissionEvent;
@@ -53,6 +54,8 @@
     pub incarnation: u64,
     pub log: RefCell<ExecutionLog>,
     pub metrics: SidecarMetrics,
+    /// Keys of the requests that wait or run, sorted.
+    present: RefCell<Vec<RequestKey>>,
     next_ticket: Cell<u64>,
     organisations: RefCell<Vec<(String, OrganisationId)>>,
     queue: RefCell<AdmissionQueue>,
@@ -85,6 +88,7 @@
             log: RefCell::new(ExecutionLog::new(LOG_RETENTION)),
             metrics,
             next_ticket: Cell::new(1),
+            present: RefCell::default(),
             organisations: RefCell::default(),
             queue: RefCell::new(AdmissionQueue::new(section.admission.0.clone())),
             secret,
@@ -119,12 +123,30 @@
         (ticket, receiver)
     }
 
+    /// Notes that a request has arrived.
+    pub fn enter(&self, key: RequestKey) {
+        let mut present = self.present.borrow_mut();
+        let position = present.partition_point(|known| *known < key);
+        present.insert(position, key);
+    }
+
+    /// Notes that a request has been answered or given up.
+    pub fn leave(&self, key: RequestKey) {
+        let mut present = self.present.borrow_mut();
+        if let Ok(position) = present.binary_search(&key) {
+            present.remove(position);
+        }
+    }
+
+    /// Tells whether a request waits or runs here.
+    pub fn is_present(&self, key: RequestKey) -> bool {
+        self.present.borrow().binary_search(&key).is_ok()
+    }
+
     /// Gives the queue an event and delivers its commands.
     pub fn handle(&self, event: AdmissionEvent) {
         let mut commands = Vec::new();
-        self.queue
-            .borrow_mut()
-            .handle(self.clock.now(), event, &mut commands);
+        self.queue.borrow_mut().handle(self.clock.now(), event, &mut commands);
         for command in commands {
             let (ticket, signal) = match command {
                 AdmissionCommand::Start(ticket) => (ticket, TicketSignal::Start),
--- a/crates/sidecar/src/target_exchange.rs
+++ b/crates/sidecar/src/target_exchange.rs
@@ -28,10 +28,7 @@
 impl TargetLink {
     /// Creates a link without connections.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            pool: RefCell::new(ConnectionPool::new(HttpLimits::default())),
-        }
+        Self { address, pool: RefCell::new(ConnectionPool::new(HttpLimits::default())) }
     }
 
     /// Connects to the target without sending anything.
@@ -39,21 +36,14 @@
     /// A request that must not be repeated gets a connection of its own: the target may close an
     /// idle one in the moment in which it is used, and then nobody knows whether it ran.
     pub async fn open(&self, repeatable: bool) -> Result<TargetExchange, HttpFault> {
-        let idle = if repeatable {
-            self.pool.borrow().take(self.address)
-        } else {
-            None
-        };
+        let idle = if repeatable { self.pool.borrow().take(self.address) } else { None };
         let connection = if let Some(connection) = idle {
             connection
         } else {
             let limits = HttpLimits::default();
             ClientConnection::connect(self.address, CONNECT_PATIENCE, limits).await?
         };
-        Ok(TargetExchange {
-            connection,
-            method: Method::GET,
-        })
+        Ok(TargetExchange { connection, method: Method::GET })
     }
 
     /// Keeps the exchange's connection for another request, if it is sound.
--- a/crates/sidecar/src/target_orders.rs
+++ b/crates/sidecar/src/target_orders.rs
@@ -32,10 +32,7 @@
 impl OrderGate {
     /// Creates a gate that has seen no order.
     pub fn new() -> Self {
-        Self {
-            epoch: Cell::new(0),
-            pool: ConnectionPool::new(HttpLimits::default()),
-        }
+        Self { epoch: Cell::new(0), pool: ConnectionPool::new(HttpLimits::default()) }
     }
 
     /// Gives an order to the target, unless its epoch is old.
@@ -46,9 +43,7 @@
         self.epoch.set(order.epoch);
         let body = json!({"fence": order.epoch, "model": order.model, "order": order.order});
         let request = ClientRequest::new(Method::POST, "/orders", body.to_string());
-        let answer = self
-            .pool
-            .exchange(section.target, &request, ORDER_PATIENCE, ANSWER_BYTES);
+        let answer = self.pool.exchange(section.target, &request, ORDER_PATIENCE, ANSWER_BYTES);
         match answer.await {
             Ok(response) if response.status == StatusCode::OK => OrderAnswer::Done,
             Ok(response) if response.status == StatusCode::CONFLICT => {
--- a/crates/sidecar/src/target_probe.rs
+++ b/crates/sidecar/src/target_probe.rs
@@ -30,9 +30,7 @@
     let mut failures = 0;
     loop {
         let request = ClientRequest::new(Method::GET, "/health", "");
-        let answer = pool
-            .exchange(state.section.target, &request, PATIENCE, ANSWER_BYTES)
-            .await;
+        let answer = pool.exchange(state.section.target, &request, PATIENCE, ANSWER_BYTES).await;
         // Any answer short of a server error shows a process that serves.
         let up = answer.is_ok_and(|response| !response.status.is_server_error());
         failures = if up { 0 } else { failures + 1 };
--- a/crates/standin/src/engine/engine_handler.rs
+++ b/crates/standin/src/engine/engine_handler.rs
@@ -124,10 +124,7 @@
 
     /// Serves until the gate drains.
     pub async fn serve(self, listener: TcpListener, gate: DrainGate) {
-        let core = Rc::new(EngineCore::new(
-            self.settings.clone(),
-            Arc::clone(&self.slowness),
-        ));
+        let core = Rc::new(EngineCore::new(self.settings.clone(), Arc::clone(&self.slowness)));
         monoio::spawn(Rc::clone(&core).run());
         let handler = EngineHandler {
             core,
@@ -136,9 +133,7 @@
             reports: RefCell::default(),
             shared: self,
         };
-        HttpServer::new(listener, Rc::new(handler), gate, HttpLimits::default())
-            .run()
-            .await;
+        HttpServer::new(listener, Rc::new(handler), gate, HttpLimits::default()).run().await;
     }
 }
 
@@ -162,10 +157,8 @@
             "/v1/chat/completions" => self.complete(exchange, &body, true).await,
             "/v1/models" => {
                 let models = self.models.borrow().clone();
-                let data: Vec<Value> = models
-                    .iter()
-                    .map(|id| json!({"id": id, "object": "model"}))
-                    .collect();
+                let data: Vec<Value> =
+                    models.iter().map(|id| json!({"id": id, "object": "model"})).collect();
                 let list = json!({"object": "list", "data": data});
                 respond_json(exchange, StatusCode::OK, &list).await
             }
@@ -173,12 +166,8 @@
             "/load" => respond_json(exchange, StatusCode::OK, &self.lagged_load()).await,
             "/orders" => self.obey(exchange, &body).await,
             _ => {
-                respond_json(
-                    exchange,
-                    StatusCode::NOT_FOUND,
-                    &json!({"error": "no such path"}),
-                )
-                .await
+                respond_json(exchange, StatusCode::NOT_FOUND, &json!({"error": "no such path"}))
+                    .await
             }
         };
         self.publish();
@@ -208,11 +197,7 @@
             return respond_json(exchange, StatusCode::BAD_REQUEST, &answer).await;
         }
         let request_id = exchange.header("x-request-id").unwrap_or("none").to_owned();
-        let form = AnswerForm {
-            chat,
-            id: format!("cmpl-{request_id}"),
-            model: request.model,
-        };
+        let form = AnswerForm { chat, id: format!("cmpl-{request_id}"), model: request.model };
         let receiver = self.core.admit(&prompt, tokens);
         if request.stream {
             stream_answer(exchange, receiver, &form, tokens).await
@@ -239,12 +224,7 @@
                 models.push(order.model);
             }
         }
-        respond_json(
-            exchange,
-            StatusCode::OK,
-            &json!({"fence": self.fence.get()}),
-        )
-        .await
+        respond_json(exchange, StatusCode::OK, &json!({"fence": self.fence.get()})).await
     }
 
     /// Returns the load as it was some time ago.
@@ -291,10 +271,7 @@
         let finish = finish.map_or("null".to_owned(), |reason| format!("\"{reason}\""));
         // The words are hexadecimal, so nothing needs an escape.
         let (object, content) = if *chat {
-            (
-                "chat.completion.chunk",
-                format!("\"delta\":{{\"content\":\" {word}\"}}"),
-            )
+            ("chat.completion.chunk", format!("\"delta\":{{\"content\":\" {word}\"}}"))
         } else {
             ("text_completion", format!("\"text\":\" {word}\""))
         };
@@ -310,11 +287,7 @@
     if !chat {
         return request.prompt.clone().unwrap_or_default();
     }
-    let contents: Vec<&str> = request
-        .messages
-        .iter()
-        .map(|message| &*message.content)
-        .collect();
+    let contents: Vec<&str> = request.messages.iter().map(|message| &*message.content).collect();
     contents.join(" ")
 }
 
@@ -339,9 +312,7 @@
         let finish = (index == tokens).then_some("length");
         exchange.send_piece(&form.event(&word, finish)).await?;
     }
-    exchange
-        .send_piece(&Bytes::from_static(b"data: [DONE]\n\n"))
-        .await?;
+    exchange.send_piece(&Bytes::from_static(b"data: [DONE]\n\n")).await?;
     exchange.finish_stream().await
 }
 
--- a/crates/standin/src/engine/prefix_cache.rs
+++ b/crates/standin/src/engine/prefix_cache.rs
@@ -17,10 +17,7 @@
 impl PrefixCache {
     /// Creates an empty cache.
     pub fn new(capacity: usize) -> Self {
-        Self {
-            capacity,
-            ..Self::default()
-        }
+        Self { capacity, ..Self::default() }
     }
 
     /// Returns how many tokens of a prompt are cached, and caches all of its whole blocks.
--- a/crates/standin/src/fault_proxy.rs
+++ b/crates/standin/src/fault_proxy.rs
@@ -69,14 +69,8 @@
                 }
             }
         });
-        is_ready
-            .recv()
-            .map_err(|_| io::Error::other("the proxy's port was taken"))?;
-        Ok(Self {
-            address,
-            mode,
-            _thread: thread,
-        })
+        is_ready.recv().map_err(|_| io::Error::other("the proxy's port was taken"))?;
+        Ok(Self { address, mode, _thread: thread })
     }
 
     /// Returns where the proxy listens.
--- a/crates/standin/src/instance_list.rs
+++ b/crates/standin/src/instance_list.rs
@@ -58,10 +58,7 @@
     /// Creates an empty list whose changes show after `lag`.
     #[must_use]
     pub fn new(lag: Duration) -> Self {
-        Self {
-            lag,
-            versions: Arc::default(),
-        }
+        Self { lag, versions: Arc::default() }
     }
 
     /// Changes the list.
@@ -69,30 +66,19 @@
     /// # Panics
     /// Panics if a holder of the list has panicked.
     pub fn set(&self, instances: Vec<ListedInstance>) {
-        self.versions
-            .lock()
-            .expect("no holder panics")
-            .push((Instant::now(), instances));
+        self.versions.lock().expect("no holder panics").push((Instant::now(), instances));
     }
 
     /// Serves the list until the gate drains.
     pub async fn serve(self, listener: TcpListener, gate: DrainGate) {
-        HttpServer::new(listener, Rc::new(self), gate, HttpLimits::default())
-            .run()
-            .await;
+        HttpServer::new(listener, Rc::new(self), gate, HttpLimits::default()).run().await;
     }
 
     /// Returns the list as it shows now: the first version at once, later ones after the lag.
     fn visible(&self) -> Vec<ListedInstance> {
         let versions = self.versions.lock().expect("no holder panics");
-        let shown = versions
-            .iter()
-            .rev()
-            .find(|(since, _)| since.elapsed() >= self.lag);
-        shown
-            .or(versions.first())
-            .map(|(_, list)| list.clone())
-            .unwrap_or_default()
+        let shown = versions.iter().rev().find(|(since, _)| since.elapsed() >= self.lag);
+        shown.or(versions.first()).map(|(_, list)| list.clone()).unwrap_or_default()
     }
 }
 
--- a/crates/standin/src/json_answer.rs
+++ b/crates/standin/src/json_answer.rs
@@ -16,9 +16,7 @@
     value: &T,
 ) -> Result<(), HttpFault> {
     let body = serde_json::to_vec(value).unwrap_or_default();
-    exchange
-        .respond(status, &json_headers(), &Bytes::from(body))
-        .await
+    exchange.respond(status, &json_headers(), &Bytes::from(body)).await
 }
 
 /// Returns the headers of an answer in JSON.
--- a/crates/standin/src/key_value/key_value_faults.rs
+++ b/crates/standin/src/key_value/key_value_faults.rs
@@ -41,10 +41,7 @@
 impl CallMeter {
     /// Creates a meter with a second's credit.
     pub fn new(rate: u32) -> Self {
-        Self {
-            credit: f64::from(rate),
-            since: Instant::now(),
-        }
+        Self { credit: f64::from(rate), since: Instant::now() }
     }
 
     /// Counts a call; tells whether it is within the rate.
--- a/crates/standin/src/key_value/key_value_handler.rs
+++ b/crates/standin/src/key_value/key_value_handler.rs
@@ -52,10 +52,7 @@
     /// Creates a service with the given faults and limits.
     #[must_use]
     pub fn new(faults: KeyValueFaults) -> Self {
-        Self {
-            calls: Arc::default(),
-            faults: Arc::new(Mutex::new(faults)),
-        }
+        Self { calls: Arc::default(), faults: Arc::new(Mutex::new(faults)) }
     }
 
     /// Changes the faults.
@@ -85,9 +82,7 @@
             writes: RefCell::new(CallMeter::new(400)),
         });
         monoio::spawn(expire_leases(Rc::clone(&handler)));
-        HttpServer::new(listener, handler, gate, HttpLimits::default())
-            .run()
-            .await;
+        HttpServer::new(listener, handler, gate, HttpLimits::default()).run().await;
     }
 
     /// Returns the faults as they are now.
@@ -97,12 +92,7 @@
 
     /// Counts a call.
     fn count(&self, path: &str) {
-        *self
-            .calls
-            .lock()
-            .expect("no holder panics")
-            .entry(path.to_owned())
-            .or_insert(0) += 1;
+        *self.calls.lock().expect("no holder panics").entry(path.to_owned()).or_insert(0) += 1;
     }
 
     /// Tells whether the answer of a write is to be lost.
@@ -182,17 +172,13 @@
 
     /// Sends the changes of a range until the watcher goes away.
     async fn watch(&self, exchange: &mut ServerExchange<'_>, body: &[u8]) -> Result<(), HttpFault> {
-        let create = parse::<WatchRequest>(body)
-            .unwrap_or_default()
-            .create_request;
+        let create = parse::<WatchRequest>(body).unwrap_or_default().create_request;
         let (key, range_end) = (decode(&create.key), decode(&create.range_end));
         let mut from = match number(create.start_revision.as_ref()) {
             0 => self.store.borrow().revision + 1,
             revision => revision,
         };
-        exchange
-            .start_stream(StatusCode::OK, &json_headers())
-            .await?;
+        exchange.start_stream(StatusCode::OK, &json_headers()).await?;
         let created = json!({"result": {"header": self.store.borrow().header(), "created": true}});
         exchange.send_piece(&line_of(&created)).await?;
         loop {
--- a/crates/standin/src/key_value/key_value_store.rs
+++ b/crates/standin/src/key_value/key_value_store.rs
@@ -58,11 +58,8 @@
         };
         let found = self.select(&decode(&request.key), &decode(&request.range_end));
         let count = found.len();
-        let kvs: Vec<KeyValueMessage> = found
-            .into_iter()
-            .take(limit)
-            .map(|(key, stored)| message_of(key, stored))
-            .collect();
+        let kvs: Vec<KeyValueMessage> =
+            found.into_iter().take(limit).map(|(key, stored)| message_of(key, stored)).collect();
         json!({
             "header": self.header(),
             "kvs": kvs,
@@ -74,14 +71,8 @@
     /// Carries out a transaction; `Err` names what is wrong with it.
     pub fn transact(&mut self, request: &TransactionRequest) -> Result<Value, &'static str> {
         let succeeded = request.compare.iter().all(|compare| self.holds(compare));
-        let operations = if succeeded {
-            &request.success
-        } else {
-            &request.failure
-        };
-        let puts = operations
-            .iter()
-            .filter_map(|operation| operation.put.as_ref());
+        let operations = if succeeded { &request.success } else { &request.failure };
+        let puts = operations.iter().filter_map(|operation| operation.put.as_ref());
         for put in puts {
             let lease = number(put.lease.as_ref());
             if decode(&put.value).len() > VALUE_BYTES {
@@ -95,10 +86,8 @@
         if writes {
             self.revision += 1;
         }
-        let responses: Vec<Value> = operations
-            .iter()
-            .map(|operation| self.operate(operation))
-            .collect();
+        let responses: Vec<Value> =
+            operations.iter().map(|operation| self.operate(operation)).collect();
         Ok(json!({
             "header": self.header(),
             "succeeded": succeeded,
@@ -195,10 +184,8 @@
     /// Writes a key at the current revision.
     fn put(&mut self, put: &PutRequest) {
         let key = decode(&put.key);
-        let create_revision = self
-            .keys
-            .get(&key)
-            .map_or(self.revision, |stored| stored.create_revision);
+        let create_revision =
+            self.keys.get(&key).map_or(self.revision, |stored| stored.create_revision);
         let stored = StoredValue {
             create_revision,
             lease: number(put.lease.as_ref()),
@@ -206,11 +193,7 @@
             value: decode(&put.value),
         };
         self.keys.insert(key.clone(), stored.clone());
-        self.history.push(ChangeRecord {
-            key,
-            revision: self.revision,
-            stored: Some(stored),
-        });
+        self.history.push(ChangeRecord { key, revision: self.revision, stored: Some(stored) });
     }
 
     /// Removes keys at the current revision and returns how many.
@@ -240,11 +223,7 @@
     fn remove(&mut self, key: &[u8]) {
         self.keys.remove(key);
         let (key, revision) = (key.to_vec(), self.revision);
-        self.history.push(ChangeRecord {
-            key,
-            revision,
-            stored: None,
-        });
+        self.history.push(ChangeRecord { key, revision, stored: None });
     }
 
     /// Selects one key, or all from `key` up to but not including `range_end`.
@@ -272,9 +251,5 @@
 
 /// Tells whether a key is the one that is meant, or within the range.
 fn in_range(found: &[u8], key: &[u8], range_end: &[u8]) -> bool {
-    if range_end.is_empty() {
-        found == key
-    } else {
-        found >= key && found < range_end
-    }
+    if range_end.is_empty() { found == key } else { found >= key && found < range_end }
 }
--- a/crates/standin/src/plain_service.rs
+++ b/crates/standin/src/plain_service.rs
@@ -67,17 +67,12 @@
     /// Creates a replica that takes `service_time` for a call.
     #[must_use]
     pub fn new(counter: ExecutionCounter, service_time: Duration) -> Self {
-        Self {
-            counter,
-            service_time,
-        }
+        Self { counter, service_time }
     }
 
     /// Serves until the gate drains.
     pub async fn serve(self, listener: TcpListener, gate: DrainGate) {
-        HttpServer::new(listener, Rc::new(self), gate, HttpLimits::default())
-            .run()
-            .await;
+        HttpServer::new(listener, Rc::new(self), gate, HttpLimits::default()).run().await;
     }
 }
 
@@ -91,10 +86,7 @@
         if path == "/_executions" {
             return respond_json(exchange, StatusCode::OK, &self.counter.snapshot()).await;
         }
-        let request_id = exchange
-            .header("x-request-id")
-            .unwrap_or_default()
-            .to_owned();
+        let request_id = exchange.header("x-request-id").unwrap_or_default().to_owned();
         // The call takes effect first, so an answer lost after it shows as a doubled count.
         let executions = self.counter.count(&request_id);
         if !self.service_time.is_zero() {
--- a/crates/storage/src/journal_file.rs
+++ b/crates/storage/src/journal_file.rs
@@ -46,12 +46,8 @@
     /// # Errors
     /// Fails if the file cannot be read or written.
     pub fn open(path: &Path) -> io::Result<Self> {
-        let options = OpenOptions::new()
-            .create(true)
-            .read(true)
-            .write(true)
-            .truncate(false)
-            .clone();
+        let options =
+            OpenOptions::new().create(true).read(true).write(true).truncate(false).clone();
         let file = options.open(path)?;
         let mut journal = Self { end: 0, file };
         let length = journal.file.metadata()?.len();
@@ -96,10 +92,7 @@
     /// # Errors
     /// Fails if the file cannot be read.
     pub fn read(&self, position: u64, most: usize) -> io::Result<RecordPage> {
-        let mut page = RecordPage {
-            next: position,
-            ..RecordPage::default()
-        };
+        let mut page = RecordPage { next: position, ..RecordPage::default() };
         let mut bytes = 0;
         while bytes < most {
             match self.frame_at(page.next)? {
@@ -150,8 +143,7 @@
             return Ok(Frame::End);
         }
         let mut payload = vec![0; length as usize];
-        self.file
-            .read_exact_at(&mut payload, position + HEADER_BYTES)?;
+        self.file.read_exact_at(&mut payload, position + HEADER_BYTES)?;
         if crc32fast::hash(&payload) == checksum {
             Ok(Frame::Sound(payload, next))
         } else {
--- a/crates/storage/src/journal_store.rs
+++ b/crates/storage/src/journal_store.rs
@@ -54,18 +54,9 @@
 
 /// What the disk's thread is asked for, with where the answer goes.
 enum StoreRequest {
-    Append(
-        String,
-        Vec<Vec<u8>>,
-        oneshot::Sender<Result<(), StoreFault>>,
-    ),
+    Append(String, Vec<Vec<u8>>, oneshot::Sender<Result<(), StoreFault>>),
     List(oneshot::Sender<Vec<String>>),
-    Read(
-        String,
-        u64,
-        usize,
-        oneshot::Sender<Result<RecordPage, StoreFault>>,
-    ),
+    Read(String, u64, usize, oneshot::Sender<Result<RecordPage, StoreFault>>),
     Remove(String, oneshot::Sender<bool>),
 }
 
@@ -83,13 +74,8 @@
     pub fn open(folder: &Path) -> io::Result<Self> {
         std::fs::create_dir_all(folder)?;
         let (sender, receiver) = sync_channel(QUEUE);
-        let disk = DiskThread {
-            files: BTreeMap::new(),
-            folder: folder.to_owned(),
-        };
-        std::thread::Builder::new()
-            .name("disk".to_owned())
-            .spawn(move || disk.run(&receiver))?;
+        let disk = DiskThread { files: BTreeMap::new(), folder: folder.to_owned() };
+        std::thread::Builder::new().name("disk".to_owned()).spawn(move || disk.run(&receiver))?;
         Ok(Self { sender })
     }
 
@@ -175,9 +161,7 @@
     fn serve(&mut self, request: StoreRequest, appended: &mut Vec<WaitingAppend>) {
         match request {
             StoreRequest::Append(name, records, sender) => {
-                let written = self
-                    .open(&name, true)
-                    .and_then(|file| file.append(&records));
+                let written = self.open(&name, true).and_then(|file| file.append(&records));
                 match written {
                     Ok(()) => appended.push((name, sender)),
                     Err(error) => {
@@ -187,9 +171,7 @@
                 }
             }
             StoreRequest::Read(name, position, most, sender) => {
-                let page = self
-                    .open(&name, false)
-                    .and_then(|file| file.read(position, most));
+                let page = self.open(&name, false).and_then(|file| file.read(position, most));
                 let _ = sender.send(page.map_err(|error| match error.kind() {
                     io::ErrorKind::NotFound => StoreFault::Missing,
                     _ => StoreFault::Disk,
--- a/crates/timeline/src/event_log.rs
+++ b/crates/timeline/src/event_log.rs
@@ -93,10 +93,7 @@
 
     /// Takes the reading of a message that was received.
     pub fn observe(&self, received: ClockReading) {
-        self.state
-            .borrow_mut()
-            .clock
-            .observe(wall_millis(), received);
+        self.state.borrow_mut().clock.observe(wall_millis(), received);
     }
 
     /// Returns the number of events that found the queue full.
@@ -108,15 +105,8 @@
     /// Creates a log over the writing thread's channel.
     fn with_sender(process: &str, sender: Option<SyncSender<EventRecord>>) -> Self {
         let process = process.to_owned();
-        let state = LogState {
-            clock: HybridClock::default(),
-            dropped: 0,
-            process,
-            sender,
-        };
-        Self {
-            state: Rc::new(RefCell::new(state)),
-        }
+        let state = LogState { clock: HybridClock::default(), dropped: 0, process, sender };
+        Self { state: Rc::new(RefCell::new(state)) }
     }
 }
 
@@ -143,8 +133,5 @@
 
 /// Returns the wall-clock time in milliseconds since the Unix epoch.
 fn wall_millis() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis() as u64
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
--- a/crates/timeline/src/event_render.rs
+++ b/crates/timeline/src/event_render.rs
@@ -24,17 +24,9 @@
     let first = first_millis(timeline);
     for event in timeline.events() {
         let since = event.clock.wall_millis() - first;
-        let EventRecord {
-            detail,
-            process,
-            subject,
-            ..
-        } = event;
+        let EventRecord { detail, process, subject, .. } = event;
         let kind = kind_name(event);
-        let _ = writeln!(
-            text,
-            "{since:>8} ms  {process:<16} {kind:<18} {subject} {detail}"
-        );
+        let _ = writeln!(text, "{since:>8} ms  {process:<16} {kind:<18} {subject} {detail}");
     }
     text
 }
@@ -81,10 +73,7 @@
 
 /// Returns the wall-clock time of the first event.
 fn first_millis(timeline: &MergedTimeline) -> u64 {
-    timeline
-        .events()
-        .first()
-        .map_or(0, |event| event.clock.wall_millis())
+    timeline.events().first().map_or(0, |event| event.clock.wall_millis())
 }
 
 /// Returns the middle of a lane, in pixels.
@@ -100,7 +89,5 @@
 
 /// Escapes text for a page.
 fn escape(text: &str) -> String {
-    text.replace('&', "&amp;")
-        .replace('<', "&lt;")
-        .replace('>', "&gt;")
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
--- a/crates/timer/src/process_clock.rs
+++ b/crates/timer/src/process_clock.rs
@@ -16,9 +16,7 @@
     /// Creates a clock whose origin is now.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
+        Self { origin: Instant::now() }
     }
 
     /// Returns the monotonic time since the origin.
@@ -30,9 +28,7 @@
     /// Returns the wall-clock time in milliseconds since the Unix epoch.
     #[must_use]
     pub fn wall_millis(&self) -> u64 {
-        let elapsed = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         elapsed.as_millis() as u64
     }
 }
--- a/crates/timer/src/timer_service.rs
+++ b/crates/timer/src/timer_service.rs
@@ -32,10 +32,7 @@
     /// Starts the ticking task on the current runtime.
     #[must_use]
     pub fn start(clock: ProcessClock) -> Self {
-        let service = Self {
-            clock,
-            rows: Rc::default(),
-        };
+        let service = Self { clock, rows: Rc::default() };
         let ticking = service.clone();
         monoio::spawn(async move { ticking.run().await });
         service
@@ -51,16 +48,9 @@
     #[must_use]
     pub fn subscribe(&self, period: Duration) -> TimerSubscription {
         let due = std::cell::Cell::new(self.clock.now() + period);
-        let row = Rc::new(TimerRow {
-            due,
-            period,
-            wake: Notify::new(),
-        });
+        let row = Rc::new(TimerRow { due, period, wake: Notify::new() });
         self.rows.borrow_mut().push(Rc::downgrade(&row));
-        TimerSubscription {
-            clock: self.clock,
-            row,
-        }
+        TimerSubscription { clock: self.clock, row }
     }
 
     /// Wakes due subscribers for as long as the service has an owner besides this task.
@@ -75,10 +65,7 @@
     fn next_pause(&self) -> Duration {
         let now = self.clock.now();
         let rows = self.rows.borrow();
-        let dues = rows
-            .iter()
-            .filter_map(Weak::upgrade)
-            .map(|row| row.due.get());
+        let dues = rows.iter().filter_map(Weak::upgrade).map(|row| row.due.get());
         let pause = dues.min().map_or(TICK, |due| now.until(due));
         // A subscriber with a short period may join at any time.
         pause.clamp(TICK, 4 * TICK)
--- a/tests/batch/exactly_once.rs
+++ b/tests/batch/exactly_once.rs
@@ -17,14 +17,8 @@
 
 /// Returns a deployment with three disks in three zones.
 fn spec(folder: &TempDir) -> DeploymentSpec {
-    let engine = EngineSettings::builder()
-        .step_base(Duration::from_millis(3))
-        .build();
-    let model = ModelSpec::builder()
-        .engine(engine)
-        .name("assist-llm")
-        .replicas(2)
-        .build();
+    let engine = EngineSettings::builder().step_base(Duration::from_millis(3)).build();
+    let model = ModelSpec::builder().engine(engine).name("assist-llm").replicas(2).build();
     let plain = PlainSpec::builder().name("orders-app").replicas(2).build();
     DeploymentSpec::builder()
         .data(folder.path().to_owned())
@@ -38,21 +32,15 @@
 /// Submits a job and returns its id.
 fn submit(client: &BatchClient, audit: &BatchAudit, key: &str) -> String {
     let file = client.upload(audit.input()).expect("the file is accepted");
-    client
-        .create(&file, Some(key), Duration::from_hours(1))
-        .expect("the job is accepted")
+    client.create(&file, Some(key), Duration::from_hours(1)).expect("the job is accepted")
 }
 
 /// Waits for a job and checks its results.
 fn finish(client: &BatchClient, audit: &BatchAudit, id: &str) -> PromiseCounts {
     let job = client.wait(id, PATIENCE);
     assert_eq!(job["status"], "completed", "{job}");
-    let output = client
-        .results(id, "output")
-        .expect("the output is readable");
-    let errors = client
-        .results(id, "errors")
-        .expect("the errors are readable");
+    let output = client.results(id, "output").expect("the output is readable");
+    let errors = client.results(id, "errors").expect("the errors are readable");
     audit.check(&output, &errors)
 }
 
@@ -80,9 +68,7 @@
     let client = BatchClient::new(addresses[0], "members");
     let other = BatchAudit::completions("c", "assist-llm", 20, 4);
     let file = client.upload(other.input()).expect("the file is accepted");
-    let refused = client
-        .create(&file, Some("job-b"), PATIENCE)
-        .expect_err("a conflict");
+    let refused = client.create(&file, Some("job-b"), PATIENCE).expect_err("a conflict");
     assert_eq!(refused["error"]["reason"], "key_conflict");
     assert_eq!(finish(&client, &audit, &ids[0]), PromiseCounts::default());
 }
@@ -99,10 +85,7 @@
         owner = client.show(&id)["owner"].as_str().map(str::to_owned);
     }
     let owner = owner.expect("an owner");
-    let index: usize = owner
-        .trim_start_matches("entry-")
-        .parse()
-        .expect("an index");
+    let index: usize = owner.trim_start_matches("entry-").parse().expect("an index");
     deployment.entries[index] = None;
     deployment.publish_list();
     let client = BatchClient::new(deployment.entry_addresses()[0], "members");
@@ -119,10 +102,7 @@
     assert_eq!(client.wait(&id, PATIENCE)["status"], "completed");
     let executions = deployment.executions.snapshot();
     assert_eq!(executions.len(), 200);
-    assert!(
-        executions.values().all(|count| *count == 1),
-        "{executions:?}"
-    );
+    assert!(executions.values().all(|count| *count == 1), "{executions:?}");
 }
 
 #[test]
@@ -136,10 +116,7 @@
     let other = BatchClient::new(addresses[1], "members");
     assert_eq!(other.cancel(&id)["status"], "cancelled");
     let sequences = || -> u64 {
-        let engines = deployment
-            .targets
-            .iter()
-            .filter_map(|target| target.engine.as_ref());
+        let engines = deployment.targets.iter().filter_map(|target| target.engine.as_ref());
         engines.map(|engine| engine.report().sequences).sum()
     };
     // What ran when the answer came is cancelled; nothing new is handed over after it.
@@ -160,10 +137,7 @@
     lines.extend_from_slice(&BatchAudit::completions("h", "no-such-model", 1, 4).input());
     lines.extend_from_slice(&good);
     let answer = client.upload(lines).expect_err("the file is refused");
-    let findings = answer["error"]["findings"]
-        .as_array()
-        .expect("findings")
-        .clone();
+    let findings = answer["error"]["findings"].as_array().expect("findings").clone();
     assert_eq!(findings.len(), 3, "{answer}");
     assert_eq!(findings[0]["line"], 2);
     assert_eq!(findings[1]["line"], 3);
--- a/tests/online/at_most_once.rs
+++ b/tests/online/at_most_once.rs
@@ -29,10 +29,7 @@
     let executions = deployment.executions.executions("order-2");
     assert!(executions <= 1, "the order ran {executions} times");
     if record.outcome == CallOutcome::NotRun {
-        assert_eq!(
-            executions, 0,
-            "the caller was told that the order had not run"
-        );
+        assert_eq!(executions, 0, "the caller was told that the order had not run");
     }
     if record.outcome == CallOutcome::Completed {
         assert_eq!(executions, 1, "the caller was told that the order had run");
--- a/tests/support/small_fleet.rs
+++ b/tests/support/small_fleet.rs
@@ -28,20 +28,10 @@
     /// Returns a deployment of two assistants and two order desks behind fault proxies.
     #[must_use]
     pub fn proxied() -> DeploymentSpec {
-        let engine = EngineSettings::builder()
-            .step_base(Duration::from_millis(4))
-            .build();
-        let model = ModelSpec::builder()
-            .engine(engine)
-            .name("assist-llm")
-            .replicas(2)
-            .build();
+        let engine = EngineSettings::builder().step_base(Duration::from_millis(4)).build();
+        let model = ModelSpec::builder().engine(engine).name("assist-llm").replicas(2).build();
         let plain = PlainSpec::builder().name("orders-app").replicas(2).build();
-        DeploymentSpec::builder()
-            .models(vec![model])
-            .plains(vec![plain])
-            .proxied(true)
-            .build()
+        DeploymentSpec::builder().models(vec![model]).plains(vec![plain]).proxied(true).build()
     }
 
     /// Returns a completion of `tokens` tokens.
@@ -74,9 +64,7 @@
     #[must_use]
     pub fn ask(deployment: &SmallDeployment, call: CompletionCall) -> CallRecord {
         let address = deployment.entry_addresses()[0];
-        call_once(address, move |pool, address| async move {
-            call.run(&pool, address).await
-        })
+        call_once(address, move |pool, address| async move { call.run(&pool, address).await })
     }
 
     /// Places an order at an entry.
@@ -85,9 +73,7 @@
     /// Panics if the runtime cannot start.
     #[must_use]
     pub fn place(address: SocketAddr, call: ServiceCall) -> CallRecord {
-        call_once(address, move |pool, address| async move {
-            call.run(&pool, address).await
-        })
+        call_once(address, move |pool, address| async move { call.run(&pool, address).await })
     }
 }
 
