--- /dev/null
+++ b/crates/clementinevale/tests/processes/online_faults.rs
@@ -0,0 +1,98 @@
+//! Online promises under kills, freezes and outages of real processes.
+
+use std::time::Duration;
+
+use cv_bench::load::CallOutcome;
+use cv_tests::ProcessFleet;
+use cv_tests::Signal;
+use cv_tests::SmallFleet;
+
+use crate::BINARY;
+
+/// Time after which an order is under way at the service, which takes 100 ms.
+const UNDER_WAY: Duration = Duration::from_millis(50);
+
+#[test]
+fn an_order_whose_sidecar_is_killed_runs_at_most_once_and_is_not_denied() {
+    let mut fleet = ProcessFleet::start(BINARY);
+    let address = fleet.address();
+    let order =
+        std::thread::spawn(move || SmallFleet::place(address, SmallFleet::order("order-killed")));
+    std::thread::sleep(UNDER_WAY);
+    let last = fleet.sidecars.len() - 1;
+    fleet.sidecars[last] = None;
+    let record = order.join().expect("the call ends");
+    let executions = fleet.executions.executions("order-killed");
+    assert!(executions <= 1, "the order ran {executions} times");
+    assert!(record.outcome != CallOutcome::NotRun || executions == 0, "{record:?}");
+}
+
+#[test]
+fn an_order_whose_entry_is_killed_does_not_run_again_at_another_entry() {
+    let mut fleet = ProcessFleet::start(BINARY);
+    let address = fleet.address();
+    let order =
+        std::thread::spawn(move || SmallFleet::place(address, SmallFleet::order("order-resent")));
+    std::thread::sleep(UNDER_WAY);
+    fleet.entries[0] = None;
+    let _ = order.join().expect("the call ends");
+    let record = SmallFleet::place(fleet.address(), SmallFleet::order("order-resent"));
+    assert!(fleet.executions.executions("order-resent") <= 1, "{record:?}");
+}
+
+#[test]
+fn a_frozen_sidecar_costs_no_answer() {
+    let fleet = ProcessFleet::start(BINARY);
+    let frozen = fleet.sidecars[0].as_ref().expect("the sidecar runs");
+    frozen.signal(Signal::STOP);
+    for index in 0..4 {
+        let call = SmallFleet::question(&format!("question {index} about netting"), 8);
+        let record = cv_tests::call_once(fleet.address(), move |pool, address| async move {
+            call.run(&pool, address).await
+        });
+        assert_eq!(record.outcome, CallOutcome::Completed);
+    }
+    frozen.signal(Signal::CONT);
+}
+
+#[test]
+fn a_terminated_entry_cuts_off_no_answer() {
+    let mut fleet = ProcessFleet::start(BINARY);
+    let address = fleet.address();
+    let call = SmallFleet::question("a long answer please", 250);
+    let answer = std::thread::spawn(move || {
+        cv_tests::call_once(
+            address,
+            move |pool, address| async move { call.run(&pool, address).await },
+        )
+    });
+    std::thread::sleep(UNDER_WAY);
+    let entry = fleet.entries[0].as_mut().expect("the entry runs");
+    entry.signal(Signal::TERM);
+    entry.signal(Signal::TERM);
+    assert!(entry.wait(), "the entry ends in good order");
+    assert_eq!(answer.join().expect("the call ends").outcome, CallOutcome::Completed);
+}
+
+#[test]
+fn online_goes_on_without_the_key_value_service() {
+    let fleet = ProcessFleet::start(BINARY);
+    fleet.key_value.change_faults(|faults| faults.down = true);
+    std::thread::sleep(Duration::from_secs(3));
+    let call = SmallFleet::question("does the quote include grommets", 8);
+    let record = cv_tests::call_once(fleet.address(), move |pool, address| async move {
+        call.run(&pool, address).await
+    });
+    assert_eq!(record.outcome, CallOutcome::Completed);
+}
+
+#[test]
+fn no_process_holds_an_io_uring() {
+    let fleet = ProcessFleet::start(BINARY);
+    let processes = fleet.entries.iter().chain(&fleet.sidecars).flatten();
+    for process in processes {
+        let descriptors = process.descriptors();
+        assert!(descriptors.iter().any(|link| link.contains("eventpoll")), "{descriptors:?}");
+        assert!(!descriptors.iter().any(|link| link.contains("uring")), "{descriptors:?}");
+    }
+}
--- a/crates/entry/src/entry_server.rs
+++ b/crates/entry/src/entry_server.rs
@@ -10,6 +10,7 @@
 use cv_http::HttpLimits;
 use cv_http::HttpServer;
 use cv_http::bind_listener;
+use cv_http::describe_listeners;
 use cv_runtime::ShutdownSignal;
 use cv_settings::EntrySection;
 use cv_settings::ServerSettings;
@@ -103,6 +104,7 @@
         state.events.record(EventKind::Started, "", format!("zone={}", state.settings.zone));
         let disk = if state.section.data_folder.is_some() { "with" } else { "without" };
         log::info!("entry {} serves in {}, {disk} disk", state.settings.name, state.settings.zone);
+        log::info!("{}", describe_listeners(&data, &control));
         monoio::spawn(watch_instances(Rc::clone(&state), timers.clone()));
         monoio::spawn(watch_targets(Rc::clone(&state), timers.clone()));
         coordinator.start(&timers);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -28,4 +28,5 @@
 pub use crate::server::HttpServer;
 pub use crate::server::RequestHandler;
 pub use crate::server::bind_listener;
+pub use crate::server::describe_listeners;
 pub use crate::writer::HttpWriter;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -94,6 +94,15 @@
     TcpListener::bind_with_config(address, &options)
 }
 
+/// Names a server's bound addresses, which its settings may leave to the machine.
+#[must_use]
+pub fn describe_listeners(data: &TcpListener, control: &TcpListener) -> String {
+    let text = |listener: &TcpListener| {
+        listener.local_addr().map_or("unknown".to_owned(), |address| address.to_string())
+    };
+    format!("listening data={} control={}", text(data), text(control))
+}
+
 /// Serves the next request of a connection; tells whether another may follow.
 async fn serve_next<H: RequestHandler>(
     handler: &H,
--- a/crates/sidecar/src/sidecar_server.rs
+++ b/crates/sidecar/src/sidecar_server.rs
@@ -11,6 +11,7 @@
 use cv_http::HttpLimits;
 use cv_http::HttpServer;
 use cv_http::bind_listener;
+use cv_http::describe_listeners;
 use cv_runtime::ShutdownSignal;
 use cv_settings::ServerSettings;
 use cv_settings::SidecarSection;
@@ -96,6 +97,7 @@
         let finished = ShutdownSignal::new();
         state.events.record(EventKind::Started, "", format!("zone={}", settings.zone));
         log::info!("sidecar {} serves {}", settings.name, state.section.service);
+        log::info!("{}", describe_listeners(&data, &control));
         monoio::spawn(probe_target(Rc::clone(&state), timers.clone()));
         monoio::spawn(tick(Rc::clone(&state), timers));
         let service = ControlService::new(Rc::clone(&state));
