--- /dev/null
+++ b/tests/border/time_line.rs
@@ -0,0 +1,49 @@
+//! The time line puts causes before effects, whatever the wall clocks say.
+
+use cv_bench::deployment::SmallDeployment;
+use cv_policy::HybridClock;
+use cv_tests::SmallFleet;
+use cv_timeline::EventKind;
+use cv_timeline::MergedTimeline;
+use cv_timeline::render_html;
+use tempfile::TempDir;
+
+#[test]
+fn a_clock_that_is_set_back_goes_on_forward() {
+    let mut clock = HybridClock::default();
+    let first = clock.tick(1_000);
+    assert!(clock.tick(400) > first);
+}
+
+#[test]
+fn a_received_reading_comes_before_all_that_follows_it() {
+    let mut sender = HybridClock::default();
+    let mut receiver = HybridClock::default();
+    let sent = sender.tick(5_000);
+    assert!(receiver.observe(3_000, sent) > sent);
+    assert!(receiver.tick(3_001) > sent);
+}
+
+#[test]
+fn a_request_s_events_stand_in_causal_order() {
+    let folder = TempDir::new().expect("a folder");
+    let mut spec = SmallFleet::proxied();
+    spec.events = Some(folder.path().to_owned());
+    let deployment = SmallDeployment::start(spec);
+    let _ = SmallFleet::place(deployment.entry_addresses()[0], SmallFleet::order("order-seen"));
+    drop(deployment);
+    let files = std::fs::read_dir(folder.path()).expect("the folder");
+    let texts: Vec<String> =
+        files.filter_map(|file| std::fs::read_to_string(file.ok()?.path()).ok()).collect();
+    let timeline = MergedTimeline::from_texts(texts.iter().map(String::as_str)).about("order-seen");
+    let kinds: Vec<EventKind> = timeline.events().iter().map(|event| event.kind).collect();
+    let expected = [
+        EventKind::RequestReceived,
+        EventKind::AttemptSent,
+        EventKind::AttemptQueued,
+        EventKind::HandedOver,
+        EventKind::RequestConcluded,
+    ];
+    assert_eq!(kinds, expected);
+    assert!(render_html(&timeline).contains("<svg"));
+}
