Measure the capacity slopes and wake only when somebody is due

Change: the timer service sleeps until the next subscriber is due; an entry asks few targets often and many in turn, down to 7 calls a second.

--- a/crates/bench/src/capacity/capacity_slopes.rs
+++ b/crates/bench/src/capacity/capacity_slopes.rs
@@ -15,6 +15,8 @@
     pub request_us: f64,
     /// Processor time of one routing decision for each target of the service, in nanoseconds.
     pub route_ns_per_target: f64,
+    /// Processor time of one idle sidecar in a second, in microseconds.
+    pub sidecar_idle_us: f64,
     /// Memory of one idle sidecar beyond the first, in kilobytes.
     pub sidecar_kb: f64,
     /// Bytes on the network for one status call, both directions and all headers.
--- a/crates/bench/src/capacity/capacity_table.rs
+++ b/crates/bench/src/capacity/capacity_table.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use cv_policy::routing::STATUS_CALLS_PER_SECOND;
+use cv_policy::routing::status_calls_per_second;
 use cv_policy::routing::subset_size;
 
 use super::CapacitySlopes;
@@ -65,7 +65,7 @@
     // An entry asks its targets in turn, at most this often a second in all.
     let of_model = subset_size((REPLICAS / MODELS) as usize, ENTRIES as usize);
     let asked = of_model as f64 * MODELS;
-    let calls = (asked / 0.3).min(STATUS_CALLS_PER_SECOND);
+    let calls = (asked / 0.3).min(status_calls_per_second(asked as usize));
     let sidecar_calls = calls * ENTRIES / REPLICAS;
     let config_bytes = slopes.config_bytes_per_organisation * ORGANISATIONS;
     let changes = CHANGES_PER_DAY / SECONDS_PER_DAY;
@@ -79,7 +79,12 @@
             "cores",
             Some(CONTROL_CORE),
         ),
-        row("entry: control, status bytes", calls * slopes.status_bytes, "B/s", None),
+        row(
+            "entry: control, status bytes",
+            calls * slopes.status_bytes,
+            "B/s",
+            Some(CONTROL_BYTES),
+        ),
         row("entry: target table", asked * slopes.target_row_bytes / 1e6, "MB", Some(CONTROL_MB)),
         row(
             "entry: routing",
@@ -118,6 +123,7 @@
             "B/s",
             Some(CONTROL_BYTES),
         ),
+        row("sidecar: timers when idle", slopes.sidecar_idle_us / 1e6, "cores", Some(CONTROL_CORE)),
         row("sidecar: memory when idle", slopes.sidecar_kb / 1e3, "MB", Some(CONTROL_MB)),
         row("key-value: chunk commits", commits, "writes/s", Some(300.0)),
         row("key-value: jobs (file, create, claim, end)", jobs, "writes/s", Some(300.0)),
--- a/crates/bench/src/capacity/slope_measurement.rs
+++ b/crates/bench/src/capacity/slope_measurement.rs
@@ -1,8 +1,12 @@
 //! Measures the slopes on this machine.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use cv_control::PeerStamp;
+use cv_control::SidecarDirectory;
+use cv_control::call_context;
 use cv_policy::MonotonicTime;
 use cv_policy::WorkClass;
 use cv_policy::batch::ItemResult;
@@ -10,11 +14,11 @@
 use cv_policy::batch::ResultState;
 use cv_policy::routing::RouteRequest;
 use cv_policy::routing::RoutingPolicy;
-use cv_policy::routing::STATUS_CALLS_PER_SECOND;
 use cv_policy::routing::TargetListing;
 use cv_policy::routing::TargetRouter;
 use cv_policy::routing::TargetTable;
 use cv_policy::stable_hash;
+use cv_runtime::run_to_end;
 use serde_json::json;
 
 use super::CapacitySlopes;
@@ -32,6 +36,9 @@
 /// Length of each measurement.
 const PHASE: Duration = Duration::from_secs(4);
 
+/// Status calls in their measurement.
+const STATUS_CALLS: u32 = 20_000;
+
 /// Targets in the routing measurement.
 const ROUTED_TARGETS: usize = 1_700;
 
@@ -50,43 +57,62 @@
 /// Measures all slopes.
 #[must_use]
 pub fn measure_slopes() -> CapacitySlopes {
-    let (sidecar_kb, status_us, status_bytes) = measure_followers();
+    let followers = measure_followers();
     CapacitySlopes {
         config_bytes_per_organisation: measure_configuration(),
         journal_bytes_per_item: measure_journal(),
         request_us: measure_requests(),
         route_ns_per_target: measure_routing(),
-        sidecar_kb,
-        status_bytes,
-        status_us,
+        sidecar_idle_us: followers.idle_us,
+        sidecar_kb: followers.memory_kb,
+        status_bytes: followers.status_bytes,
+        status_us: followers.status_us,
         target_row_bytes: measure_target_row(),
         token_us: measure_tokens(),
     }
 }
 
-/// Measures memory of idle sidecars, and processor time and bytes of their status calls.
-fn measure_followers() -> (f64, f64, f64) {
-    let deployment = SmallDeployment::start(DeploymentSpec::builder().entries(1).build());
+/// What idle sidecars and questions to them cost.
+struct FollowerCosts {
+    idle_us: f64,
+    memory_kb: f64,
+    status_bytes: f64,
+    status_us: f64,
+}
+
+/// Measures idle sidecars, and then status calls to one of them as fast as they go.
+fn measure_followers() -> FollowerCosts {
     let before_kb = resident_kb();
     let (_threads, listings) = start_followers();
-    let sidecar_kb = (resident_kb() - before_kb) / FOLLOWERS as f64;
+    let memory_kb = (resident_kb() - before_kb) / FOLLOWERS as f64;
     std::thread::sleep(PHASE);
-    let (idle_us, idle_bytes) = cost_of_phase();
-    let mut all = listings;
-    all.extend(deployment.entry_records());
-    deployment.list.set(all);
+    let before = processor_seconds();
     std::thread::sleep(PHASE);
-    let (busy_us, busy_bytes) = cost_of_phase();
-    // The entry bounds its calls.
-    let calls = (FOLLOWERS as f64 / 0.3).min(STATUS_CALLS_PER_SECOND) * PHASE.as_secs_f64();
-    (sidecar_kb, (busy_us - idle_us) / calls, (busy_bytes - idle_bytes) / calls)
+    let idle = processor_seconds() - before;
+    let address = listings.first().expect("a sidecar runs").control;
+    let (before, bytes, begin) = (processor_seconds(), loopback_bytes(), Instant::now());
+    run_to_end(ask_often(address)).expect("the runtime starts");
+    let calls = f64::from(STATUS_CALLS);
+    // What the idle sidecars use meanwhile is not the calls'.
+    let idle_meanwhile = idle * begin.elapsed().as_secs_f64() / PHASE.as_secs_f64();
+    FollowerCosts {
+        idle_us: idle * 1e6 / PHASE.as_secs_f64() / FOLLOWERS as f64,
+        memory_kb,
+        status_bytes: (loopback_bytes() - bytes) / calls,
+        status_us: (processor_seconds() - before - idle_meanwhile) * 1e6 / calls,
+    }
 }
 
-/// Returns the processor time and the loopback bytes of one phase, the former in microseconds.
-fn cost_of_phase() -> (f64, f64) {
-    let (processor, bytes) = (processor_seconds(), loopback_bytes());
-    std::thread::sleep(PHASE);
-    ((processor_seconds() - processor) * 1e6, loopback_bytes() - bytes)
+/// Asks one sidecar for its status many times.
+async fn ask_often(address: SocketAddr) {
+    let directory = SidecarDirectory::default();
+    let client = directory.client(address).await.expect("the sidecar answers");
+    for _ in 0..STATUS_CALLS {
+        let stamp =
+            PeerStamp { secret: SmallDeployment::SECRET.to_owned(), ..PeerStamp::default() };
+        let status = client.status(call_context(PHASE), stamp).await;
+        assert!(matches!(status, Ok(Some(_))), "the sidecar answers");
+    }
 }
 
 /// Measures small requests through the path.
--- a/crates/entry/src/watch/target_watch.rs
+++ b/crates/entry/src/watch/target_watch.rs
@@ -7,7 +7,7 @@
 use cv_control::TargetStatus;
 use cv_control::call_context;
 use cv_policy::TargetId;
-use cv_policy::routing::STATUS_CALLS_PER_SECOND;
+use cv_policy::routing::status_calls_per_second;
 use cv_timeline::EventKind;
 use cv_timer::TimerService;
 use tarpc::client::RpcError;
@@ -20,6 +20,9 @@
 /// Longest time that a sidecar has for its answer.
 const PATIENCE: Duration = Duration::from_millis(450);
 
+/// Targets that are not ready and are asked out of turn.
+const UNREADY_CALLS: usize = 16;
+
 /// Questions in a row without an answer after which a target counts as lost.
 const FAILURES: u32 = 2;
 
@@ -29,13 +32,8 @@
     let mut round = 0;
     let asked: Rc<std::cell::RefCell<Vec<(TargetId, u32)>>> = Rc::default();
     loop {
-        let rows: Vec<(TargetId, SocketAddr)> =
-            state.table.borrow().rows().iter().map(|row| (row.id, row.control)).collect();
-        // With many targets each is asked less often; what it answers to requests tells the rest.
-        let share = STATUS_CALLS_PER_SECOND * PERIOD.as_secs_f64();
-        let turns = (rows.len() as f64 / share).ceil().max(1.0) as usize;
-        round = (round + 1) % turns;
-        let due = rows.into_iter().skip(round).step_by(turns);
+        round += 1;
+        let due = due_targets(&state, round);
         for (target, address) in due {
             let (state, asked) = (Rc::clone(&state), Rc::clone(&asked));
             monoio::spawn(async move {
@@ -55,6 +53,24 @@
     }
 }
 
+/// Lists the targets whose turn it is, and a few of those that are not ready.
+///
+/// With many targets each is asked less often; its answers to requests tell the rest.
+fn due_targets(state: &EntryState, round: usize) -> Vec<(TargetId, SocketAddr)> {
+    let table = state.table.borrow();
+    let rows = table.rows();
+    let calls = status_calls_per_second(rows.len()) * PERIOD.as_secs_f64();
+    let turns = (rows.len() as f64 / calls).ceil().max(1.0) as usize;
+    let in_turn = rows.iter().skip(round % turns).step_by(turns);
+    let mut due: Vec<(TargetId, SocketAddr)> = in_turn.map(|row| (row.id, row.control)).collect();
+    for row in rows.iter().filter(|row| !row.ready).take(UNREADY_CALLS) {
+        if !due.iter().any(|known| known.0 == row.id) {
+            due.push((row.id, row.control));
+        }
+    }
+    due
+}
+
 /// Asks one sidecar; `None` if it does not answer in time.
 async fn ask(state: &EntryState, address: SocketAddr) -> Option<TargetStatus> {
     let client = state.sidecars.client(address).await.ok()?;
--- a/crates/policy/src/routing/target_subset.rs
+++ b/crates/policy/src/routing/target_subset.rs
@@ -9,8 +9,17 @@
 /// Entries that talk to each target on average, so that hardly any target is left out by chance.
 const COVERAGE: usize = 16;
 
-/// Status calls a second that an entry makes at the most.
-pub const STATUS_CALLS_PER_SECOND: f64 = 100.0;
+/// Status calls a second that an entry makes however many targets it has.
+const MIN_STATUS_CALLS: f64 = 7.0;
+
+/// Status calls a second times targets: few targets are asked often, many in turn.
+const STATUS_CALLS_TIMES_TARGETS: f64 = 1_500.0;
+
+/// Returns the status calls a second that an entry with so many targets makes at the most.
+#[must_use]
+pub fn status_calls_per_second(targets: usize) -> f64 {
+    (STATUS_CALLS_TIMES_TARGETS / targets.max(1) as f64).max(MIN_STATUS_CALLS)
+}
 
 /// Returns the number of targets of a service that each of so many entries talks to.
 #[must_use]
--- a/crates/timer/src/timer_service.rs
+++ b/crates/timer/src/timer_service.rs
@@ -10,13 +10,18 @@
 
 use crate::ProcessClock;
 
-/// Time between two looks at the subscribers; the runtime's timers are no finer than 1 ms.
-const TICK: Duration = Duration::from_millis(1);
+/// Shortest pause between two looks at the subscribers; the runtime's timers are no finer.
+const MIN_PAUSE: Duration = Duration::from_millis(1);
+
+/// Longest pause, after which a service without subscribers ends.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
 
 /// Wakes subscribers periodically; clones share one ticking task.
 #[derive(Clone, Debug)]
 pub struct TimerService {
     clock: ProcessClock,
+    /// Wakes the ticking task when a subscriber may be due earlier than it thinks.
+    joined: Rc<Notify>,
     rows: Rc<RefCell<Vec<Weak<TimerRow>>>>,
 }
 
@@ -32,7 +37,7 @@
     /// Starts the ticking task on the current runtime.
     #[must_use]
     pub fn start(clock: ProcessClock) -> Self {
-        let service = Self { clock, rows: Rc::default() };
+        let service = Self { clock, joined: Rc::default(), rows: Rc::default() };
         let ticking = service.clone();
         monoio::spawn(async move { ticking.run().await });
         service
@@ -50,25 +55,28 @@
         let due = std::cell::Cell::new(self.clock.now() + period);
         let row = Rc::new(TimerRow { due, period, wake: Notify::new() });
         self.rows.borrow_mut().push(Rc::downgrade(&row));
+        self.joined.notify_one();
         TimerSubscription { clock: self.clock, row }
     }
 
     /// Wakes due subscribers for as long as the service has an owner besides this task.
     async fn run(self) {
         while Rc::strong_count(&self.rows) > 1 || !self.rows.borrow().is_empty() {
-            monoio::time::sleep(self.next_pause()).await;
+            monoio::select! {
+                () = monoio::time::sleep(self.next_pause()) => {}
+                () = self.joined.notified() => {}
+            }
             self.wake_due();
         }
     }
 
-    /// Returns the time until the next subscriber is due, at least one tick.
+    /// Returns the time until the next subscriber is due.
     fn next_pause(&self) -> Duration {
         let now = self.clock.now();
         let rows = self.rows.borrow();
         let dues = rows.iter().filter_map(Weak::upgrade).map(|row| row.due.get());
-        let pause = dues.min().map_or(TICK, |due| now.until(due));
-        // A subscriber with a short period may join at any time.
-        pause.clamp(TICK, 4 * TICK)
+        let pause = dues.min().map_or(MAX_PAUSE, |due| now.until(due));
+        pause.clamp(MIN_PAUSE, MAX_PAUSE)
     }
 
     /// Wakes the subscribers that are due and forgets those that have gone.
