--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -7,15 +7,19 @@
 use cv_runtime::ServingThread;
 use cv_runtime::run_to_end;
 use cv_standin::EngineSettings;
+use tempfile::TempDir;
 
 use crate::deployment::DeploymentSpec;
 use crate::deployment::ModelSpec;
 use crate::deployment::PlainSpec;
 use crate::deployment::SmallDeployment;
 use crate::load::AddressBook;
+use crate::load::BatchAudit;
+use crate::load::BatchClient;
 use crate::load::CompletionCall;
 use crate::load::LoadPlan;
 use crate::load::LoadReport;
+use crate::load::PromiseCounts;
 use crate::load::PromptSource;
 use crate::load::ServiceCall;
 use crate::load::run_open_load;
@@ -29,6 +33,12 @@
 /// Orders, per second.
 const ORDER_RATE: f64 = 5.0;
 
+/// Items of the batch job.
+const BATCH_ITEMS: usize = 400;
+
+/// Longest time that the batch job may take after the traffic.
+const BATCH_PATIENCE: Duration = Duration::from_mins(1);
+
 /// What the demo does.
 #[derive(Clone, Copy, Debug)]
 pub struct DemoOptions {
@@ -45,23 +55,35 @@
 /// # Errors
 /// Fails if the output cannot be written.
 pub fn run_demo(options: DemoOptions, output: &mut impl Write) -> std::io::Result<bool> {
-    writeln!(output, "starting 4 assistants, 2 order desks, 2 entries and the platform …")?;
-    let deployment = SmallDeployment::start(demo_spec());
+    writeln!(output, "starting 4 assistants, 2 order desks, 3 entries and the platform …")?;
+    let folder = TempDir::new()?;
+    let deployment = SmallDeployment::start(demo_spec(&folder));
     let addresses = deployment.entry_addresses();
     writeln!(output, "entries: {addresses:?}")?;
+    let batch = BatchClient::new(addresses[0], "members");
+    let audit = BatchAudit::completions("demo", "assist-llm", BATCH_ITEMS, 32);
+    let job = submit(&batch, &audit).map_err(std::io::Error::other)?;
+    writeln!(output, "batch job {job} of {BATCH_ITEMS} items is accepted")?;
     writeln!(output, "online traffic for {} s …", options.seconds)?;
     let questions = spawn_questions(&deployment, options);
     let orders = spawn_orders(&deployment, options);
     for second in 1..=options.seconds {
         std::thread::sleep(Duration::from_secs(1));
-        writeln!(output, "  {second} s")?;
+        let counts = &batch.show(&job)["request_counts"];
+        writeln!(output, "  {second} s: {} of {} items", counts["completed"], counts["total"])?;
     }
     let (questions, orders) = (questions(), orders());
     summarise(output, "questions to the assistant", &questions)?;
     summarise(output, "orders", &orders)?;
     let duplicated = deployment.executions.snapshot().values().filter(|count| **count > 1).count();
     writeln!(output, "orders that ran twice: {duplicated}")?;
-    let broken = [questions.promises.broken(), orders.promises.broken()].concat();
+    let ended = batch.wait(&job, BATCH_PATIENCE);
+    let lines = (batch.results(&job, "output"), batch.results(&job, "errors"));
+    let items = audit.check(&lines.0.unwrap_or_default(), &lines.1.unwrap_or_default());
+    let (lost, doubled) = (items.lost, items.duplicated);
+    writeln!(output, "batch job: {}, {lost} items lost, {doubled} doubled", ended["status"])?;
+    let promises = [questions.promises, orders.promises, items];
+    let broken: Vec<&str> = promises.iter().flat_map(PromiseCounts::broken).collect();
     if options.keep {
         keep_serving(&deployment, output)?;
     }
@@ -69,11 +91,23 @@
 }
 
 /// Returns the demo's deployment.
-fn demo_spec() -> DeploymentSpec {
+fn demo_spec(folder: &TempDir) -> DeploymentSpec {
     let engine = EngineSettings::builder().model("assist-llm".to_owned()).build();
     let assistants = ModelSpec::builder().engine(engine).name("assist-llm").replicas(4).build();
     let desks = PlainSpec::builder().name("orders-app").replicas(2).build();
-    DeploymentSpec::builder().models(vec![assistants]).plains(vec![desks]).build()
+    DeploymentSpec::builder()
+        .data(folder.path().to_owned())
+        .entries(3)
+        .models(vec![assistants])
+        .plains(vec![desks])
+        .build()
+}
+
+/// Submits the batch job; the error is a text for people.
+fn submit(batch: &BatchClient, audit: &BatchAudit) -> Result<String, String> {
+    let file = batch.upload(audit.input()).map_err(|answer| answer.to_string())?;
+    let due = Duration::from_hours(1);
+    batch.create(&file, Some("demo"), due).map_err(|answer| answer.to_string())
 }
 
 /// Starts the questions; the returned function waits for their report.
--- a/crates/standin/src/engine/engine_handler.rs
+++ b/crates/standin/src/engine/engine_handler.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -35,6 +36,9 @@
 /// Longest body that the engine takes, in bytes.
 const BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Time between two updates of the counts that other threads see.
+const PUBLISH_PERIOD: Duration = Duration::from_millis(20);
+
 /// Tokens of an answer whose length the request leaves open.
 const DEFAULT_TOKENS: usize = 16;
 
@@ -133,7 +137,15 @@
             reports: RefCell::default(),
             shared: self,
         };
-        HttpServer::new(listener, Rc::new(handler), gate, HttpLimits::default()).run().await;
+        let handler = Rc::new(handler);
+        let publishing = Rc::clone(&handler);
+        monoio::spawn(async move {
+            loop {
+                monoio::time::sleep(PUBLISH_PERIOD).await;
+                publishing.publish();
+            }
+        });
+        HttpServer::new(listener, handler, gate, HttpLimits::default()).run().await;
     }
 }
 
@@ -199,6 +211,7 @@
         let request_id = exchange.header("x-request-id").unwrap_or("none").to_owned();
         let form = AnswerForm { chat, id: format!("cmpl-{request_id}"), model: request.model };
         let receiver = self.core.admit(&prompt, tokens);
+        self.publish();
         if request.stream {
             stream_answer(exchange, receiver, &form, tokens).await
         } else {
--- a/crates/standin/src/fault_proxy.rs
+++ b/crates/standin/src/fault_proxy.rs
@@ -50,16 +50,12 @@
     /// Fails if no port can be bound.
     pub fn start(upstream: SocketAddr) -> io::Result<Self> {
         let mode = Arc::new(watch::channel(FaultMode::Pass).0);
-        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        drop(listener);
         let given = Arc::clone(&mode);
-        let (ready, is_ready) = std::sync::mpsc::channel();
+        let (sender, bound) = std::sync::mpsc::channel();
         let thread = ServingThread::spawn("fault-proxy", move |shutdown| async move {
-            let Ok(listener) = bind_listener(address) else {
-                return;
-            };
-            let _ = ready.send(());
+            let listener = bind_listener(SocketAddr::from(([127, 0, 0, 1], 0)));
+            let Ok(listener) = listener else { return };
+            let _ = sender.send(listener.local_addr());
             loop {
                 monoio::select! {
                     () = shutdown.given() => return,
@@ -69,7 +65,7 @@
                 }
             }
         });
-        is_ready.recv().map_err(|_| io::Error::other("the proxy's port was taken"))?;
+        let address = bound.recv().map_err(|_| io::Error::other("no port can be bound"))??;
         Ok(Self { address, mode, _thread: thread })
     }
 
