Keep a job that was cancelled during its takeover from starting

Cause: one of six runs of the whole suite failed: a job cancelled while an instance had claimed it and was reading its journals started afterwards and handed 143 items over, since the deletion shown by the watch also removed the memory of the cancellation.

Change: cancellations are remembered for the last 4,096 jobs, and a claimed job starts only if the watch still shows it as owned and in progress. A test cancels twelve jobs before, during and after their takeover.

--- a/crates/entry/src/batch/batch_coordinator.rs
+++ b/crates/entry/src/batch/batch_coordinator.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +40,9 @@
 /// Time between two looks for jobs to claim.
 const CLAIM_PERIOD: Duration = Duration::from_millis(200);
 
+/// Cancelled jobs that are remembered, so that a claim under way does not start them.
+const STOPPED_JOBS: usize = 4_096;
+
 /// Longest time to settle the end of a job.
 const END_PATIENCE: Duration = Duration::from_secs(3);
 
@@ -53,8 +57,8 @@
     runtimes: RefCell<Vec<Rc<JobRuntime>>>,
     /// The entry.
     pub state: Rc<EntryState>,
-    /// Ids of cancelled jobs that must not be started any more, sorted.
-    stopped: RefCell<Vec<String>>,
+    /// Ids of cancelled jobs that must not be started any more, the latest last.
+    stopped: RefCell<VecDeque<String>>,
     table: RefCell<JobTable>,
     /// Unfinished jobs and live instances.
     pub view: Rc<JobView>,
@@ -170,8 +174,9 @@
     pub fn stop_cancelled(self: &Rc<Self>, id: &str) {
         {
             let mut stopped = self.stopped.borrow_mut();
-            if let Err(position) = stopped.binary_search_by(|known| known.as_str().cmp(id)) {
-                stopped.insert(position, id.to_owned());
+            stopped.push_back(id.to_owned());
+            if stopped.len() > STOPPED_JOBS {
+                stopped.pop_front();
             }
         }
         let job = self.runtimes().into_iter().find(|job| job.record.borrow().id == id);
@@ -180,9 +185,13 @@
         }
     }
 
-    /// Tells whether a job was cancelled here.
-    fn is_stopped(&self, id: &str) -> bool {
-        self.stopped.borrow().binary_search_by(|known| known.as_str().cmp(id)).is_ok()
+    /// Tells whether a job that was claimed may start: it was not cancelled since, here or anywhere
+    /// that the watch has shown, and the lease still holds.
+    fn may_start(&self, record: &JobRecord, epoch: u64) -> bool {
+        let cancelled = self.stopped.borrow().contains(&record.id);
+        let shown = self.view.job(&record.id);
+        let owned = shown.is_some_and(|shown| self.is_owned(&shown.record, epoch));
+        !cancelled && owned && self.lease.epoch() == Some(epoch)
     }
 
     /// Moves a job to its last state; tells whether that took effect.
@@ -240,9 +249,6 @@
 
     /// Takes a change of a job that the watch has shown.
     fn take_change(self: &Rc<Self>, id: &str, job: Option<&OpenJob>) {
-        if job.is_none() {
-            self.stopped.borrow_mut().retain(|known| known != id);
-        }
         let runtime = self.runtimes().into_iter().find(|job| job.record.borrow().id == id);
         let Some(runtime) = runtime else { return };
         match job {
@@ -385,7 +391,7 @@
             self.link.append(&job.write_set(), &journal, &[record]).await;
         }
         // The cancellation or the end of the lease may have come during the recovery.
-        if self.is_stopped(&job.record.borrow().id) || self.lease.epoch() != Some(epoch) {
+        if !self.may_start(&job.record.borrow(), epoch) {
             return;
         }
         self.runtimes.borrow_mut().push(Rc::clone(&job));
--- a/crates/entry/src/batch/job_view.rs
+++ b/crates/entry/src/batch/job_view.rs
@@ -41,6 +41,13 @@
         self.jobs.borrow().clone()
     }
 
+    /// Finds an unfinished job.
+    pub fn job(&self, id: &str) -> Option<OpenJob> {
+        let jobs = self.jobs.borrow();
+        let found = jobs.binary_search_by(|job| job.record.id.as_str().cmp(id));
+        found.ok().map(|position| jobs[position].clone())
+    }
+
     /// Tells whether the list of live instances can be relied on now.
     pub fn is_current(&self) -> bool {
         self.instances_current.get()
--- a/tests/batch/exactly_once.rs
+++ b/tests/batch/exactly_once.rs
@@ -35,6 +35,12 @@
     client.create(&file, Some(key), Duration::from_hours(1)).expect("the job is accepted")
 }
 
+/// Counts the requests that the engines have admitted.
+fn sequences(deployment: &SmallDeployment) -> u64 {
+    let engines = deployment.targets.iter().filter_map(|target| target.engine.as_ref());
+    engines.map(|engine| engine.report().sequences).sum()
+}
+
 /// Waits for a job and checks its results.
 fn finish(client: &BatchClient, audit: &BatchAudit, id: &str) -> PromiseCounts {
     let job = client.wait(id, PATIENCE);
@@ -115,17 +121,35 @@
     let id = submit(&client, &audit, "job-f");
     let other = BatchClient::new(addresses[1], "members");
     assert_eq!(other.cancel(&id)["status"], "cancelled");
-    let sequences = || -> u64 {
-        let engines = deployment.targets.iter().filter_map(|target| target.engine.as_ref());
-        engines.map(|engine| engine.report().sequences).sum()
-    };
     // What ran when the answer came is cancelled; nothing new is handed over after it.
-    let after = sequences();
+    let after = sequences(&deployment);
     std::thread::sleep(Duration::from_millis(700));
-    assert_eq!(sequences(), after);
+    assert_eq!(sequences(&deployment), after);
     assert_eq!(client.show(&id)["status"], "cancelled");
 }
 
+#[test]
+fn jobs_cancelled_while_they_are_taken_over_never_start_afterwards() {
+    let folder = TempDir::new().expect("a folder");
+    let deployment = SmallDeployment::start(spec(&folder));
+    let clients: Vec<BatchClient> = deployment
+        .entry_addresses()
+        .into_iter()
+        .map(|address| BatchClient::new(address, "members"))
+        .collect();
+    let audit = BatchAudit::completions("i", "assist-llm", 1_000, 50);
+    for attempt in 0..12_u64 {
+        let id = submit(&clients[0], &audit, &format!("job-i-{attempt}"));
+        // The claim comes within 200 ms, so these cancellations come before, during and after it.
+        std::thread::sleep(Duration::from_millis(attempt * 20));
+        let client = &clients[attempt as usize % clients.len()];
+        while client.cancel(&id)["status"] != "cancelled" {}
+    }
+    let after = sequences(&deployment);
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(sequences(&deployment), after);
+}
+
 #[test]
 fn a_bad_file_is_refused_with_all_its_findings() {
     let folder = TempDir::new().expect("a folder");
