--- a/crates/entry/src/batch/batch_coordinator.rs
+++ b/crates/entry/src/batch/batch_coordinator.rs
@@ -13,7 +13,7 @@
 use cv_platform::Transaction;
 use cv_platform::WriteAnswer;
 use cv_policy::MonotonicTime;
-use cv_policy::OrganisationId;
+use cv_policy::OrganisationTable;
 use cv_policy::batch::ChunkCommit;
 use cv_policy::batch::JobCommand;
 use cv_policy::batch::JobCounts;
@@ -53,7 +53,7 @@
     /// Journals here and at peers.
     pub link: JournalLink,
     next_job: Cell<u64>,
-    organisations: RefCell<Vec<(String, OrganisationId)>>,
+    organisations: RefCell<OrganisationTable>,
     runtimes: RefCell<Vec<Rc<JobRuntime>>>,
     /// The entry.
     pub state: Rc<EntryState>,
@@ -375,7 +375,7 @@
             .chunk_items(record.chunk_items)
             .due(self.monotonic(record.due_ms))
             .items(record.items)
-            .organisation(self.organisation_id(&record.organisation))
+            .organisation(self.organisations.borrow_mut().intern(&record.organisation))
             .priority(record.priority)
             .repeatable(record.repeatable)
             .weight(weight)
@@ -404,17 +404,4 @@
         let left = wall_ms.saturating_sub(self.state.clock.wall_millis());
         self.state.clock.now() + Duration::from_millis(left)
     }
-
-    /// Returns the id of an organisation, a new one for a new name.
-    fn organisation_id(&self, name: &str) -> OrganisationId {
-        let mut rows = self.organisations.borrow_mut();
-        match rows.binary_search_by(|row| row.0.as_str().cmp(name)) {
-            Ok(position) => rows[position].1,
-            Err(position) => {
-                let id = OrganisationId(rows.len() as u32);
-                rows.insert(position, (name.to_owned(), id));
-                id
-            }
-        }
-    }
 }
--- a/crates/entry/src/batch/mod.rs
+++ b/crates/entry/src/batch/mod.rs
@@ -3,6 +3,7 @@
 mod batch_api;
 mod batch_coordinator;
 mod batch_document;
+mod batch_objects;
 mod file_upload;
 mod instance_lease;
 mod item_run;
--- a/crates/policy/src/execution_log.rs
+++ b/crates/policy/src/execution_log.rs
@@ -1,6 +1,5 @@
 //! A sidecar's memory of the requests that must run at most once.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -8,6 +7,7 @@
 
 use crate::MonotonicTime;
 use crate::RequestKey;
+use crate::key_ages::KeyAges;
 
 /// How far one request got at this sidecar.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -47,8 +47,7 @@
 /// Remembers request keys for longer than any retry can come.
 #[derive(Clone, Debug)]
 pub struct ExecutionLog {
-    ages: VecDeque<(MonotonicTime, RequestKey)>,
-    retention: Duration,
+    ages: KeyAges,
     rows: Vec<ExecutionRow>,
 }
 
@@ -56,7 +55,7 @@
     /// Creates an empty log that remembers each key for `retention`.
     #[must_use]
     pub fn new(retention: Duration) -> Self {
-        Self { ages: VecDeque::new(), retention, rows: Vec::new() }
+        Self { ages: KeyAges::new(retention), rows: Vec::new() }
     }
 
     /// Records the arrival of an attempt, unless its request is known.
@@ -156,11 +155,7 @@
 
     /// Forgets keys that are older than the retention.
     pub fn expire(&mut self, now: MonotonicTime) {
-        while let Some((recorded, key)) = self.ages.front().copied() {
-            if now.since(recorded) < self.retention {
-                return;
-            }
-            self.ages.pop_front();
+        while let Some(key) = self.ages.pop_expired(now) {
             if let Ok(position) = self.position(key) {
                 self.rows.remove(position);
             }
@@ -186,7 +181,7 @@
 
     /// Adds a row for a new key.
     fn insert(&mut self, now: MonotonicTime, position: usize, row: ExecutionRow) {
-        self.ages.push_back((now, row.key));
+        self.ages.push(now, row.key);
         self.rows.insert(position, row);
     }
 }
--- a/crates/policy/src/key_register.rs
+++ b/crates/policy/src/key_register.rs
@@ -1,10 +1,10 @@
 //! Memory, shared between entries, of requests that must run at most once.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::MonotonicTime;
 use crate::RequestKey;
+use crate::key_ages::KeyAges;
 
 /// One remembered key.
 #[derive(Clone, Copy, Debug)]
@@ -20,8 +20,7 @@
 /// by a few other entries, so that a resend is recognised after either has died.
 #[derive(Clone, Debug)]
 pub struct KeyRegister {
-    ages: VecDeque<(MonotonicTime, RequestKey)>,
-    retention: Duration,
+    ages: KeyAges,
     rows: Vec<KeyRow>,
 }
 
@@ -29,7 +28,7 @@
     /// Creates an empty register that remembers each key for `retention`.
     #[must_use]
     pub fn new(retention: Duration) -> Self {
-        Self { ages: VecDeque::new(), retention, rows: Vec::new() }
+        Self { ages: KeyAges::new(retention), rows: Vec::new() }
     }
 
     /// Claims a key; tells whether nobody else has claimed it before.
@@ -39,7 +38,7 @@
             Ok(position) => self.rows[position].claim == claim,
             Err(position) => {
                 self.rows.insert(position, KeyRow { claim, key });
-                self.ages.push_back((now, key));
+                self.ages.push(now, key);
                 true
             }
         }
@@ -51,17 +50,13 @@
             && self.rows[position].claim == claim
         {
             self.rows.remove(position);
-            self.ages.retain(|row| row.1 != key);
+            self.ages.remove(key);
         }
     }
 
     /// Forgets keys that are older than the retention.
     pub fn expire(&mut self, now: MonotonicTime) {
-        while let Some((recorded, key)) = self.ages.front().copied() {
-            if now.since(recorded) < self.retention {
-                return;
-            }
-            self.ages.pop_front();
+        while let Some(key) = self.ages.pop_expired(now) {
             if let Ok(position) = self.position(key) {
                 self.rows.remove(position);
             }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -6,6 +6,7 @@
 mod control_service;
 mod message_labels;
 mod request_handler;
+mod sidecar_answers;
 mod sidecar_metrics;
 mod sidecar_server;
 mod sidecar_state;
--- a/crates/sidecar/src/request_handler.rs
+++ b/crates/sidecar/src/request_handler.rs
@@ -11,7 +11,6 @@
 use cv_http::RequestHandler;
 use cv_http::ServerExchange;
 use cv_policy::AdmitDecision;
-use cv_policy::ExecutionState;
 use cv_policy::RefusalReason;
 use cv_policy::TicketId;
 use cv_policy::WorkClass;
@@ -20,16 +19,13 @@
 use cv_settings::SidecarSection;
 use cv_timeline::EventKind;
 use http::HeaderMap;
-use http::HeaderName;
-use http::HeaderValue;
 use http::StatusCode;
 use http::header::CONTENT_LENGTH;
-use http::header::CONTENT_TYPE;
 use http::response::Parts as ResponseHead;
-use serde_json::json;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::message_labels::MessageLabels;
+use crate::sidecar_answers::put;
 use crate::sidecar_state::SidecarState;
 use crate::sidecar_state::TicketSignal;
 use crate::target_exchange::TargetExchange;
@@ -52,7 +48,7 @@
 pub(crate) struct SidecarHandler {
     link: TargetLink,
     max_body: usize,
-    state: Rc<SidecarState>,
+    pub(super) state: Rc<SidecarState>,
 }
 
 /// How the target's part of a request ended.
@@ -311,105 +307,19 @@
         }
     }
 
-    /// Tells what became of the first request with this key.
-    async fn answer_duplicate(
-        &self,
-        exchange: &mut ServerExchange<'_>,
-        labels: &MessageLabels,
-        state: ExecutionState,
-    ) -> Result<(), HttpFault> {
-        let run = match state {
-            ExecutionState::Completed => "completed",
-            ExecutionState::Failed => "failed",
-            // A voided attempt may have been followed by another one elsewhere.
-            ExecutionState::Voided
-            | ExecutionState::Queued
-            | ExecutionState::HandedOver
-            | ExecutionState::Refused => "unknown",
-        };
-        self.count(labels, "duplicate");
-        let headers = self.answer_headers(labels, run, RefusalReason::Duplicate.as_str());
-        self.answer_error(exchange, StatusCode::CONFLICT, &headers, run).await
-    }
-
-    /// Refuses a request that was not handed over.
-    async fn refuse(
-        &self,
-        exchange: &mut ServerExchange<'_>,
-        labels: &MessageLabels,
-        reason: RefusalReason,
-        after: Option<Duration>,
-    ) -> Result<(), HttpFault> {
-        self.refuse_silently(labels);
-        self.count(labels, "refused");
-        self.record(EventKind::Refused, labels, || format!("reason={}", reason.as_str()));
-        let mut headers = self.answer_headers(labels, "not_run", reason.as_str());
-        if let Some(after) = after {
-            put(&mut headers, headers::RETRY_AFTER_MS, &after.as_millis().to_string());
-        }
-        self.answer_error(exchange, StatusCode::SERVICE_UNAVAILABLE, &headers, "not_run").await
-    }
-
-    /// Notes in the log that a request was not handed over.
-    fn refuse_silently(&self, labels: &MessageLabels) {
-        if !labels.repeatable {
-            self.state.log.borrow_mut().refuse(labels.key);
-        }
-    }
-
-    /// Notes in the log how a request that was handed over ended.
-    fn finish(&self, labels: &MessageLabels, completed: bool) {
-        if !labels.repeatable {
-            self.state.log.borrow_mut().finish(labels.key, completed);
-        }
-    }
-
-    /// Answers with an error in JSON.
-    async fn answer_error(
-        &self,
-        exchange: &mut ServerExchange<'_>,
-        status: StatusCode,
-        headers: &HeaderMap,
-        run: &str,
-    ) -> Result<(), HttpFault> {
-        let reason = headers.get(headers::REASON).and_then(|value| value.to_str().ok());
-        let body = json!({"error": {"reason": reason, "run": run}}).to_string();
-        exchange.respond(status, headers, &Bytes::from(body)).await
-    }
-
-    /// Returns the headers of an answer that comes from the target.
-    fn pass_headers(&self, labels: &MessageLabels, head: &ResponseHead) -> HeaderMap {
-        let mut headers = end_to_end_headers(&head.headers);
-        self.put_own_headers(&mut headers, labels, "completed");
-        headers
-    }
-
-    /// Returns the headers of an answer that comes from the sidecar.
-    fn answer_headers(&self, labels: &MessageLabels, run: &str, reason: &str) -> HeaderMap {
-        let mut headers = HeaderMap::new();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        self.put_own_headers(&mut headers, labels, run);
-        put(&mut headers, headers::REASON, reason);
-        headers
-    }
-
-    /// Adds what every answer of the sidecar carries.
-    fn put_own_headers(&self, headers: &mut HeaderMap, labels: &MessageLabels, run: &str) {
-        put(headers, headers::RUN, run);
-        put(headers, headers::LOAD, &self.state.reading().encode());
-        put(headers, headers::CLOCK, &self.state.events.stamp().encode());
-        put(headers, headers::INCARNATION, &self.state.incarnation.to_string());
-        put(headers, headers::REQUEST_ID, &labels.request_id);
-    }
-
     /// Counts a request's outcome.
-    fn count(&self, labels: &MessageLabels, outcome: &str) {
+    pub(super) fn count(&self, labels: &MessageLabels, outcome: &str) {
         let class = if labels.class == WorkClass::Batch { "batch" } else { "online" };
         self.state.metrics.outcomes.with_label_values(&[class, outcome]).inc();
     }
 
     /// Records an event about a request.
-    fn record(&self, kind: EventKind, labels: &MessageLabels, detail: impl FnOnce() -> String) {
+    pub(super) fn record(
+        &self,
+        kind: EventKind,
+        labels: &MessageLabels,
+        detail: impl FnOnce() -> String,
+    ) {
         if self.state.events.is_enabled() {
             self.state.events.record(kind, &labels.request_id, detail());
         }
@@ -502,10 +412,3 @@
 fn count_events(piece: &[u8]) -> u32 {
     piece.windows(2).filter(|window| *window == b"\n\n").count() as u32
 }
-
-/// Sets a header; a value that no header can hold is left out.
-fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(HeaderName::from_static(name), value);
-    }
-}
--- a/crates/sidecar/src/sidecar_state.rs
+++ b/crates/sidecar/src/sidecar_state.rs
@@ -8,7 +8,7 @@
 use cv_policy::ExecutionLog;
 use cv_policy::LoadReading;
 use cv_policy::MonotonicTime;
-use cv_policy::OrganisationId;
+use cv_policy::OrganisationTable;
 use cv_policy::RefusalReason;
 use cv_policy::RequestKey;
 use cv_policy::TicketId;
@@ -57,7 +57,7 @@
     /// Keys of the requests that wait or run, sorted.
     present: RefCell<Vec<RequestKey>>,
     next_ticket: Cell<u64>,
-    organisations: RefCell<Vec<(String, OrganisationId)>>,
+    organisations: RefCell<OrganisationTable>,
     queue: RefCell<AdmissionQueue>,
     pub secret: String,
     pub section: SidecarSection,
@@ -114,7 +114,7 @@
             .class(labels.class)
             .cost(cost)
             .deadline(now + labels.deadline)
-            .organisation(self.organisation_id(&labels.organisation))
+            .organisation(self.organisations.borrow_mut().intern(&labels.organisation))
             .preemptible(preemptible)
             .ticket(ticket)
             .weight(labels.weight)
@@ -202,17 +202,4 @@
             let _ = signals[position].1.send(signal);
         }
     }
-
-    /// Returns the id of an organisation, a new one for a new name.
-    fn organisation_id(&self, name: &str) -> OrganisationId {
-        let mut rows = self.organisations.borrow_mut();
-        match rows.binary_search_by(|row| row.0.as_str().cmp(name)) {
-            Ok(position) => rows[position].1,
-            Err(position) => {
-                let id = OrganisationId(rows.len() as u32);
-                rows.insert(position, (name.to_owned(), id));
-                id
-            }
-        }
-    }
 }
