--- a/crates/policy/src/admission/slack_window.rs
+++ b/crates/policy/src/admission/slack_window.rs
@@ -5,15 +5,15 @@
 use crate::MonotonicTime;
 
 /// Number of buckets that the window keeps.
-const BUCKETS: usize = 5;
+const BUCKETS: usize = 10;
 
 /// Length of one bucket.
 const BUCKET: Duration = Duration::from_millis(100);
 
-/// The peak of online concurrency over the last half second, in buckets.
+/// The peak of online concurrency over the last second, in buckets.
 ///
 /// Batch leaves free what online used lately, so that the next request of a burst finds a slot
-/// without a preemption, and slack returns within half a second of the burst's end.
+/// without a preemption, and slack returns within a second of the burst's end.
 #[derive(Clone, Debug, Default)]
 pub struct SlackWindow {
     bucket: u64,
