Place by lot among few targets, move waiting batch runs, watch from changes seen

All entries took the least loaded target of the same readings and met there, and three refusals ended the search.

Ruled out for the waiting batch items: dispatch at the keepers (0.0 s from acceptance to hand-over) and queues with a free slot of their own (1 of 322 slots).

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 pub use crate::route_table::RouteTable;
 pub use crate::route_table::ServiceRule;
 pub use crate::route_table::ServiceShare;
+pub use crate::run_schedule::RunId;
 pub use crate::run_schedule::RunSchedule;
 pub use crate::slot_queue::ArrivalTerms;
 pub use crate::slot_queue::QueueCommand;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
+use cv_policy::SeededRandom;
 
 use crate::TargetRoster;
 use crate::TargetRow;
@@ -11,6 +12,9 @@
 /// Age at which a queue's reading no longer tells anything.
 const READING_AGE: Duration = Duration::from_millis(1_500);
 
+/// Targets that one choice compares.
+const COMPARED: usize = 3;
+
 /// Load in slots that a target of another availability zone has to be better by.
 const ZONE_PENALTY: f64 = 0.6;
 
@@ -42,7 +46,10 @@
     pub through_sidecar: bool,
 }
 
-/// Chooses the target with the least online load, near ones first.
+/// Chooses the target with the least online load of a few, near ones first.
+///
+/// Readings are a tenth of a second old, so entries that all took the least loaded target of the
+/// fleet would meet there. Each compares a few targets drawn by lot.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlacementPolicy;
 
@@ -60,9 +67,12 @@
                 && row.is_usable(now)
                 && !request.tried.contains(&row.record.id)
         });
+        let usable: Vec<&TargetRow> = usable.collect();
+        let mut random = SeededRandom::new(request.draw ^ request.tried.len() as u64);
         let mut best: Option<(f64, &TargetRow)> = None;
-        for (index, row) in usable.enumerate() {
-            let cost = cost_of(row, now, request) + tie_breaker(request.draw, index);
+        for index in sample_indices(usable.len(), &mut random) {
+            let row = usable[index];
+            let cost = cost_of(row, now, request);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, row));
             }
@@ -84,9 +94,13 @@
     if row.record.zone == request.zone { share } else { share + ZONE_PENALTY }
 }
 
-/// Returns less than any real difference, unlike for each target and request.
-fn tie_breaker(draw: u64, index: usize) -> f64 {
-    let mixed = (draw ^ (index as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15))
-        .wrapping_mul(0xd6e8_feb8_6659_fd93);
-    (mixed >> 40) as f64 / (1u64 << 24) as f64 * 0.3
+/// Draws the targets to compare, in the order of the lot.
+fn sample_indices(count: usize, random: &mut SeededRandom) -> Vec<usize> {
+    let mut indices: Vec<usize> = (0..count).collect();
+    let drawn = count.min(COMPARED);
+    for place in 0..drawn {
+        indices.swap(place, place + random.below(count - place));
+    }
+    indices.truncate(drawn);
+    indices
 }
--- a/crates/dispatch/src/run_schedule.rs
+++ b/crates/dispatch/src/run_schedule.rs
@@ -1,4 +1,4 @@
-//! Which target a batch item runs at.
+//! Which target a batch item runs at, and when it is better moved.
 
 use std::time::Duration;
 
@@ -14,11 +14,34 @@
 /// Load in slots that a target of another availability zone has to be better by.
 const ZONE_PENALTY: f64 = 0.3;
 
-/// The batch items that one keeper has under way, by target.
+/// Age at which a reading is too old to move runs by; sidecars send several a second.
+const MOVE_READING_AGE: Duration = Duration::from_millis(400);
+
+/// Time without output after which a run is taken to be waiting in its sidecar's queue; running
+/// ones send output twice as often.
+const WAITING_SILENCE: Duration = Duration::from_millis(550);
+
+/// Identifies a run within one keeper; grows with each.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RunId(pub u64);
+
+/// A run under way.
+#[derive(Clone, Debug)]
+struct RunRow {
+    due_ms: u64,
+    heard: MonotonicTime,
+    id: RunId,
+    target: String,
+}
+
+/// The batch items that one keeper has under way.
 #[derive(Clone, Debug, Default)]
 pub struct RunSchedule {
-    /// Sorted by target id.
+    next_run: u64,
+    /// Items under way by target, sorted by the target's id.
     outstanding: Vec<(String, u32)>,
+    /// Sorted by run.
+    runs: Vec<RunRow>,
 }
 
 impl RunSchedule {
@@ -50,17 +73,33 @@
         })
     }
 
-    /// Counts an item that is handed to a target.
-    pub fn begin(&mut self, id: &str) {
-        match self.position(id) {
+    /// Counts an item, due at a time in milliseconds since the Unix epoch, that is handed to a
+    /// target.
+    pub fn begin(&mut self, target: &str, due_ms: u64, now: MonotonicTime) -> RunId {
+        match self.position(target) {
             Ok(position) => self.outstanding[position].1 += 1,
-            Err(position) => self.outstanding.insert(position, (id.to_owned(), 1)),
+            Err(position) => self.outstanding.insert(position, (target.to_owned(), 1)),
         }
+        let id = RunId(self.next_run);
+        self.next_run += 1;
+        self.runs.push(RunRow { due_ms, heard: now, id, target: target.to_owned() });
+        id
     }
 
-    /// Counts the end of an item's run.
-    pub fn end(&mut self, id: &str) {
-        if let Ok(position) = self.position(id) {
+    /// Notes output of a run.
+    pub fn record_output(&mut self, run: RunId, now: MonotonicTime) {
+        if let Ok(position) = self.runs.binary_search_by_key(&run, |row| row.id) {
+            self.runs[position].heard = now;
+        }
+    }
+
+    /// Counts the end of a run.
+    pub fn end(&mut self, run: RunId) {
+        let Ok(position) = self.runs.binary_search_by_key(&run, |row| row.id) else {
+            return;
+        };
+        let row = self.runs.remove(position);
+        if let Ok(position) = self.position(&row.target) {
             self.outstanding[position].1 -= 1;
             if self.outstanding[position].1 == 0 {
                 self.outstanding.remove(position);
@@ -70,8 +109,31 @@
 
     /// Returns the items under way at a target.
     #[must_use]
-    pub fn count(&self, id: &str) -> u32 {
-        self.position(id).map_or(0, |position| self.outstanding[position].1)
+    pub fn count(&self, target: &str) -> u32 {
+        self.position(target).map_or(0, |position| self.outstanding[position].1)
+    }
+
+    /// Returns the runs that wait in a queue although another target has a free slot, those that
+    /// are due first before others.
+    ///
+    /// Each of several keepers takes its share of the free slots.
+    #[must_use]
+    pub fn plan_moves(
+        &self,
+        roster: &TargetRoster,
+        now: MonotonicTime,
+        keepers: usize,
+    ) -> Vec<RunId> {
+        let free: u32 = roster.rows().iter().map(|row| free_slots(row, now)).sum();
+        let share = (free as usize).div_ceil(keepers.max(1));
+        let mut waiting: Vec<&RunRow> = self
+            .runs
+            .iter()
+            .filter(|run| now.since(run.heard) >= WAITING_SILENCE)
+            .filter(|run| roster.get(&run.target).is_some_and(|row| has_queue(row, now)))
+            .collect();
+        waiting.sort_by_key(|run| (run.due_ms, run.id));
+        waiting.into_iter().take(share).map(|run| run.id).collect()
     }
 
     /// Returns the load that an item would meet, in slots.
@@ -89,7 +151,25 @@
     }
 
     /// Finds the place of a target.
-    fn position(&self, id: &str) -> Result<usize, usize> {
-        self.outstanding.binary_search_by(|(other, _)| other.as_str().cmp(id))
+    fn position(&self, target: &str) -> Result<usize, usize> {
+        self.outstanding.binary_search_by(|(other, _)| other.as_str().cmp(target))
     }
 }
+
+/// Returns the slots of a target that nothing runs in or waits for.
+fn free_slots(row: &TargetRow, now: MonotonicTime) -> u32 {
+    if !row.is_usable(now) || !row.has_sidecar(now) {
+        return 0;
+    }
+    row.fresh_reading(now, MOVE_READING_AGE).map_or(0, |reading| {
+        let online = reading.online_running + reading.online_waiting;
+        let batch = reading.batch_running + reading.batch_waiting;
+        reading.slots.saturating_sub(online + batch)
+    })
+}
+
+/// Tells whether batch items wait at a target.
+fn has_queue(row: &TargetRow, now: MonotonicTime) -> bool {
+    let reading = row.fresh_reading(now, MOVE_READING_AGE);
+    reading.is_some_and(|reading| reading.batch_waiting > 0)
+}
--- a/crates/dispatch/src/target_roster.rs
+++ b/crates/dispatch/src/target_roster.rs
@@ -125,6 +125,14 @@
         self.drift = 0;
     }
 
+    /// Takes the target's word that all its slots are taken by online requests.
+    pub fn note_full(&mut self, now: MonotonicTime) {
+        let slots = self.record.slots;
+        let reading = self.reading.map(|(reading, _)| reading).unwrap_or_default();
+        let online_running = reading.online_running.max(slots);
+        self.observe(QueueReading { online_running, slots, ..reading }, now);
+    }
+
     /// Takes the proof that the target serves.
     pub fn record_success(&mut self) {
         self.failures = 0;
--- a/crates/serving/src/coordination_store.rs
+++ b/crates/serving/src/coordination_store.rs
@@ -38,7 +38,7 @@
 pub struct WatchBatch {
     /// The changes.
     pub changes: Vec<StoreChange>,
-    /// Revision that the next watch continues from.
+    /// Revision of the last change, which the next watch continues from.
     pub revision: u64,
 }
 
--- a/crates/serving/src/front/online_call.rs
+++ b/crates/serving/src/front/online_call.rs
@@ -42,7 +42,7 @@
 const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
 
 /// Targets that may turn a request away before the caller is told to come back.
-const REFUSALS: usize = 3;
+const REFUSALS: usize = 6;
 
 /// Share of the objective that a first attempt may wait in a queue.
 const QUEUE_SHARE: f64 = 0.6;
@@ -137,6 +137,7 @@
                 AttemptEnd::Answered => return Ok(()),
                 AttemptEnd::NotRun => {
                     refusals += 1;
+                    self.note_refusal(&choice);
                     self.tried.push(choice.id);
                     if refusals >= REFUSALS {
                         return self.conclude(exchange, &relay, "all_busy").await;
@@ -364,6 +365,17 @@
         AttemptEnd::Answered
     }
 
+    /// Notes a target that has no slot for the request.
+    fn note_refusal(&self, choice: &TargetChoice) {
+        let view = &self.handler.view;
+        let now = view.clock.now();
+        view.with_roster(|roster| {
+            if let Some(row) = roster.get_mut(&choice.id).filter(|_| choice.through_sidecar) {
+                row.note_full(now);
+            }
+        });
+    }
+
     /// Notes an attempt that may have run without a whole answer.
     fn note_failure(&self, choice: &TargetChoice, detail: &str) {
         let view = &self.handler.view;
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cv_dispatch::EventSplitter;
+use cv_dispatch::RunId;
 use cv_dispatch::TargetChoice;
 use cv_dispatch::TargetRow;
 use cv_http::ClientConnection;
@@ -15,6 +16,7 @@
 use http::Method;
 use http::StatusCode;
 use http::response::Parts as ResponseHead;
+use tokio::sync::Notify;
 
 use crate::AttemptTerms;
 use crate::PlatformBorder;
@@ -45,7 +47,10 @@
     item: usize,
     /// When the item is due, in milliseconds since the Unix epoch.
     due_ms: u64,
+    id: RunId,
     state: Rc<KeeperState<P>>,
+    /// Told when the run is better made elsewhere.
+    withdrawn: Rc<Notify>,
 }
 
 /// How a run ended.
@@ -59,8 +64,10 @@
     Failed,
     /// The target did not run the item.
     Refused,
-    /// The run broke off, was stopped or is better made elsewhere.
+    /// The run broke off or was stopped.
     Broken(String),
+    /// Another target has room for the run.
+    Withdrawn,
 }
 
 impl<P: PlatformBorder> ItemRun<P> {
@@ -79,9 +86,13 @@
         let Some(choice) = choice else {
             return false;
         };
-        state.schedule.borrow_mut().begin(&choice.id);
+        let id = state.schedule.borrow_mut().begin(&choice.id, due_ms, now);
         cell.book.borrow_mut().start(item);
-        let run = Self { cell: Rc::clone(cell), choice, due_ms, item, state: Rc::clone(state) };
+        let withdrawn = Rc::new(Notify::new());
+        // Runs grow, so the end is the place in order.
+        state.withdrawals.borrow_mut().push((id, Rc::clone(&withdrawn)));
+        let (cell, state) = (Rc::clone(cell), Rc::clone(state));
+        let run = Self { cell, choice, due_ms, id, item, state, withdrawn };
         monoio::spawn(async move { run.run().await });
         true
     }
@@ -94,8 +105,10 @@
         let end = monoio::select! {
             end = self.run_once() => end,
             () = self.cell.stopped() => RunEnd::Broken("stopped".to_owned()),
+            () = self.withdrawn.notified() => RunEnd::Withdrawn,
         };
-        self.state.schedule.borrow_mut().end(&self.choice.id);
+        self.state.schedule.borrow_mut().end(self.id);
+        self.state.withdrawals.borrow_mut().retain(|(id, _)| *id != self.id);
         self.conclude(&end);
         self.state.work.notify_one();
     }
@@ -122,6 +135,7 @@
                 self.cell.book.borrow_mut().release(self.item);
                 self.note_target(|row| row.pause(now, REFUSAL_PAUSE));
             }
+            RunEnd::Withdrawn => self.cell.book.borrow_mut().release(self.item),
             RunEnd::Broken(_) => {
                 self.cell.book.borrow_mut().release(self.item);
                 if self.cell.is_running() {
@@ -137,6 +151,9 @@
             RunEnd::Refused => {
                 self.log(EventKind::ItemReleased, LineWeight::Essential, || "refused".into());
             }
+            RunEnd::Withdrawn => {
+                self.log(EventKind::ItemReleased, LineWeight::Routine, || "withdrawn".into());
+            }
             RunEnd::Broken(detail) => {
                 self.log(EventKind::ItemReleased, LineWeight::Essential, || detail.clone());
             }
@@ -198,6 +215,7 @@
                 piece = connection.read_piece() => piece,
                 () = self.lost_sight() => return RunEnd::Broken("sidecar silent".to_owned()),
             };
+            self.state.schedule.borrow_mut().record_output(self.id, self.state.view.clock.now());
             match piece {
                 Ok(Some(piece)) => splitter.push(&piece),
                 Ok(None) if splitter.has_rest() => {
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -25,8 +25,9 @@
 use crate::keeper::stored_keys::job_key;
 use crate::keeper::stored_keys::result_prefix;
 
-/// Shortest time between two watches of jobs.
-const WORK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time between two watches of jobs, in which changes are collected; an entry hands a job
+/// to its owner first, and an end has seconds to reach it.
+const WORK_INTERVAL: Duration = Duration::from_millis(800);
 
 /// Time between two looks at all jobs.
 const LOOK_PERIOD: Duration = Duration::from_millis(200);
@@ -45,7 +46,10 @@
     monoio::spawn(async move {
         loop {
             monoio::select! {
-                _ = ticks.next() => review_jobs(&state),
+                _ = ticks.next() => {
+                    review_jobs(&state);
+                    move_runs(&state);
+                }
                 () = state.work.notified() => {}
             }
             start_items(&state);
@@ -127,6 +131,20 @@
     }
 }
 
+/// Withdraws runs that wait although another target has room; they start there at once.
+fn move_runs<P: PlatformBorder>(state: &KeeperState<P>) {
+    let keepers = state.view.ring().keepers().len();
+    let now = state.view.clock.now();
+    let moves =
+        state.view.with_roster(|roster| state.schedule.borrow().plan_moves(roster, now, keepers));
+    let withdrawals = state.withdrawals.borrow();
+    for run in moves {
+        if let Ok(position) = withdrawals.binary_search_by_key(&run, |(id, _)| *id) {
+            withdrawals[position].1.notify_one();
+        }
+    }
+}
+
 /// Gives up the items of a job that is too old or whose route is gone.
 fn give_up_items<P: PlatformBorder>(state: &Rc<KeeperState<P>>, cell: &Rc<JobCell>) {
     if cell.state.get() != BookState::Current || cell.book.borrow().is_ended() {
--- a/crates/serving/src/keeper/keeper_server.rs
+++ b/crates/serving/src/keeper/keeper_server.rs
@@ -97,6 +97,7 @@
             shelf: JobShelf::default(),
             store,
             view,
+            withdrawals: RefCell::default(),
             work: Notify::new(),
         });
         let drain = DrainGate::default();
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -8,6 +8,7 @@
 
 use cv_dispatch::RouteKind;
 use cv_dispatch::RouteRule;
+use cv_dispatch::RunId;
 use cv_dispatch::RunSchedule;
 use cv_http::ConnectionPool;
 use cv_policy::lease::LeaseClock;
@@ -48,6 +49,8 @@
     pub shelf: JobShelf,
     pub store: Rc<P::Store>,
     pub view: Rc<FleetView>,
+    /// How each run is told that it is better made elsewhere, sorted by run.
+    pub withdrawals: RefCell<Vec<(RunId, Rc<Notify>)>>,
     /// Told when there may be an item to run or a place to run it.
     pub work: Notify,
 }
--- a/crates/serving/src/prefix_follower.rs
+++ b/crates/serving/src/prefix_follower.rs
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Watches until the history is lost.
+    /// Watches until the history is lost, or may have been.
     async fn watch_from(&mut self, mut revision: u64, apply: &mut impl FnMut(FollowerNews)) {
         let mut pause = FIRST_PAUSE;
         loop {
@@ -73,13 +73,14 @@
                 () = self.watch_is_deaf(revision) => return,
             };
             match self.link.observe(watched) {
+                // A watch that is about to lose its history may end without changes that were made:
+                // only the revisions of changes that were seen are safe to continue from.
+                Ok(batch) if batch.changes.is_empty() => return,
                 Ok(batch) => {
                     pause = FIRST_PAUSE;
                     revision = revision.max(batch.revision);
-                    if !batch.changes.is_empty() {
-                        apply(FollowerNews::Changes(batch.changes));
-                        monoio::time::sleep(self.interval).await;
-                    }
+                    apply(FollowerNews::Changes(batch.changes));
+                    monoio::time::sleep(self.interval).await;
                 }
                 Err(StoreFault::Compacted | StoreFault::Invalid(_)) => return,
                 Err(_) => self.rest(&mut pause).await,
--- /dev/null
+++ b/tests/dispatch/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the decisions on deployments whose configuration and jobs lie in a store.
+
+mod event_splitter;
+mod job_book;
+mod keeper_ring;
+mod placement;
+mod removal_hold;
+mod route_table;
+mod slot_queue;
--- /dev/null
+++ b/tests/dispatch/slot_queue.rs
@@ -0,0 +1,125 @@
+//! The queue in front of one engine.
+
+use std::time::Duration;
+
+use cv_dispatch::ArrivalTerms;
+use cv_dispatch::QueueCommand;
+use cv_dispatch::QueueVerdict;
+use cv_dispatch::SlotQueue;
+use cv_policy::MonotonicTime;
+use cv_policy::TicketId;
+use cv_policy::WorkClass;
+
+/// Terms of an online request with so many milliseconds of patience.
+fn online(patience_ms: u64) -> ArrivalTerms {
+    let patience = Duration::from_millis(patience_ms);
+    ArrivalTerms { class: WorkClass::Online, due: MonotonicTime::ZERO, patience }
+}
+
+/// Terms of a batch request due at a time.
+fn batch(due_ms: u64) -> ArrivalTerms {
+    let due = MonotonicTime::from_millis(due_ms);
+    ArrivalTerms { class: WorkClass::Batch, due, patience: Duration::ZERO }
+}
+
+/// A time.
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+/// A queue before two slots that runs two batch requests, the first due earlier.
+fn filled_with_batch() -> SlotQueue {
+    let mut queue = SlotQueue::new(2);
+    let mut commands = Vec::new();
+    for (ticket, due) in [(1, 5_000), (2, 9_000)] {
+        let verdict = queue.arrive(at(0), TicketId(ticket), &batch(due), &mut commands);
+        assert_eq!(verdict, QueueVerdict::Start);
+    }
+    assert!(commands.is_empty());
+    queue
+}
+
+#[test]
+fn online_takes_the_slot_of_the_batch_run_that_is_due_last() {
+    let mut queue = filled_with_batch();
+    let mut commands = Vec::new();
+    let verdict = queue.arrive(at(10), TicketId(3), &online(0), &mut commands);
+    assert_eq!(verdict, QueueVerdict::Start);
+    assert_eq!(commands, [QueueCommand::Preempt(TicketId(2))]);
+}
+
+#[test]
+fn preempted_batch_runs_again_when_a_slot_is_free_for_a_while() {
+    let mut queue = filled_with_batch();
+    let mut commands = Vec::new();
+    queue.arrive(at(10), TicketId(3), &online(0), &mut commands);
+    queue.requeue(TicketId(2), at(9_000), &mut commands);
+    commands.clear();
+    queue.finish(at(20), TicketId(3), &mut commands);
+    assert!(commands.is_empty(), "a slot that has just been taken back is not refilled at once");
+    let tick = queue.next_tick(at(20)).expect("the refill is due");
+    queue.tick(tick, &mut commands);
+    assert_eq!(commands, [QueueCommand::Start(TicketId(2))]);
+}
+
+#[test]
+fn a_tick_that_is_past_is_not_asked_for_again() {
+    let mut queue = filled_with_batch();
+    let mut commands = Vec::new();
+    queue.arrive(at(10), TicketId(3), &online(0), &mut commands);
+    queue.requeue(TicketId(2), at(9_000), &mut commands);
+    // The slots stay taken for long after the refill was due.
+    assert_eq!(queue.next_tick(at(5_000)), None);
+}
+
+#[test]
+fn online_that_would_wait_too_long_is_refused_at_once() {
+    let mut queue = SlotQueue::new(1);
+    let mut commands = Vec::new();
+    assert_eq!(queue.arrive(at(0), TicketId(1), &online(0), &mut commands), QueueVerdict::Start);
+    let verdict = queue.arrive(at(1), TicketId(2), &online(100), &mut commands);
+    assert!(matches!(verdict, QueueVerdict::Refuse(wait) if wait > Duration::from_millis(100)));
+    let verdict = queue.arrive(at(1), TicketId(3), &online(3_000), &mut commands);
+    assert_eq!(verdict, QueueVerdict::Wait);
+}
+
+#[test]
+fn patience_that_is_over_expires_the_request() {
+    let mut queue = SlotQueue::new(1);
+    let mut commands = Vec::new();
+    queue.arrive(at(0), TicketId(1), &online(0), &mut commands);
+    queue.arrive(at(0), TicketId(2), &online(2_000), &mut commands);
+    assert_eq!(queue.next_tick(at(0)), Some(at(2_000)));
+    queue.tick(at(2_000), &mut commands);
+    assert_eq!(commands, [QueueCommand::Expire(TicketId(2))]);
+}
+
+#[test]
+fn waiting_online_goes_before_waiting_batch() {
+    let mut queue = SlotQueue::new(1);
+    let mut commands = Vec::new();
+    queue.arrive(at(0), TicketId(1), &online(0), &mut commands);
+    queue.arrive(at(0), TicketId(2), &batch(100), &mut commands);
+    queue.arrive(at(0), TicketId(3), &online(5_000), &mut commands);
+    queue.finish(at(500), TicketId(1), &mut commands);
+    assert_eq!(commands, [QueueCommand::Start(TicketId(3))]);
+}
+
+#[test]
+fn a_leaving_engine_starts_nothing_and_sends_away_what_waits() {
+    let mut queue = filled_with_batch();
+    let mut commands = Vec::new();
+    queue.arrive(at(0), TicketId(3), &batch(1_000), &mut commands);
+    queue.set_leaving(true, &mut commands);
+    assert_eq!(commands, [QueueCommand::Expire(TicketId(3))]);
+    commands.clear();
+    // A run that is preempted now must not start again at the leaving engine.
+    queue.requeue(TicketId(2), at(9_000), &mut commands);
+    assert_eq!(commands, [QueueCommand::Expire(TicketId(2))]);
+    commands.clear();
+    queue.finish(at(100), TicketId(1), &mut commands);
+    queue.tick(at(1_000), &mut commands);
+    assert!(commands.is_empty());
+    let verdict = queue.arrive(at(1_000), TicketId(4), &online(5_000), &mut commands);
+    assert!(matches!(verdict, QueueVerdict::Refuse(_)));
+}
