Test the decisions under the users' load, and node processes among stand-ins of the platform

Change: tests/dispatch plays the alternating load against placement, queue, patience and advice; platform/standin holds small stand-ins of the store and of targets; the nodes tests run real processes among them (killed, frozen, cut from the store, terminated). Once in a queue a request stays: its objective is lost by then, and another queue is no nearer. A sidecar that never reports is passed by like a silent one.

--- /dev/null
+++ b/crates/clementinevale/tests/nodes/batch_jobs.rs
@@ -0,0 +1,208 @@
+//! Batch jobs over keepers, while parts of the fleet fail.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use cv_adapter_standin::StoreMode;
+use cv_runtime::run_alone;
+use cv_tests::NodeFleet;
+use cv_tests::NodeFleetSize;
+use cv_tests::node_caller::CallerOutcome;
+use cv_tests::node_caller::ask_stream;
+use cv_tests::node_caller::end_job;
+use cv_tests::node_caller::item_text;
+use cv_tests::node_caller::read_results;
+use cv_tests::node_caller::submit_job;
+
+/// Events of each item.
+const EVENTS: u64 = 20;
+
+/// Longest time until a job is done.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A fleet of two engines, two entries and two keepers.
+fn small_fleet() -> NodeFleet {
+    let size = NodeFleetSize { engines: 2, entries: 2, keepers: 2 };
+    NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size)
+}
+
+/// Submits a job until it is accepted.
+async fn submit_for_certain(entries: &[SocketAddr], job: &str, items: u64) {
+    let began = Instant::now();
+    for entry in entries.iter().cycle() {
+        match submit_job(*entry, job, items, EVENTS).await {
+            CallerOutcome::Whole => return,
+            CallerOutcome::False(detail) => panic!("{detail}"),
+            CallerOutcome::NotRun | CallerOutcome::Unknown(_) => {}
+        }
+        assert!(began.elapsed() < PATIENCE, "the job is not accepted");
+        monoio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Reads a job's results until all are there, and checks that none changes or comes twice.
+async fn read_to_end(entries: &[SocketAddr], job: &str, items: u64) -> Vec<serde_json::Value> {
+    let began = Instant::now();
+    let mut known: Vec<serde_json::Value> = Vec::new();
+    for entry in entries.iter().cycle() {
+        if let Ok(answer) = read_results(*entry, job, 0).await {
+            let results = answer["results"].as_array().cloned().unwrap_or_default();
+            let shared = known.len().min(results.len());
+            assert_eq!(known[..shared], results[..shared], "a position changed");
+            if results.len() > known.len() {
+                known = results;
+            }
+        }
+        if known.len() as u64 == items {
+            break;
+        }
+        assert!(began.elapsed() < PATIENCE, "{} of {items} results", known.len());
+        monoio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let mut ids: Vec<&str> = known.iter().filter_map(|result| result["id"].as_str()).collect();
+    ids.sort_unstable();
+    ids.dedup();
+    assert_eq!(ids.len() as u64, items, "an item is listed twice");
+    for result in &known {
+        let id = result["id"].as_str().expect("an id");
+        assert_eq!(result["state"], "completed");
+        assert_eq!(result["text"], item_text(id, EVENTS), "the output of {id}");
+    }
+    known
+}
+
+#[test]
+fn a_job_is_run_and_read_at_every_entry() {
+    let fleet = small_fleet();
+    let entries = fleet.entries();
+    run_alone(async {
+        submit_for_certain(&entries, "job1", 10).await;
+        // A job that comes again is the same job.
+        submit_for_certain(&entries[1..], "job1", 10).await;
+        let results = read_to_end(&entries, "job1", 10).await;
+        for entry in &entries {
+            let again = read_results(*entry, "job1", 0).await.expect("an answer");
+            assert_eq!(again["results"].as_array(), Some(&results));
+            assert!(read_results(*entry, "unknown", 0).await.is_err());
+        }
+    })
+    .expect("a runtime");
+}
+
+#[test]
+fn a_killed_owner_is_followed_by_another() {
+    let mut fleet = small_fleet();
+    let entries = fleet.entries();
+    run_alone(async {
+        for job in 0..4 {
+            submit_for_certain(&entries, &format!("job{job}"), 8).await;
+        }
+    })
+    .expect("a runtime");
+    let node = fleet.nodes.iter_mut().find(|node| node.name.starts_with("keeper"));
+    node.expect("a keeper").kill();
+    run_alone(async {
+        for job in 0..4 {
+            read_to_end(&entries, &format!("job{job}"), 8).await;
+        }
+    })
+    .expect("a runtime");
+}
+
+#[test]
+fn jobs_survive_the_kill_of_every_process() {
+    let mut fleet = small_fleet();
+    let entries = fleet.entries();
+    run_alone(submit_for_certain(&entries, "job1", 12)).expect("a runtime");
+    for node in &mut fleet.nodes {
+        node.kill();
+    }
+    for node in &mut fleet.nodes {
+        node.start();
+    }
+    run_alone(read_to_end(&entries, "job1", 12)).expect("a runtime");
+}
+
+#[test]
+fn an_ended_job_stays_ended_when_the_keepers_start_again() {
+    let mut fleet = small_fleet();
+    let entries = fleet.entries();
+    run_alone(async {
+        submit_for_certain(&entries, "job1", 40).await;
+        assert!(end_job(entries[0], "job1").await);
+    })
+    .expect("a runtime");
+    std::thread::sleep(Duration::from_secs(1));
+    for node in fleet.nodes.iter_mut().filter(|node| node.name.starts_with("keeper")) {
+        node.kill();
+        node.start();
+    }
+    let before = fleet.target_log.runs().len();
+    std::thread::sleep(Duration::from_secs(6));
+    assert_eq!(fleet.target_log.runs().len(), before, "items of an ended job run again");
+}
+
+#[test]
+fn a_store_that_loses_its_answers_loses_no_job() {
+    let fleet = small_fleet();
+    let entries = fleet.entries();
+    fleet.store.set_mode(StoreMode::LosesAnswers);
+    let first = run_alone(submit_job(entries[0], "job1", 6, EVENTS)).expect("a runtime");
+    assert!(
+        !matches!(first, CallerOutcome::NotRun | CallerOutcome::False(_)),
+        "a job that may be accepted is called refused: {first:?}"
+    );
+    fleet.store.set_mode(StoreMode::Up);
+    run_alone(async {
+        submit_for_certain(&entries, "job1", 6).await;
+        read_to_end(&entries, "job1", 6).await;
+    })
+    .expect("a runtime");
+}
+
+#[test]
+fn a_job_is_refused_truly_while_the_store_is_away() {
+    let fleet = small_fleet();
+    let entries = fleet.entries();
+    fleet.store.set_mode(StoreMode::Busy);
+    let refused = run_alone(submit_job(entries[0], "job1", 6, EVENTS)).expect("a runtime");
+    assert_eq!(refused, CallerOutcome::NotRun);
+    fleet.store.set_mode(StoreMode::Up);
+    std::thread::sleep(Duration::from_secs(4));
+    assert!(fleet.target_log.runs().is_empty(), "a refused job runs");
+}
+
+#[test]
+fn batch_items_give_way_to_online_requests() {
+    let fleet = small_fleet();
+    let entries = fleet.entries();
+    let waits = run_alone(async {
+        submit_for_certain(&entries, "job1", 40).await;
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        let mut waits = Vec::new();
+        for number in 0..10 {
+            let began = Instant::now();
+            let outcome = ask_stream(entries[0], "hints", &format!("s{number}"), 2).await;
+            assert_eq!(outcome, CallerOutcome::Whole);
+            waits.push(began.elapsed());
+        }
+        read_to_end(&entries, "job1", 40).await;
+        waits
+    });
+    let mut waits = waits.expect("a runtime");
+    waits.sort_unstable();
+    // Two events take 16 ms; an item takes ten times as long.
+    assert!(waits[5] < Duration::from_millis(120), "online waits behind batch: {waits:?}");
+}
+
+#[test]
+fn a_retired_keeper_hands_its_jobs_over() {
+    let fleet = small_fleet();
+    let entries = fleet.entries();
+    run_alone(submit_for_certain(&entries, "job1", 20)).expect("a runtime");
+    fleet.store.write("op/retire/keeper-70", &serde_json::json!({ "finishByS": 10 }));
+    let is_told = |fleet: &NodeFleet| !fleet.store.keys("status/retire/keeper-70").is_empty();
+    assert!(fleet.wait_for(Duration::from_secs(5), is_told));
+    run_alone(read_to_end(&entries, "job1", 20)).expect("a runtime");
+}
--- /dev/null
+++ b/crates/clementinevale/tests/nodes/online_requests.rs
@@ -0,0 +1,132 @@
+//! Online requests through entries and sidecars, while parts of the fleet fail.
+
+use std::time::Duration;
+
+use cv_runtime::run_alone;
+use cv_standin::FaultMode;
+use cv_tests::NodeFleet;
+use cv_tests::NodeFleetSize;
+use cv_tests::Signal;
+use cv_tests::node_caller::CallerOutcome;
+use cv_tests::node_caller::ask_plain;
+use cv_tests::node_caller::ask_stream;
+
+/// A fleet of two engines, one entry and one keeper.
+fn small_fleet() -> NodeFleet {
+    let size = NodeFleetSize { engines: 2, entries: 1, keepers: 1 };
+    NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size)
+}
+
+#[test]
+fn streams_and_plain_answers_arrive_whole() {
+    let fleet = small_fleet();
+    let entry = fleet.entries()[0];
+    run_alone(async {
+        assert_eq!(ask_stream(entry, "advice", "s1", 12).await, CallerOutcome::Whole);
+        assert_eq!(ask_stream(entry, "hints", "s2", 12).await, CallerOutcome::Whole);
+        assert_eq!(ask_plain(entry, "orders", "p1").await, CallerOutcome::Whole);
+        assert_eq!(ask_plain(entry, "status", "p2").await, CallerOutcome::Whole);
+    })
+    .expect("a runtime");
+    assert_eq!(fleet.target_log.runs().len(), 4);
+}
+
+#[test]
+fn a_stream_goes_on_at_another_target_after_its_sidecar_is_killed() {
+    let mut fleet = small_fleet();
+    let entry = fleet.entries()[0];
+    let caller = std::thread::spawn(move || {
+        run_alone(async move { ask_stream(entry, "advice", "s1", 100).await }).expect("a runtime")
+    });
+    assert!(fleet.wait_for(Duration::from_secs(5), |fleet| !fleet.target_log.runs().is_empty()));
+    std::thread::sleep(Duration::from_millis(200));
+    let first = fleet.target_log.runs()[0].target.clone();
+    let index = usize::from(first == "engine-1");
+    fleet.nodes[index].kill();
+    assert_eq!(caller.join().expect("the caller"), CallerOutcome::Whole);
+    let runs = fleet.target_log.runs();
+    assert_eq!(runs.len(), 2, "{runs:?}");
+    assert!(runs[1].after > 5, "the second run goes on where the first ended: {runs:?}");
+    assert!(runs[0].ended.is_some_and(|ended| ended <= runs[1].began), "{runs:?}");
+}
+
+#[test]
+fn a_frozen_sidecar_is_passed_by() {
+    let fleet = small_fleet();
+    let entry = fleet.entries()[0];
+    // The sidecars report for the first time.
+    std::thread::sleep(Duration::from_millis(1_200));
+    fleet.nodes[0].signal(Signal::STOP);
+    fleet.nodes[1].signal(Signal::STOP);
+    // Their silence shows after less than a second.
+    std::thread::sleep(Duration::from_millis(1_500));
+    let outcome = run_alone(async { ask_stream(entry, "hints", "s1", 5).await });
+    fleet.nodes[0].signal(Signal::CONT);
+    fleet.nodes[1].signal(Signal::CONT);
+    assert_eq!(outcome.expect("a runtime"), CallerOutcome::Whole);
+}
+
+#[test]
+fn online_requests_go_on_without_the_store() {
+    let fleet = small_fleet();
+    let entry = fleet.entries()[0];
+    for node in &fleet.nodes {
+        node.store_proxy.set_mode(FaultMode::Cut);
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    let outcome = run_alone(async { ask_stream(entry, "advice", "s1", 5).await });
+    assert_eq!(outcome.expect("a runtime"), CallerOutcome::Whole);
+}
+
+#[test]
+fn a_configuration_is_in_force_soon_also_after_the_history_is_dropped() {
+    let fleet = small_fleet();
+    let entry = fleet.entries()[0];
+    let is_refused = || {
+        let outcome = run_alone(async { ask_plain(entry, "added", "p1").await });
+        outcome.expect("a runtime") != CallerOutcome::Whole
+    };
+    assert!(is_refused(), "the route is not there yet");
+    fleet.store.compact();
+    let routes = serde_json::json!([{
+        "name": "added", "host": "growers.example", "prefix": "/added/", "kind": "safe",
+        "service": "desk", "timeoutMs": 1_000, "sloMs": 300, "maxAttempts": 1,
+    }]);
+    let config =
+        serde_json::json!({ "version": 9, "routes": routes, "services": [{ "name": "desk" }] });
+    fleet.store.write("op/config", &config);
+    assert!(fleet.wait_for(Duration::from_secs(2), |_| !is_refused()));
+    // An older version that comes later changes nothing.
+    fleet.write_config(8, 2);
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(!is_refused());
+}
+
+#[test]
+fn a_draining_target_gets_nothing_new() {
+    let fleet = small_fleet();
+    let entry = fleet.entries()[0];
+    fleet.register("engine-0", "draining");
+    std::thread::sleep(Duration::from_millis(1_200));
+    run_alone(async {
+        for number in 0..12 {
+            let id = format!("s{number}");
+            assert_eq!(ask_stream(entry, "advice", &id, 2).await, CallerOutcome::Whole);
+        }
+    })
+    .expect("a runtime");
+    assert!(fleet.target_log.runs().iter().all(|run| run.target == "engine-1"));
+}
+
+#[test]
+fn a_terminated_entry_finishes_what_it_has_read() {
+    let mut fleet = small_fleet();
+    let entry = fleet.entries()[0];
+    let caller = std::thread::spawn(move || {
+        run_alone(async move { ask_stream(entry, "hints", "s1", 120).await }).expect("a runtime")
+    });
+    assert!(fleet.wait_for(Duration::from_secs(5), |fleet| !fleet.target_log.runs().is_empty()));
+    let node = fleet.nodes.iter_mut().find(|node| node.name.starts_with("entry"));
+    assert!(node.expect("an entry").terminate(Duration::from_secs(5)), "it ends in time");
+    assert_eq!(caller.join().expect("the caller"), CallerOutcome::Whole);
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 mod event_splitter;
 mod job_book;
 mod keeper_ring;
+mod patience_policy;
 mod placement;
 mod removal_hold;
 mod retry_advice;
@@ -26,6 +27,8 @@
 pub use crate::job_book::ResultSegment;
 pub use crate::keeper_ring::KeeperRecord;
 pub use crate::keeper_ring::KeeperRing;
+pub use crate::patience_policy::PatiencePolicy;
+pub use crate::patience_policy::ReturnDetector;
 pub use crate::placement::PlacementPolicy;
 pub use crate::placement::PlacementRequest;
 pub use crate::placement::TargetChoice;
--- a/crates/dispatch/src/slot_queue.rs
+++ b/crates/dispatch/src/slot_queue.rs
@@ -25,8 +25,10 @@
     pub class: WorkClass,
     /// When a batch request is due; orders batch requests only.
     pub due: MonotonicTime,
-    /// Longest time that an online request is willing to wait.
+    /// Longest expected wait with which an online request enters the queue.
     pub patience: Duration,
+    /// Time for which an online request stays in the queue once it has entered.
+    pub stay: Duration,
 }
 
 /// What becomes of an arrival.
@@ -47,7 +49,7 @@
     Start(TicketId),
     /// End a batch run and put the request back into the queue.
     Preempt(TicketId),
-    /// Turn a waiting request away: its patience is over.
+    /// Turn a waiting request away: it has stayed for long enough.
     Expire(TicketId),
 }
 
@@ -242,7 +244,7 @@
             return QueueVerdict::Refuse(wait);
         }
         if !wait.is_zero() {
-            self.online_waiting.push(WaitingRow { limit: now + terms.patience, ticket });
+            self.online_waiting.push(WaitingRow { limit: now + terms.stay, ticket });
             return QueueVerdict::Wait;
         }
         self.start_online(now, ticket);
--- a/crates/dispatch/src/target_roster.rs
+++ b/crates/dispatch/src/target_roster.rs
@@ -20,6 +20,9 @@
 /// Silence after which a sidecar that reports several times a second is passed by.
 const SIDECAR_SILENCE: Duration = Duration::from_millis(900);
 
+/// Time in which the sidecar of a target that became known has to report for the first time.
+const FIRST_REPORT_TIME: Duration = Duration::from_millis(2_500);
+
 /// Whether a target takes new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TargetState {
@@ -55,6 +58,8 @@
     pub in_flight: u32,
     /// Online requests begun less those ended since the last reading.
     drift: i32,
+    /// When it became known.
+    known_since: MonotonicTime,
     /// Time until which it is set aside.
     paused_until: MonotonicTime,
     /// The last reading of its queue, with the time of its arrival.
@@ -73,11 +78,12 @@
 
 impl TargetRow {
     /// Creates a row of a target that nothing has been sent to.
-    fn new(record: TargetRecord) -> Self {
+    fn new(record: TargetRecord, now: MonotonicTime) -> Self {
         Self {
             failures: 0,
             in_flight: 0,
             drift: 0,
+            known_since: now,
             paused_until: MonotonicTime::ZERO,
             reading: None,
             record,
@@ -93,10 +99,14 @@
 
     /// Tells whether requests go through the target's sidecar.
     ///
-    /// A sidecar that has reported once and then falls silent is frozen, dead or cut off.
+    /// A sidecar that falls silent, or has not reported since its target became known, is frozen,
+    /// dead, cut off or not there.
     #[must_use]
     pub fn has_sidecar(&self, now: MonotonicTime) -> bool {
-        let is_silent = self.reading.is_some_and(|(_, taken)| now.since(taken) > SIDECAR_SILENCE);
+        let is_silent = match self.reading {
+            Some((_, taken)) => now.since(taken) > SIDECAR_SILENCE,
+            None => now.since(self.known_since) > FIRST_REPORT_TIME,
+        };
         self.sidecar_down_until <= now && !is_silent
     }
 
@@ -160,13 +170,13 @@
 
 impl TargetRoster {
     /// Takes what the directory says of one target.
-    pub fn upsert(&mut self, record: TargetRecord) {
+    pub fn upsert(&mut self, record: TargetRecord, now: MonotonicTime) {
         match self.position(&record.id) {
             Ok(position) if self.rows[position].record.address == record.address => {
                 self.rows[position].record = record;
             }
-            Ok(position) => self.rows[position] = TargetRow::new(record),
-            Err(position) => self.rows.insert(position, TargetRow::new(record)),
+            Ok(position) => self.rows[position] = TargetRow::new(record, now),
+            Err(position) => self.rows.insert(position, TargetRow::new(record, now)),
         }
     }
 
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -213,7 +213,7 @@
             Ok(record) => {
                 self.roster_hold.borrow_mut().restore(id);
                 self.log_target(&record);
-                self.roster.borrow_mut().upsert(record);
+                self.roster.borrow_mut().upsert(record, self.clock.now());
             }
             Err(fault) => {
                 self.roster.borrow_mut().remove(id);
--- a/crates/serving/src/front/front_handler.rs
+++ b/crates/serving/src/front/front_handler.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use cv_dispatch::RetryAdvice;
+use cv_dispatch::ReturnDetector;
 use cv_dispatch::RouteKind;
 use cv_dispatch::RouteRule;
 use cv_http::ConnectionPool;
@@ -38,12 +39,11 @@
     /// Advice to refused callers.
     pub advice: RefCell<RetryAdvice>,
     pub border: PhantomData<P>,
-    /// Longest deadline seen of each route, sorted by the route's name.
-    pub deadlines: RefCell<Vec<(String, Duration)>>,
     pub identity: Rc<NodeIdentity>,
     pub jobs: JobRelay,
     pub metrics: FrontMetrics,
     pub pool: ConnectionPool,
+    pub returns: RefCell<ReturnDetector>,
     pub view: Rc<FleetView>,
 }
 
@@ -94,23 +94,10 @@
         exchange.respond(StatusCode::SERVICE_UNAVAILABLE, &headers, &Bytes::new()).await
     }
 
-    /// Tells whether a caller has been refused before, by how much of the usual time it has left.
+    /// Tells whether a caller has been refused before.
     pub fn is_returning(&self, route: &RouteRule, deadline: Option<Duration>) -> bool {
-        let Some(deadline) = deadline else {
-            return false;
-        };
-        let mut rows = self.deadlines.borrow_mut();
-        match rows.binary_search_by(|(name, _)| name.as_str().cmp(&route.name)) {
-            Ok(position) => {
-                let longest = &mut rows[position].1;
-                *longest = (*longest).max(deadline);
-                deadline < longest.mul_f64(0.95)
-            }
-            Err(position) => {
-                rows.insert(position, (route.name.clone(), deadline));
-                false
-            }
-        }
+        let mut returns = self.returns.borrow_mut();
+        deadline.is_some_and(|deadline| returns.is_returning(&route.name, deadline))
     }
 
     /// Answers a request that no route takes.
--- a/crates/serving/src/front/front_server.rs
+++ b/crates/serving/src/front/front_server.rs
@@ -87,11 +87,11 @@
         let handler = FrontHandler::<P> {
             advice: RefCell::new(RetryAdvice::default()),
             border: PhantomData,
-            deadlines: RefCell::default(),
             identity,
             jobs: JobRelay { pool: ConnectionPool::new(limits), view: Rc::clone(&view) },
             metrics,
             pool: ConnectionPool::new(limits),
+            returns: RefCell::default(),
             view: Rc::clone(&view),
         };
         let ready = ReadyHandler { gate: drain.clone(), view };
--- a/crates/serving/src/front/online_call.rs
+++ b/crates/serving/src/front/online_call.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use cv_dispatch::PatiencePolicy;
 use cv_dispatch::PlacementPolicy;
 use cv_dispatch::PlacementRequest;
 use cv_dispatch::RouteKind;
@@ -44,12 +45,6 @@
 /// Targets that may turn a request away before the caller is told to come back.
 const REFUSALS: usize = 6;
 
-/// Share of the objective that a first attempt may wait in a queue.
-const QUEUE_SHARE: f64 = 0.6;
-
-/// Time kept for the run itself when a returning caller waits in a queue.
-const RUN_RESERVE: Duration = Duration::from_millis(1_500);
-
 /// Time after the queue within which a resumable stream has to begin before it is tried elsewhere.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -274,9 +269,13 @@
         };
         let mut headers = P::attempt_headers(&self.headers, &attempt);
         if choice.through_sidecar {
-            let patience = self.queue_patience();
-            QueueTerms { class: WorkClass::Online, patience, slots: choice.slots }
-                .write(&mut headers);
+            let terms = QueueTerms {
+                class: WorkClass::Online,
+                patience: self.queue_patience(),
+                slots: choice.slots,
+                stay: PatiencePolicy.stay(self.left()),
+            };
+            terms.write(&mut headers);
         }
         ClientRequest {
             body: self.body.clone(),
@@ -286,16 +285,10 @@
         }
     }
 
-    /// Returns the longest time in a sidecar's queue.
-    ///
-    /// A first attempt that would miss its objective in the queue is better refused: it may find a
-    /// free slot on its return. A returning caller has no other chance and waits.
+    /// Returns the longest expected wait with which a sidecar's queue is entered.
     fn queue_patience(&self) -> Duration {
-        if self.is_returning || self.sent > 0 {
-            self.left().saturating_sub(RUN_RESERVE)
-        } else {
-            self.route.objective.mul_f64(QUEUE_SHARE)
-        }
+        let is_returning = self.is_returning || self.sent > 0;
+        PatiencePolicy.queue_patience(self.route.objective, self.left(), is_returning)
     }
 
     /// Returns the longest wait for the head of an answer.
@@ -306,7 +299,7 @@
             return left;
         }
         match self.route.kind {
-            RouteKind::Streaming => left.min(self.queue_patience() + FIRST_EVENT_PATIENCE),
+            RouteKind::Streaming => left.min(PatiencePolicy.stay(left) + FIRST_EVENT_PATIENCE),
             _ => left.mul_f64(ATTEMPT_SHARE),
         }
     }
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -277,7 +277,8 @@
             let left = self.due_ms.saturating_sub(self.state.view.clock.wall_millis());
             let patience = Duration::from_millis(left);
             let slots = self.choice.slots;
-            QueueTerms { class: WorkClass::Batch, patience, slots }.write(&mut headers);
+            let (class, stay) = (WorkClass::Batch, Duration::ZERO);
+            QueueTerms { class, patience, slots, stay }.write(&mut headers);
         }
         let body = Bytes::from(spec.body.clone());
         let request =
--- a/crates/serving/src/own_headers.rs
+++ b/crates/serving/src/own_headers.rs
@@ -14,9 +14,12 @@
 /// Class of work: `online` or `batch`.
 const CLASS: HeaderName = HeaderName::from_static("cv-class");
 
-/// Online: longest time in the queue. Batch: time until the item is due. Both in milliseconds.
+/// Online: longest expected wait with which the queue is entered. Batch: time until the item is due. Both in milliseconds.
 const PATIENCE: HeaderName = HeaderName::from_static("cv-patience-ms");
 
+/// Time that an online request stays in the queue, in milliseconds.
+const STAY: HeaderName = HeaderName::from_static("cv-stay-ms");
+
 /// Requests that the target runs at once, by its entry in the directory.
 const SLOTS: HeaderName = HeaderName::from_static("cv-slots");
 
@@ -49,10 +52,12 @@
 pub struct QueueTerms {
     /// The class of work.
     pub class: WorkClass,
-    /// Online: longest time in the queue. Batch: time until the item is due.
+    /// Online: longest expected wait with which the queue is entered. Batch: time until the item is due.
     pub patience: Duration,
     /// Requests that the target runs at once, or 0 if that is not known.
     pub slots: u32,
+    /// Time that an online request stays in the queue.
+    pub stay: Duration,
 }
 
 impl QueueTerms {
@@ -65,6 +70,7 @@
         headers.insert(CLASS, HeaderValue::from_static(class));
         headers.insert(PATIENCE, HeaderValue::from(self.patience.as_millis() as u64));
         headers.insert(SLOTS, HeaderValue::from(self.slots));
+        headers.insert(STAY, HeaderValue::from(self.stay.as_millis() as u64));
     }
 
     /// Reads the terms of an attempt; one without them is an online request that will not wait.
@@ -74,7 +80,8 @@
         let class = if is_batch { WorkClass::Batch } else { WorkClass::Online };
         let number = |name| headers.get(name).and_then(|value| value.to_str().ok()?.parse().ok());
         let patience = Duration::from_millis(number(PATIENCE).unwrap_or(0));
-        Self { class, patience, slots: number(SLOTS).unwrap_or(0) as u32 }
+        let stay = Duration::from_millis(number(STAY).unwrap_or(0));
+        Self { class, patience, slots: number(SLOTS).unwrap_or(0) as u32, stay }
     }
 }
 
--- a/crates/serving/src/side/side_handler.rs
+++ b/crates/serving/src/side/side_handler.rs
@@ -323,11 +323,11 @@
         exchange: &mut ServerExchange<'_>,
         request: &SideRequest,
     ) -> Result<Option<SlotTicket>, HttpFault> {
-        let QueueTerms { class, patience, slots } = request.terms;
+        let QueueTerms { class, patience, slots, stay } = request.terms;
         if slots > 0 {
             self.gate.set_slots(slots);
         }
-        let terms = ArrivalTerms { class, due: self.clock.now() + patience, patience };
+        let terms = ArrivalTerms { class, due: self.clock.now() + patience, patience, stay };
         let Ok(ticket) = self.gate.arrive(&terms) else {
             self.refuse(exchange, request, SidecarVerdict::NotRun, "queue_full").await?;
             return Ok(None);
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -3,6 +3,8 @@
 mod event_splitter;
 mod job_book;
 mod keeper_ring;
+mod load_play;
+mod patience;
 mod placement;
 mod removal_hold;
 mod route_table;
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -26,8 +26,8 @@
 /// A roster of one target in each of two zones.
 fn roster_of_two() -> TargetRoster {
     let mut roster = TargetRoster::default();
-    roster.upsert(record("near", "a", 1));
-    roster.upsert(record("far", "b", 2));
+    roster.upsert(record("near", "a", 1), MonotonicTime::ZERO);
+    roster.upsert(record("far", "b", 2), MonotonicTime::ZERO);
     roster
 }
 
@@ -73,7 +73,10 @@
 #[test]
 fn draining_tried_and_failing_targets_are_left_out() {
     let mut roster = roster_of_two();
-    roster.upsert(TargetRecord { state: TargetState::Draining, ..record("near", "a", 1) });
+    roster.upsert(
+        TargetRecord { state: TargetState::Draining, ..record("near", "a", 1) },
+        MonotonicTime::ZERO,
+    );
     assert_eq!(choose(&roster, at(0), &[]).as_deref(), Some("far"));
     assert_eq!(choose(&roster, at(0), &["far".to_owned()]), None);
     let far = roster.get_mut("far").expect("it is known");
@@ -92,6 +95,7 @@
         PlacementPolicy.choose(roster, now, &request(&["far".to_owned()])).expect("it is usable")
     };
     assert!(near(&roster, at(0)).through_sidecar, "one that was never heard may just have started");
+    assert!(!near(&roster, at(5_000)).through_sidecar, "one that is never heard is not there");
     roster.observe_at(ip, &QueueReading::default(), at(0));
     assert!(near(&roster, at(500)).through_sidecar);
     assert!(!near(&roster, at(3_000)).through_sidecar);
@@ -103,7 +107,7 @@
 fn another_target_under_the_same_id_starts_afresh() {
     let mut roster = roster_of_two();
     roster.begin("near");
-    roster.upsert(record("near", "a", 9));
+    roster.upsert(record("near", "a", 9), MonotonicTime::ZERO);
     assert_eq!(roster.get("near").map(|row| row.in_flight), Some(0));
 }
 
--- a/tests/dispatch/slot_queue.rs
+++ b/tests/dispatch/slot_queue.rs
@@ -13,13 +13,13 @@
 /// Terms of an online request with so many milliseconds of patience.
 fn online(patience_ms: u64) -> ArrivalTerms {
     let patience = Duration::from_millis(patience_ms);
-    ArrivalTerms { class: WorkClass::Online, due: MonotonicTime::ZERO, patience }
+    ArrivalTerms { class: WorkClass::Online, due: MonotonicTime::ZERO, patience, stay: patience }
 }
 
 /// Terms of a batch request due at a time.
 fn batch(due_ms: u64) -> ArrivalTerms {
     let due = MonotonicTime::from_millis(due_ms);
-    ArrivalTerms { class: WorkClass::Batch, due, patience: Duration::ZERO }
+    ArrivalTerms { class: WorkClass::Batch, due, patience: Duration::ZERO, stay: Duration::ZERO }
 }
 
 /// A time.
--- a/tests/support/lib.rs
+++ b/tests/support/lib.rs
@@ -1,9 +1,15 @@
 //! What the integration tests share.
 
+pub mod node_caller;
+mod node_fleet;
 mod process_fleet;
 mod server_process;
 mod small_fleet;
 
+pub use crate::node_fleet::NodeFleet;
+pub use crate::node_fleet::NodeFleetSize;
+pub use crate::node_fleet::NodeProcess;
+pub use crate::node_fleet::engine_id;
 pub use crate::process_fleet::ProcessFleet;
 pub use crate::server_process::ServerProcess;
 pub use crate::small_fleet::SmallFleet;
--- /dev/null
+++ b/tests/support/node_caller.rs
@@ -0,0 +1,165 @@
+//! A caller of entries, which checks what it is told.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cv_adapter_standin::PlatformTarget;
+use cv_http::ClientConnection;
+use cv_http::ClientRequest;
+use cv_http::HttpFault;
+use cv_http::HttpLimits;
+use http::Method;
+use http::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+
+/// Longest time to connect.
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Longest wait for an answer.
+const ANSWER_PATIENCE: Duration = Duration::from_secs(6);
+
+/// Longest answer, in bytes.
+const ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Deadline that callers name, in milliseconds.
+const DEADLINE_MS: &str = "5000";
+
+/// What a caller was told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CallerOutcome {
+    /// The whole answer.
+    Whole,
+    /// The request has not run and will not.
+    NotRun,
+    /// Nothing certain.
+    Unknown(String),
+    /// Something that is not true.
+    False(String),
+}
+
+/// Makes the headers of a request.
+fn request(method: Method, path: &str, id: &str, body: impl Into<Bytes>) -> ClientRequest {
+    ClientRequest::new(method, path, body)
+        .with_header("host", "growers.example")
+        .with_header("request-id", id)
+        .with_header("deadline-ms", DEADLINE_MS)
+}
+
+/// Makes one call over a new connection.
+async fn call(
+    address: SocketAddr,
+    request: &ClientRequest,
+) -> Result<(StatusCode, Bytes), HttpFault> {
+    let limits = HttpLimits { body_timeout: ANSWER_PATIENCE, ..HttpLimits::default() };
+    let mut connection = ClientConnection::connect(address, CONNECT_PATIENCE, limits).await?;
+    let answer = connection.exchange(request, ANSWER_PATIENCE, ANSWER_BYTES).await?;
+    let is_signed = answer.headers.contains_key("server-seal");
+    if answer.status == StatusCode::OK && !is_signed && !request.path.starts_with("/lots/") {
+        return Err(HttpFault::Malformed("a success without the target's signature"));
+    }
+    Ok((answer.status, answer.body))
+}
+
+/// Asks for a stream of so many events and checks every one.
+pub async fn ask_stream(address: SocketAddr, route: &str, id: &str, events: u64) -> CallerOutcome {
+    let stream = request(Method::POST, &format!("/{route}/x"), id, "prompt")
+        .with_header("token-count", &format!("10,{events}"));
+    match call(address, &stream).await {
+        Ok((StatusCode::OK, body)) => {
+            let expected: String = (1..=events)
+                .map(|number| {
+                    let data = PlatformTarget::event_data(id, number);
+                    format!("id: {number}\ndata: {data}\n\n")
+                })
+                .collect();
+            if body == expected.as_bytes() {
+                CallerOutcome::Whole
+            } else {
+                CallerOutcome::False(format!("stream {id}: {}", String::from_utf8_lossy(&body)))
+            }
+        }
+        other => without_success(other),
+    }
+}
+
+/// Asks for a plain answer and checks it.
+pub async fn ask_plain(address: SocketAddr, route: &str, id: &str) -> CallerOutcome {
+    let plain = request(Method::POST, &format!("/{route}/x"), id, "order");
+    match call(address, &plain).await {
+        Ok((StatusCode::OK, body)) if body == PlatformTarget::event_data(id, 0).as_bytes() => {
+            CallerOutcome::Whole
+        }
+        Ok((StatusCode::OK, body)) => {
+            CallerOutcome::False(format!("answer to {id}: {}", String::from_utf8_lossy(&body)))
+        }
+        other => without_success(other),
+    }
+}
+
+/// Submits a job of items with so many events each; the items' ids follow from the job's.
+pub async fn submit_job(address: SocketAddr, job: &str, items: u64, events: u64) -> CallerOutcome {
+    let rows: Vec<Value> = (0..items)
+        .map(|item| {
+            json!({
+                "id": item_id(job, item), "path": "/plans/item", "body": "q83v", "tokenCount": 20,
+                "headers": { "Token-Count": format!("10,{events}"), "Model": "m" },
+            })
+        })
+        .collect();
+    let body = json!({ "items": rows }).to_string();
+    match call(address, &request(Method::POST, "/plans/job", job, body)).await {
+        Ok((StatusCode::ACCEPTED, _)) => CallerOutcome::Whole,
+        other => without_success(other),
+    }
+}
+
+/// Reads the results of a job from a position, if the entry has an answer.
+pub async fn read_results(
+    address: SocketAddr,
+    job: &str,
+    position: usize,
+) -> Result<Value, String> {
+    let path = format!("/lots/{job}?after={position}");
+    match call(address, &request(Method::GET, &path, "read", "")).await {
+        Ok((StatusCode::OK, body)) => {
+            serde_json::from_slice(&body).map_err(|fault| fault.to_string())
+        }
+        Ok((status, _)) => Err(format!("status {status}")),
+        Err(fault) => Err(fault.to_string()),
+    }
+}
+
+/// Ends a job; tells whether that was acknowledged.
+pub async fn end_job(address: SocketAddr, job: &str) -> bool {
+    let path = format!("/lots/{job}");
+    let ended = call(address, &request(Method::DELETE, &path, "end", "")).await;
+    ended.is_ok_and(|(status, _)| status == StatusCode::OK)
+}
+
+/// Returns the id of a job's item.
+#[must_use]
+pub fn item_id(job: &str, item: u64) -> String {
+    format!("{job}i{item}")
+}
+
+/// Returns the whole output of an item.
+#[must_use]
+pub fn item_text(id: &str, events: u64) -> String {
+    let rows = (1..=events).map(|number| PlatformTarget::event_data(id, number));
+    rows.collect::<Vec<_>>().join("\n")
+}
+
+/// Sorts what is no success.
+fn without_success(result: Result<(StatusCode, Bytes), HttpFault>) -> CallerOutcome {
+    match result {
+        Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _)) => {
+            CallerOutcome::NotRun
+        }
+        Ok((status, _)) if status.is_server_error() => CallerOutcome::Unknown(status.to_string()),
+        Ok((status, _)) => CallerOutcome::False(format!("status {status}")),
+        Err(HttpFault::Malformed(detail)) => CallerOutcome::False(detail.to_owned()),
+        Err(fault) => CallerOutcome::Unknown(fault.to_string()),
+    }
+}
--- /dev/null
+++ b/tests/support/node_fleet.rs
@@ -0,0 +1,362 @@
+//! A deployment of real node processes on loopback addresses among stand-ins of the platform.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use cv_adapter_standin::PlatformStore;
+use cv_adapter_standin::PlatformTarget;
+use cv_adapter_standin::StandinThread;
+use cv_adapter_standin::TargetKind;
+use cv_adapter_standin::TargetLog;
+use cv_standin::FaultProxy;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde_json::Value;
+use serde_json::json;
+use tempfile::TempDir;
+
+/// Port of the calls between the system's own processes.
+const INNER_PORT: u16 = 17_660;
+
+/// Port at which entries take callers' requests.
+const FRONT_PORT: u16 = 18_144;
+
+/// Port at which entries tell whether they take requests.
+const READY_PORT: u16 = 18_140;
+
+/// Port of the targets.
+const TARGET_PORT: u16 = 18_400;
+
+/// Longest time until the fleet serves.
+const START_PATIENCE: Duration = Duration::from_secs(30);
+
+/// Pause between two looks at a condition.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// The next block of loopback addresses.
+static NEXT_BLOCK: AtomicU8 = AtomicU8::new(1);
+
+/// How large a fleet is.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeFleetSize {
+    /// Model engines, each with a sidecar.
+    pub engines: u8,
+    /// Entries.
+    pub entries: u8,
+    /// Keepers.
+    pub keepers: u8,
+}
+
+/// A process with its settings and the proxy on its way to the store.
+#[derive(Debug)]
+pub struct NodeProcess {
+    binary: PathBuf,
+    child: Option<Child>,
+    /// Name of the instance.
+    pub name: String,
+    settings: PathBuf,
+    /// On the way to the store.
+    pub store_proxy: FaultProxy,
+    /// On the way to the engine, for sidecars.
+    pub target_proxy: Option<FaultProxy>,
+}
+
+/// Entries, sidecars and keepers as processes; the platform as stand-ins.
+#[derive(Debug)]
+pub struct NodeFleet {
+    block: [u8; 2],
+    /// All processes.
+    pub nodes: Vec<NodeProcess>,
+    size: NodeFleetSize,
+    /// The platform's store.
+    pub store: PlatformStore,
+    /// What the targets have run.
+    pub target_log: TargetLog,
+    _folder: TempDir,
+    _threads: Vec<StandinThread>,
+}
+
+impl NodeProcess {
+    /// Starts the process unless it runs.
+    ///
+    /// # Panics
+    /// Panics if the binary cannot be run.
+    pub fn start(&mut self) {
+        if self.child.is_some() {
+            return;
+        }
+        let log = self.settings.with_extension("log");
+        let log = std::fs::File::options().create(true).append(true).open(log).expect("a log file");
+        let errors = log.try_clone().expect("a second handle");
+        let mut command = Command::new(&self.binary);
+        command.arg("node").arg(&self.settings).stdin(Stdio::null()).stdout(log).stderr(errors);
+        self.child = Some(command.spawn().expect("the binary can be run"));
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().map(|child| child.id().cast_signed());
+        if let Some(pid) = id.and_then(Pid::from_raw) {
+            // A process that has ended needs no signal.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Kills the process and waits until it is gone.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks the process to end and waits until it has; tells whether it ended well and in time.
+    pub fn terminate(&mut self, patience: Duration) -> bool {
+        self.signal(Signal::TERM);
+        let Some(mut child) = self.child.take() else {
+            return true;
+        };
+        let began = Instant::now();
+        while began.elapsed() < patience {
+            match child.try_wait() {
+                Ok(Some(status)) => return status.success(),
+                Ok(None) => std::thread::sleep(LOOK_PAUSE),
+                Err(_) => break,
+            }
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+        false
+    }
+
+    /// Tells whether the process was started and has ended by itself.
+    pub fn has_died(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Returns what the process has written.
+    #[must_use]
+    pub fn output(&self) -> String {
+        std::fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl NodeFleet {
+    /// Starts a fleet of processes of the given binary and waits until it serves.
+    ///
+    /// # Panics
+    /// Panics if a part cannot start.
+    #[must_use]
+    pub fn start(binary: &str, size: NodeFleetSize) -> Self {
+        let block =
+            [100 + (std::process::id() % 100) as u8, NEXT_BLOCK.fetch_add(1, Ordering::Relaxed)];
+        let folder = TempDir::new().expect("a folder");
+        let store = PlatformStore::default();
+        let store_thread = store.start(SocketAddr::new(address(block, 1), 0));
+        let mut fleet = Self {
+            block,
+            nodes: Vec::new(),
+            size,
+            store,
+            target_log: TargetLog::default(),
+            _folder: folder,
+            _threads: vec![store_thread.expect("the store listens")],
+        };
+        fleet.start_targets();
+        fleet.write_config(1, 2);
+        for index in 0..size.engines {
+            fleet.register(&engine_id(index), "ready");
+        }
+        fleet.register("plain-0", "ready");
+        fleet.add_nodes(binary);
+        for node in &mut fleet.nodes {
+            node.start();
+        }
+        fleet.wait_until_ready();
+        fleet
+    }
+
+    /// Returns where callers reach the entries.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        (0..self.size.entries).map(|index| self.at(50 + index, FRONT_PORT)).collect()
+    }
+
+    /// Writes the operator's configuration.
+    pub fn write_config(&self, version: u64, max_attempts: u32) {
+        let route = |name: &str, kind: &str, service: &str| {
+            json!({
+                "name": name, "host": "growers.example", "prefix": format!("/{name}/"),
+                "kind": kind, "service": service, "timeoutMs": 5_000, "sloMs": 300, "priority": 0,
+                "maxAttempts": max_attempts, "resumable": name == "advice", "sticky": false,
+                "runSloMs": 20_000, "maxQueueS": 60, "maxQueuedTokens": 100_000,
+            })
+        };
+        let config = json!({
+            "version": version,
+            "routes": [
+                route("advice", "streaming", "llm"),
+                route("hints", "streaming", "llm"),
+                route("plans", "batch", "llm"),
+                route("orders", "unsafe", "desk"),
+                route("status", "safe", "desk"),
+            ],
+            "services": [
+                { "name": "llm", "engine": { "slots": 4 } },
+                { "name": "desk" },
+            ],
+            "limits": { "maxBodyBytes": 1_000_000 },
+        });
+        self.store.write("op/config", &config);
+    }
+
+    /// Writes a target's entry in the directory.
+    pub fn register(&self, id: &str, state: &str) {
+        let (service, host) = match id.split_once('-') {
+            Some(("engine", index)) => ("llm", 10 + index.parse::<u8>().expect("an index")),
+            _ => ("desk", 30),
+        };
+        let entry: Value = json!({
+            "service": service, "address": self.at(host, TARGET_PORT).to_string(), "zone": "zone-0",
+            "version": "v1", "slots": 4, "state": state, "coldLeftMs": 0, "callSeq": 1,
+        });
+        self.store.write(&format!("servers/{id}"), &entry);
+    }
+
+    /// Removes a target's entry from the directory.
+    pub fn deregister(&self, id: &str) {
+        self.store.erase(&format!("servers/{id}"));
+    }
+
+    /// Waits until a condition holds; tells whether it did in time.
+    pub fn wait_for(&self, patience: Duration, mut holds: impl FnMut(&Self) -> bool) -> bool {
+        let began = Instant::now();
+        while began.elapsed() < patience {
+            if holds(self) {
+                return true;
+            }
+            std::thread::sleep(LOOK_PAUSE);
+        }
+        false
+    }
+
+    /// Starts the targets.
+    fn start_targets(&mut self) {
+        let engine = TargetKind::Engine { pause: Duration::from_millis(8), slots: 4 };
+        let plain = TargetKind::Plain { work: Duration::from_millis(5) };
+        let engines = (0..self.size.engines).map(|index| (engine_id(index), 10 + index, engine));
+        let targets: Vec<_> = engines.chain([("plain-0".to_owned(), 30, plain)]).collect();
+        for (id, host, kind) in targets {
+            let target = PlatformTarget { id, kind, log: self.target_log.clone() };
+            let thread = target.start(self.at(host, TARGET_PORT)).expect("the target listens");
+            self._threads.push(thread);
+        }
+    }
+
+    /// Writes the settings of all processes.
+    fn add_nodes(&mut self, binary: &str) {
+        for index in 0..self.size.engines {
+            let engine = FaultProxy::start(self.at(10 + index, TARGET_PORT)).expect("a proxy");
+            let section = format!("sidecar:\n  engine: \"{}\"\n", engine.address());
+            self.add_node(binary, "sidecar", 10 + index, &section, Some(engine));
+        }
+        for index in 0..self.size.entries {
+            let host = 50 + index;
+            let section = format!(
+                "entry:\n  listen: \"{}\"\n  ready: \"{}\"\n",
+                self.at(host, FRONT_PORT),
+                self.at(host, READY_PORT)
+            );
+            self.add_node(binary, "entry", host, &section, None);
+        }
+        for index in 0..self.size.keepers {
+            self.add_node(binary, "keeper", 70 + index, "", None);
+        }
+    }
+
+    /// Writes the settings of one process.
+    fn add_node(
+        &mut self,
+        binary: &str,
+        role: &str,
+        host: u8,
+        section: &str,
+        target_proxy: Option<FaultProxy>,
+    ) {
+        let name = format!("{role}-{host}");
+        let store_proxy = FaultProxy::start(self._threads[0].address).expect("a proxy");
+        let settings = self._folder.path().join(format!("{name}.yaml"));
+        let text = format!(
+            "name: {name}\nrole: {role}\nzone: zone-0\nip: \"{}\"\ninner_port: {INNER_PORT}\n\
+             store: \"{}\"\ngrace_s: 4\n{section}",
+            address(self.block, host),
+            store_proxy.address(),
+        );
+        std::fs::write(&settings, text).expect("the settings can be written");
+        let binary = PathBuf::from(binary);
+        self.nodes.push(NodeProcess {
+            binary,
+            child: None,
+            name,
+            settings,
+            store_proxy,
+            target_proxy,
+        });
+    }
+
+    /// Waits until all keepers are registered and all entries are ready.
+    fn wait_until_ready(&self) {
+        let keepers = usize::from(self.size.keepers);
+        let ready = self.wait_for(START_PATIENCE, |fleet| {
+            let is_ready = |index| fleet.is_ready(index);
+            fleet.store.keys("cv/keeper/").len() == keepers && (0..fleet.size.entries).all(is_ready)
+        });
+        let outputs: Vec<String> = self.nodes.iter().map(NodeProcess::output).collect();
+        assert!(ready, "the fleet does not get ready: {}", outputs.join("\n"));
+    }
+
+    /// Asks an entry whether it takes requests.
+    fn is_ready(&self, index: u8) -> bool {
+        use std::io::Read;
+        use std::io::Write;
+        let Ok(mut stream) = std::net::TcpStream::connect(self.at(50 + index, READY_PORT)) else {
+            return false;
+        };
+        let mut answer = [0; 12];
+        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").is_ok()
+            && stream.read_exact(&mut answer).is_ok()
+            && answer.ends_with(b"200")
+    }
+
+    /// Returns an address of the fleet.
+    fn at(&self, host: u8, port: u16) -> SocketAddr {
+        SocketAddr::new(address(self.block, host), port)
+    }
+}
+
+/// Returns the identity of an engine.
+#[must_use]
+pub fn engine_id(index: u8) -> String {
+    format!("engine-{index}")
+}
+
+/// Returns an address of a block.
+fn address(block: [u8; 2], host: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, block[0], block[1], host))
+}
