Let a keeper own jobs only while it would hear of another owner

Change: ownership needs a lease that provably holds, losing it gives up all books at once, and a keeper that does not hear the store asks the others whether they do: if so it is isolated and stops its runs (an end acknowledged elsewhere would not reach it), if not the outage is everybody's and runs go on.

Ruled out: lost or doubled segments (all stood in the store at their positions).

--- a/crates/clementinevale/tests/nodes/batch_jobs.rs
+++ b/crates/clementinevale/tests/nodes/batch_jobs.rs
@@ -6,6 +6,7 @@
 
 use cv_adapter_standin::StoreMode;
 use cv_runtime::run_alone;
+use cv_standin::FaultMode;
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
 use cv_tests::node_caller::CallerOutcome;
@@ -18,6 +19,9 @@
 /// Events of each item.
 const EVENTS: u64 = 20;
 
+/// Time after which a result that was read anywhere is there everywhere.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// Longest time until a job is done.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -43,15 +47,23 @@
 
 /// Reads a job's results until all are there, and checks that none changes or comes twice.
 async fn read_to_end(entries: &[SocketAddr], job: &str, items: u64) -> Vec<serde_json::Value> {
-    let began = Instant::now();
+    let mut began = Instant::now();
     let mut known: Vec<serde_json::Value> = Vec::new();
+    // What was known for as long as the platform lets results settle.
+    let mut settled = 0;
     for entry in entries.iter().cycle() {
+        let asked = Instant::now();
         if let Ok(answer) = read_results(*entry, job, 0).await {
             let results = answer["results"].as_array().cloned().unwrap_or_default();
             let shared = known.len().min(results.len());
             assert_eq!(known[..shared], results[..shared], "a position changed");
+            if asked.duration_since(began) > SETTLE_TIME {
+                assert!(results.len() >= settled, "{} of {settled} results", results.len());
+            }
             if results.len() > known.len() {
+                settled = known.len();
                 known = results;
+                began = Instant::now();
             }
         }
         if known.len() as u64 == items {
@@ -110,6 +122,35 @@
     .expect("a runtime");
 }
 
+#[test]
+fn a_keeper_that_was_cut_off_shows_nothing_older() {
+    let fleet = small_fleet();
+    let entries = fleet.entries();
+    run_alone(async {
+        for job in 0..4 {
+            submit_for_certain(&entries, &format!("job{job}"), 30).await;
+        }
+    })
+    .expect("a runtime");
+    let keeper = fleet.nodes.iter().find(|node| node.name.starts_with("keeper"));
+    let proxy = &keeper.expect("a keeper").store_proxy;
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            proxy.set_mode(FaultMode::HalfOpen);
+            std::thread::sleep(Duration::from_secs(6));
+            proxy.set_mode(FaultMode::Cut);
+            std::thread::sleep(Duration::from_millis(50));
+            proxy.set_mode(FaultMode::Pass);
+        });
+        for job in 0..4 {
+            let entries = &entries;
+            scope.spawn(move || {
+                run_alone(read_to_end(entries, &format!("job{job}"), 30)).expect("a runtime")
+            });
+        }
+    });
+}
+
 #[test]
 fn jobs_survive_the_kill_of_every_process() {
     let mut fleet = small_fleet();
--- a/crates/serving/src/keeper/keeper_handler.rs
+++ b/crates/serving/src/keeper/keeper_handler.rs
@@ -23,6 +23,7 @@
 use crate::keeper::job_calls::read_results;
 use crate::keeper::job_calls::submit_job;
 use crate::keeper::keeper_lease::RING_PATH;
+use crate::keeper::keeper_lease::STORE_PATH;
 use crate::keeper::keeper_state::KeeperState;
 use crate::metrics_handler::METRICS_PATH;
 use crate::metrics_handler::respond_metrics;
@@ -47,6 +48,11 @@
             let names = self.state.view.ring().encode_names();
             return exchange.respond(StatusCode::OK, &HeaderMap::new(), &Bytes::from(names)).await;
         }
+        if exchange.head().uri.path() == STORE_PATH {
+            let hears = self.state.hears_store();
+            let status = if hears { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            return exchange.respond(status, &HeaderMap::new(), &Bytes::new()).await;
+        }
         let body = exchange.read_body(BODY_BYTES).await?;
         let (status, body) = match P::classify(exchange.head()) {
             CallerCall::Routed => self.submit(exchange, &body).await,
--- a/crates/serving/src/keeper/keeper_lease.rs
+++ b/crates/serving/src/keeper/keeper_lease.rs
@@ -11,6 +11,7 @@
 use cv_timeline::EventKind;
 use cv_timeline::LineWeight;
 use http::Method;
+use http::StatusCode;
 
 use crate::CommitOutcome;
 use crate::CoordinationStore;
@@ -28,6 +29,12 @@
 /// Path at which a keeper tells which keepers it knows.
 pub(crate) const RING_PATH: &str = "/cv/ring";
 
+/// Path at which a keeper tells whether the store answers it.
+pub(crate) const STORE_PATH: &str = "/cv/store";
+
+/// Time between two looks at whether the store answers only others.
+const ISOLATION_PERIOD: Duration = Duration::from_millis(300);
+
 /// Pause before the other keepers are asked once more.
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 
@@ -54,6 +61,7 @@
                 }
                 state.lease.set(None);
                 state.is_known.set(false);
+                state.disown_jobs();
                 state.view.log.record(
                     LineWeight::Essential,
                     EventKind::LeaseLost,
@@ -132,6 +140,34 @@
     }
 }
 
+/// Finds out, for as long as the process runs, whether the store answers others and not this one.
+///
+/// Others may then own and end the jobs of this keeper, which would not hear of it.
+pub(crate) async fn watch_isolation<P: PlatformBorder>(state: Rc<KeeperState<P>>) {
+    loop {
+        monoio::time::sleep(ISOLATION_PERIOD).await;
+        let mut is_isolated = false;
+        if !state.hears_store() {
+            for keeper in state.view.ring().keepers() {
+                is_isolated |=
+                    keeper.name != state.identity.name && hears_store(&state, keeper.address).await;
+            }
+        }
+        if state.is_isolated.replace(is_isolated) != is_isolated {
+            state.view.log.record(LineWeight::Essential, EventKind::LeaseLost, "keeper", || {
+                format!("isolated={is_isolated} silence={:?}", state.view.link.silence())
+            });
+        }
+    }
+}
+
+/// Asks another keeper whether the store answers it.
+async fn hears_store<P: PlatformBorder>(state: &KeeperState<P>, address: SocketAddr) -> bool {
+    let request = ClientRequest::new(Method::GET, STORE_PATH, "");
+    let asked = state.pool.exchange(address, &request, ASK_PATIENCE, ASK_BYTES).await;
+    asked.is_ok_and(|answer| answer.status == StatusCode::OK)
+}
+
 /// Asks another keeper whether it knows of this one.
 async fn knows_me<P: PlatformBorder>(state: &KeeperState<P>, address: SocketAddr) -> bool {
     let request = ClientRequest::new(Method::GET, RING_PATH, "");
@@ -165,10 +201,7 @@
 pub(crate) async fn leave<P: PlatformBorder>(state: &KeeperState<P>) {
     state.is_leaving.set(true);
     let held = state.lease.take();
-    for cell in state.shelf.all() {
-        cell.is_owned.set(false);
-        cell.changed.notify_waiters();
-    }
+    state.disown_jobs();
     if let Some(lease) = held
         && let Err(fault) = state.view.link.observe(state.store.end_lease(lease.epoch()).await)
     {
--- a/crates/serving/src/keeper/keeper_server.rs
+++ b/crates/serving/src/keeper/keeper_server.rs
@@ -36,6 +36,7 @@
 use crate::keeper::keeper_handler::KeeperHandler;
 use crate::keeper::keeper_lease::leave;
 use crate::keeper::keeper_lease::run_lease;
+use crate::keeper::keeper_lease::watch_isolation;
 use crate::keeper::keeper_state::KeeperState;
 use crate::load_listener::start_load_listener;
 
@@ -89,6 +90,7 @@
         let state = Rc::new(KeeperState::<P> {
             border: PhantomData,
             identity,
+            is_isolated: Cell::new(false),
             is_known: Cell::new(false),
             is_leaving: Cell::new(false),
             lease: Cell::default(),
@@ -107,6 +109,7 @@
             HttpServer::new(listener, Rc::new(handler), drain.clone(), HttpLimits::default());
         monoio::spawn(server.run());
         monoio::spawn(run_lease(Rc::clone(&state)));
+        monoio::spawn(watch_isolation(Rc::clone(&state)));
         start_dispatch(&state, &timers);
         follow_retirement(&state);
         log.record(LineWeight::Essential, EventKind::Started, "keeper", || {
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -21,6 +21,7 @@
 use crate::PlatformBorder;
 use crate::StoreCommit;
 use crate::StoreFault;
+use crate::keeper::job_cell::BookState;
 use crate::keeper::job_cell::JobCell;
 use crate::keeper::job_shelf::JobShelf;
 
@@ -38,6 +39,8 @@
 pub(crate) struct KeeperState<P: PlatformBorder> {
     pub border: PhantomData<P>,
     pub identity: Rc<NodeIdentity>,
+    /// Whether the store answers other keepers and not this one.
+    pub is_isolated: Cell<bool>,
     /// Whether all other keepers know of this one, so that none of them owns what it owns.
     pub is_known: Cell<bool>,
     /// Whether the keeper takes no new work because it is leaving.
@@ -62,14 +65,40 @@
     /// lately.
     pub fn is_sure(&self) -> bool {
         let now = self.view.clock.now();
-        let hears = self.view.link.silence().is_some_and(|silence| silence < SURE_SILENCE);
-        hears && self.view.link.is_up() && self.lease.get().is_some_and(|lease| lease.holds(now))
+        self.hears_store() && self.lease.get().is_some_and(|lease| lease.holds(now))
+    }
+
+    /// Tells whether the store has answered lately.
+    pub fn hears_store(&self) -> bool {
+        let link = &self.view.link;
+        link.is_up() && link.silence().is_some_and(|silence| silence < SURE_SILENCE)
     }
 
     /// Tells whether this keeper owns a job, by the keepers that it knows.
     pub fn is_owner(&self, job: &str) -> bool {
-        let serves = !self.is_leaving.get() && self.lease.get().is_some();
-        serves && self.is_known.get() && self.view.ring().is_owner(&self.identity.name, job)
+        self.may_own() && self.view.ring().is_owner(&self.identity.name, job)
+    }
+
+    /// Tells whether this keeper may own jobs at all.
+    ///
+    /// While the store answers nobody, nobody can take a job over or end it, so runs go on even
+    /// after the lease's time.
+    fn may_own(&self) -> bool {
+        let now = self.view.clock.now();
+        let Some(lease) = self.lease.get() else {
+            return false;
+        };
+        let is_outage = !self.hears_store() && !self.is_isolated.get();
+        !self.is_leaving.get() && self.is_known.get() && (lease.holds(now) || is_outage)
+    }
+
+    /// Gives up all jobs; what their books lack has to be read before they are owned again.
+    pub fn disown_jobs(&self) {
+        for cell in self.shelf.all() {
+            cell.is_owned.set(false);
+            cell.state.set(BookState::Unknown);
+            cell.changed.notify_waiters();
+        }
     }
 
     /// Returns the route of a job, if the configuration still has it.
