--- a/crates/serving/src/keeper/keeper_lease.rs
+++ b/crates/serving/src/keeper/keeper_lease.rs
@@ -35,6 +35,10 @@
 /// Time between two looks at whether the store answers only others.
 const ISOLATION_PERIOD: Duration = Duration::from_millis(300);
 
+/// Looks in a row that make a keeper isolated. At the beginning of an outage of the store, keepers
+/// stop hearing it up to a second apart.
+const ISOLATION_LOOKS: u32 = 4;
+
 /// Pause before the other keepers are asked once more.
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 
@@ -144,15 +148,18 @@
 ///
 /// Others may then own and end the jobs of this keeper, which would not hear of it.
 pub(crate) async fn watch_isolation<P: PlatformBorder>(state: Rc<KeeperState<P>>) {
+    let mut looks = 0;
     loop {
         monoio::time::sleep(ISOLATION_PERIOD).await;
-        let mut is_isolated = false;
+        let mut others_hear = false;
         if !state.hears_store() {
             for keeper in state.view.ring().keepers() {
-                is_isolated |=
+                others_hear |=
                     keeper.name != state.identity.name && hears_store(&state, keeper.address).await;
             }
         }
+        looks = if others_hear { looks + 1 } else { 0 };
+        let is_isolated = looks >= ISOLATION_LOOKS;
         if state.is_isolated.replace(is_isolated) != is_isolated {
             state.view.log.record(LineWeight::Essential, EventKind::LeaseLost, "keeper", || {
                 format!("isolated={is_isolated} silence={:?}", state.view.link.silence())
