Read all keys anew after a watch that was cut, and explain requests from logs

Change: a watch that was cut is never continued. Lines of late and failed requests carry their inputs, those of sidecars the wait and the queue; cvctl explain puts the lines of an id and the changes of belief around them in order.

Ruled out: an empty answer that skips revisions (mended before; the line would show a fresh read).

--- a/crates/clementinevale/tests/nodes/online_requests.rs
+++ b/crates/clementinevale/tests/nodes/online_requests.rs
@@ -102,6 +102,29 @@
     assert!(!is_refused());
 }
 
+#[test]
+fn a_configuration_is_not_missed_when_the_history_is_lost_unsaid() {
+    let fleet = small_fleet();
+    let entry = fleet.entries()[0];
+    fleet.store.set_deaf(true);
+    fleet.write_config(5, 2);
+    let routes = serde_json::json!([{
+        "name": "added", "host": "growers.example", "prefix": "/added/", "kind": "safe",
+        "service": "desk", "timeoutMs": 1_000, "sloMs": 300, "maxAttempts": 1,
+    }]);
+    let config =
+        serde_json::json!({ "version": 9, "routes": routes, "services": [{ "name": "desk" }] });
+    fleet.store.write("op/config", &config);
+    std::thread::sleep(Duration::from_millis(300));
+    // Stale reads go on lagging, so only the watch can tell.
+    fleet.store.lose_history();
+    let is_served = || {
+        let outcome = run_alone(async { ask_plain(entry, "added", "p1").await });
+        outcome.expect("a runtime") == CallerOutcome::Whole
+    };
+    assert!(fleet.wait_for(Duration::from_secs(2), |_| is_served()));
+}
+
 #[test]
 fn a_draining_target_gets_nothing_new() {
     let fleet = small_fleet();
--- /dev/null
+++ b/crates/cvctl/src/explain_command.rs
@@ -0,0 +1,46 @@
+//! `cvctl explain`
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use cv_timeline::MergedTimeline;
+use cv_timeline::render_html;
+use cv_timeline::render_text;
+
+/// Shows what became of a request, job or item, with the changes of belief around it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainCommand {
+    /// the id of the request, job or item
+    #[argh(positional)]
+    id: String,
+    /// the logs of the processes
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+    /// write a page with one lane a process to this file
+    #[argh(option)]
+    html: Option<PathBuf>,
+}
+
+impl ExplainCommand {
+    /// Prints the lines, or writes them as a page.
+    pub fn run(&self) -> Result<ExitCode, String> {
+        let mut texts = Vec::new();
+        for path in &self.files {
+            let text = std::fs::read_to_string(path);
+            texts.push(text.map_err(|error| format!("{}: {error}", path.display()))?);
+        }
+        let timeline = MergedTimeline::from_texts(texts.iter().map(String::as_str));
+        let timeline = timeline.explain(&self.id);
+        if timeline.events().is_empty() {
+            return Err(format!("no line of the {} file(s) names {}", self.files.len(), self.id));
+        }
+        match &self.html {
+            Some(path) => std::fs::write(path, render_html(&timeline))
+                .map_err(|error| format!("{}: {error}", path.display()))?,
+            None => print!("{}", render_text(&timeline)),
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+}
--- a/crates/cvctl/src/main.rs
+++ b/crates/cvctl/src/main.rs
@@ -4,6 +4,7 @@
 mod config_command;
 mod demo_command;
 mod experiment_command;
+mod explain_command;
 mod fleet_command;
 mod job_command;
 mod timeline_command;
@@ -17,6 +18,7 @@
 use crate::config_command::ConfigCommand;
 use crate::demo_command::DemoCommand;
 use crate::experiment_command::ExperimentCommand;
+use crate::explain_command::ExplainCommand;
 use crate::fleet_command::FleetCommand;
 use crate::job_command::JobCommand;
 use crate::timeline_command::TimelineCommand;
@@ -37,6 +39,7 @@
     Config(ConfigCommand),
     Demo(DemoCommand),
     Experiment(ExperimentCommand),
+    Explain(ExplainCommand),
     Fleet(FleetCommand),
     Job(JobCommand),
     Timeline(TimelineCommand),
@@ -51,6 +54,7 @@
         ControlCommand::Config(command) => command.run(),
         ControlCommand::Demo(command) => command.run(),
         ControlCommand::Experiment(command) => command.run(),
+        ControlCommand::Explain(command) => command.run(),
         ControlCommand::Fleet(command) => command.run(),
         ControlCommand::Job(command) => command.run(),
         ControlCommand::Timeline(command) => command.run(),
--- a/crates/serving/src/front/answer_relay.rs
+++ b/crates/serving/src/front/answer_relay.rs
@@ -33,6 +33,8 @@
 
 /// What the caller has of its answer.
 pub(crate) struct AnswerRelay {
+    /// When the first part of the answer went to the caller.
+    first_at: Option<Instant>,
     kind: RouteKind,
     last_event: Option<u64>,
     started: bool,
@@ -43,7 +45,7 @@
 impl AnswerRelay {
     /// Creates a relay for a caller that has a stream up to the given event.
     pub fn new(kind: RouteKind, last_event: Option<u64>) -> Self {
-        Self { kind, last_event, started: false, unframed: false }
+        Self { first_at: None, kind, last_event, started: false, unframed: false }
     }
 
     /// Tells whether the head of an answer has been sent.
@@ -51,6 +53,11 @@
         self.started
     }
 
+    /// Returns when the first part of the answer went to the caller.
+    pub fn first_at(&self) -> Option<Instant> {
+        self.first_at
+    }
+
     /// Tells whether another run can go on where this one ended.
     pub fn can_resume(&self) -> bool {
         !self.unframed
@@ -97,6 +104,7 @@
         match body {
             Ok(Ok(body)) => {
                 self.started = true;
+                self.first_at = Some(Instant::now());
                 exchange.respond(status, headers, &body).await?;
                 Ok(RelayEnd::Whole(connection))
             }
@@ -158,6 +166,9 @@
             self.last_event = event.id.or(self.last_event);
             bytes.extend_from_slice(&event.raw);
         }
+        if !bytes.is_empty() {
+            self.first_at.get_or_insert_with(Instant::now);
+        }
         exchange.send_piece(&bytes.freeze()).await
     }
 }
--- a/crates/serving/src/front/front_handler.rs
+++ b/crates/serving/src/front/front_handler.rs
@@ -54,7 +54,7 @@
             return self.jobs.relay(exchange, call.job(), Bytes::new(), false).await;
         }
         let Some(routes) = self.view.routes() else {
-            return self.refuse(exchange, UNREADY_RETRY, "no_configuration").await;
+            return self.refuse(exchange, UNREADY_RETRY, "no_configuration", "").await;
         };
         let host = exchange.header(HOST.as_str()).unwrap_or_default().to_owned();
         let path = exchange.head().uri.path().to_owned();
@@ -80,11 +80,12 @@
         exchange: &mut ServerExchange<'_>,
         after: Duration,
         reason: &str,
+        inputs: &str,
     ) -> Result<(), HttpFault> {
         self.metrics.refused.inc();
         let subject = P::request_terms(&exchange.head().headers).request_id.unwrap_or_default();
         self.view.log.record(LineWeight::Essential, EventKind::Refused, &subject, || {
-            format!("reason={reason} retry_after_ms={}", after.as_millis())
+            format!("reason={reason} retry_after_ms={} {inputs}", after.as_millis())
         });
         let mut headers = HeaderMap::new();
         let seconds = format!("{:.3}", after.as_secs_f64());
--- a/crates/serving/src/front/online_call.rs
+++ b/crates/serving/src/front/online_call.rs
@@ -59,6 +59,7 @@
 
 /// A caller's request being served.
 pub(crate) struct OnlineCall<'a, P> {
+    began: Instant,
     body: Bytes,
     deadline: Instant,
     handler: &'a FrontHandler<P>,
@@ -98,6 +99,7 @@
         let terms = P::request_terms(&headers);
         let limit = terms.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
         Self {
+            began,
             body,
             deadline: began + limit.saturating_sub(ANSWER_MARGIN),
             handler,
@@ -233,7 +235,7 @@
         match end {
             RelayEnd::Whole(connection) => {
                 call.give_back(connection);
-                self.note_success(&choice.id, head.status);
+                self.note_success(&choice.id, head.status, relay);
                 Ok(AttemptEnd::Answered)
             }
             RelayEnd::CallerGone => Ok(self.abandon()),
@@ -317,7 +319,14 @@
             let left = self.left();
             let draw = handler.view.fraction();
             let after = handler.advice.borrow_mut().refuse(now, left, draw);
-            return handler.refuse(exchange, after, reason).await;
+            let inputs = format!(
+                "tried={} returning={} held_ms={} version={}",
+                self.tried.join(","),
+                self.is_returning,
+                self.began.elapsed().as_millis(),
+                handler.view.routes().map_or(0, |routes| routes.version),
+            );
+            return handler.refuse(exchange, after, reason, &inputs).await;
         }
         handler.metrics.failed.inc();
         let subject = self.terms.request_id.as_deref().unwrap_or_default();
@@ -325,7 +334,15 @@
             LineWeight::Essential,
             EventKind::RequestConcluded,
             subject,
-            || format!("outcome=failed reason={reason} attempts={}", self.sent),
+            || {
+                format!(
+                    "outcome=failed reason={reason} attempts={} tried={} total_ms={} left_ms={}",
+                    self.sent,
+                    self.tried.join(","),
+                    self.began.elapsed().as_millis(),
+                    self.left().as_millis(),
+                )
+            },
         );
         if relay.has_started() {
             return Err(HttpFault::Truncated);
@@ -336,7 +353,7 @@
     }
 
     /// Notes an answer.
-    fn note_success(&self, target: &str, status: StatusCode) {
+    fn note_success(&self, target: &str, status: StatusCode, relay: &AnswerRelay) {
         let handler = self.handler;
         handler.metrics.answered.inc();
         let now = handler.view.clock.now();
@@ -347,9 +364,24 @@
             }
         });
         let subject = self.terms.request_id.as_deref().unwrap_or_default();
-        handler.view.log.record(LineWeight::Routine, EventKind::RequestConcluded, subject, || {
-            format!("outcome=answered status={status} target={target} attempts={}", self.sent)
+        let first = relay.first_at().map(|first| first.duration_since(self.began));
+        let is_late = first.is_some_and(|first| first > self.route.objective);
+        let weight = if is_late { LineWeight::Essential } else { LineWeight::Routine };
+        handler.view.log.record(weight, EventKind::RequestConcluded, subject, || {
+            format!(
+                "outcome=answered late={is_late} first_ms={} total_ms={} objective_ms={} \
+                 status={status} target={target} attempts={} refused_by={} returning={}",
+                first.unwrap_or_default().as_millis(),
+                self.began.elapsed().as_millis(),
+                self.route.objective.as_millis(),
+                self.sent,
+                self.tried.len(),
+                self.is_returning,
+            )
         });
+        if let Some(first) = first {
+            handler.metrics.first_answer.observe(first.as_secs_f64());
+        }
     }
 
     /// Notes that the caller has gone away, which ends the attempt by closing its connection.
--- a/crates/serving/src/prefix_follower.rs
+++ b/crates/serving/src/prefix_follower.rs
@@ -56,34 +56,42 @@
             match self.link.observe(self.store.range(self.prefix).await) {
                 Ok(snapshot) => {
                     apply(FollowerNews::Snapshot(snapshot.items));
-                    pause = FIRST_PAUSE;
-                    self.watch_from(snapshot.revision, &mut apply).await;
+                    if self.watch_from(snapshot.revision, &mut apply).await {
+                        pause = FIRST_PAUSE;
+                    } else {
+                        self.rest(&mut pause).await;
+                    }
                 }
                 Err(_) => self.rest(&mut pause).await,
             }
         }
     }
 
-    /// Watches until the history is lost, or may have been.
-    async fn watch_from(&mut self, mut revision: u64, apply: &mut impl FnMut(FollowerNews)) {
-        let mut pause = FIRST_PAUSE;
+    /// Watches until a change may have been missed; tells whether the store answered to the last.
+    ///
+    /// Around the loss of its history the store cuts watches and may let them continue without the
+    /// changes in between, so a watch that was cut is never continued: all keys are read anew.
+    async fn watch_from(
+        &mut self,
+        mut revision: u64,
+        apply: &mut impl FnMut(FollowerNews),
+    ) -> bool {
         loop {
             let watched = monoio::select! {
                 watched = self.store.watch(self.prefix, revision, WATCH_PATIENCE) => watched,
-                () = self.watch_is_deaf(revision) => return,
+                () = self.watch_is_deaf(revision) => return true,
             };
             match self.link.observe(watched) {
-                // A watch that is about to lose its history may end without changes that were made:
-                // only the revisions of changes that were seen are safe to continue from.
-                Ok(batch) if batch.changes.is_empty() => return,
+                // A watch that is about to lose its history may end without changes that were
+                // made: only the revisions of changes that were seen are safe to continue from.
+                Ok(batch) if batch.changes.is_empty() => return true,
                 Ok(batch) => {
-                    pause = FIRST_PAUSE;
                     revision = revision.max(batch.revision);
                     apply(FollowerNews::Changes(batch.changes));
                     monoio::time::sleep(self.interval).await;
                 }
-                Err(StoreFault::Compacted | StoreFault::Invalid(_)) => return,
-                Err(_) => self.rest(&mut pause).await,
+                Err(StoreFault::Compacted) => return true,
+                Err(_) => return false,
             }
         }
     }
--- a/crates/serving/src/side/side_handler.rs
+++ b/crates/serving/src/side/side_handler.rs
@@ -42,6 +42,9 @@
 /// Longest wait for the engine's answer where the caller names no deadline.
 const HEAD_PATIENCE: Duration = Duration::from_secs(15);
 
+/// Wait of an online request for a slot that is written down in any case.
+const SLOW_WAIT: Duration = Duration::from_millis(150);
+
 /// Silence of the engine after which a batch run is given up; it makes an event every few
 /// hundredths of a second, and is silent for longer only while it reads a long prompt again.
 const STALL_PATIENCE: Duration = Duration::from_millis(2_500);
@@ -335,12 +338,35 @@
             () = exchange.closed() => return Err(HttpFault::Closed),
         };
         if started {
+            self.log_start(request);
             return Ok(Some(ticket));
         }
         self.refuse(exchange, request, SidecarVerdict::NotRun, "patience_over").await?;
         Ok(None)
     }
 
+    /// Writes a line about a request that has a slot; one that waited for long explains a late
+    /// answer.
+    fn log_start(&self, request: &SideRequest) {
+        let waited = request.arrived.elapsed();
+        let is_slow = request.terms.class == WorkClass::Online && waited > SLOW_WAIT;
+        let weight = if is_slow { LineWeight::Essential } else { LineWeight::Routine };
+        let subject = request.request_id.as_deref().unwrap_or_default();
+        self.log.record(weight, EventKind::HandedOver, subject, || {
+            let reading = self.gate.reading();
+            format!(
+                "class={:?} waited_ms={} online={}+{} batch={}+{} slots={}",
+                request.terms.class,
+                waited.as_millis(),
+                reading.online_running,
+                reading.online_waiting,
+                reading.batch_running,
+                reading.batch_waiting,
+                reading.slots,
+            )
+        });
+    }
+
     /// Answers a request that gets no answer of the engine.
     async fn refuse(
         &self,
--- a/crates/timeline/src/event_merge.rs
+++ b/crates/timeline/src/event_merge.rs
@@ -2,6 +2,9 @@
 
 use crate::EventRecord;
 
+/// Time around the events of a subject in which changes of belief may explain them.
+const AROUND_MS: u64 = 3_000;
+
 /// Events of many processes in causal order.
 #[derive(Clone, Debug, Default)]
 pub struct MergedTimeline {
@@ -14,7 +17,9 @@
     pub fn from_texts<'a>(texts: impl IntoIterator<Item = &'a str>) -> Self {
         let mut timeline = Self::default();
         for line in texts.into_iter().flat_map(str::lines) {
-            match serde_json::from_str(line) {
+            // Whoever collects the lines may have put the time or the process before them.
+            let record = line.find('{').map_or(line, |start| &line[start..]);
+            match serde_json::from_str(record) {
                 Ok(event) => timeline.events.push(event),
                 Err(_) => timeline.invalid_lines += 1,
             }
@@ -32,6 +37,33 @@
         self
     }
 
+    /// Keeps the events about a request, job or item, and around them those that tell what the
+    /// processes concerned came to believe.
+    #[must_use]
+    pub fn explain(mut self, subject: &str) -> Self {
+        let names = |event: &EventRecord| {
+            event.subject == subject
+                || event
+                    .detail
+                    .split(' ')
+                    .any(|word| word.split_once('=').is_some_and(|(_, value)| value == subject))
+        };
+        let concerned: Vec<EventRecord> =
+            self.events.iter().filter(|event| names(event)).cloned().collect();
+        let (Some(first), Some(last)) = (concerned.first(), concerned.last()) else {
+            self.events.clear();
+            return self;
+        };
+        let (from, to) =
+            (first.clock.wall_millis().saturating_sub(AROUND_MS), last.clock.wall_millis());
+        self.events.retain(|event| {
+            let is_near = (from..=to + AROUND_MS).contains(&event.clock.wall_millis());
+            let is_concerned = concerned.iter().any(|other| other.process == event.process);
+            names(event) || (is_near && is_concerned && event.kind.is_belief())
+        });
+        self
+    }
+
     /// Returns the events in order.
     #[must_use]
     pub fn events(&self) -> &[EventRecord] {
--- a/crates/timeline/src/event_record.rs
+++ b/crates/timeline/src/event_record.rs
@@ -74,6 +74,28 @@
     LinesDropped,
 }
 
+impl EventKind {
+    /// Tells whether the event changes what the process believes, rather than one request.
+    #[must_use]
+    pub fn is_belief(self) -> bool {
+        matches!(
+            self,
+            Self::Started
+                | Self::DrainStarted
+                | Self::Stopped
+                | Self::TargetChanged
+                | Self::ConfigInForce
+                | Self::LeaseAcquired
+                | Self::LeaseLost
+                | Self::DirectoryChanged
+                | Self::EntryRejected
+                | Self::DependencyLost
+                | Self::DependencyRegained
+                | Self::LinesDropped
+        )
+    }
+}
+
 /// One event of one process.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EventRecord {
--- a/tests/border/time_line.rs
+++ b/tests/border/time_line.rs
@@ -47,3 +47,27 @@
     assert_eq!(kinds, expected);
     assert!(render_html(&timeline).contains("<svg"));
 }
+
+#[test]
+fn an_explanation_has_the_subject_and_the_beliefs_around_it() {
+    let line = |millis: u64, kind: &str, process: &str, subject: &str, detail: &str| {
+        let clock = millis << 16;
+        format!(
+            "{{\"clock\":{clock},\"kind\":\"{kind}\",\"process\":\"{process}\",\
+             \"subject\":\"{subject}\",\"detail\":\"{detail}\"}}\n"
+        )
+    };
+    let text = [
+        // Collectors put their own words before a line.
+        format!("12.5 entry-1 {}", line(10_000, "refused", "entry-1", "r1", "reason=all_busy")),
+        line(9_000, "directory_changed", "entry-1", "t1", "state=gone"),
+        line(1_000, "directory_changed", "entry-1", "t0", "state=gone"),
+        line(10_000, "directory_changed", "entry-2", "t1", "state=gone"),
+        line(10_001, "refused", "entry-1", "r2", "reason=all_busy"),
+        line(10_002, "item_started", "keeper-1", "i1", "job=r1 target=t2"),
+    ]
+    .concat();
+    let timeline = cv_timeline::MergedTimeline::from_texts([text.as_str()]).explain("r1");
+    let subjects: Vec<&str> = timeline.events().iter().map(|event| &*event.subject).collect();
+    assert_eq!(subjects, ["t1", "r1", "i1"]);
+}
--- a/tests/dispatch/load_play.rs
+++ b/tests/dispatch/load_play.rs
@@ -304,7 +304,7 @@
         self.tickets += 1;
         request.started_ms = self.now_ms;
         self.requests.push((ticket, request));
-        self.carry_out(request.engine, &commands);
+        self.carry_out(&commands);
         true
     }
 
@@ -325,13 +325,13 @@
             let mut commands = Vec::new();
             let now = self.now();
             self.queues[request.engine].finish(now, ticket, &mut commands);
-            self.carry_out(request.engine, &commands);
+            self.carry_out(&commands);
         }
         for engine in 0..self.queues.len() {
             let mut commands = Vec::new();
             let now = self.now();
             self.queues[engine].tick(now, &mut commands);
-            self.carry_out(engine, &commands);
+            self.carry_out(&commands);
         }
     }
 
@@ -352,7 +352,7 @@
     }
 
     /// Does what a queue asks for.
-    fn carry_out(&mut self, engine: usize, commands: &[QueueCommand]) {
+    fn carry_out(&mut self, commands: &[QueueCommand]) {
         for command in commands {
             match command {
                 QueueCommand::Start(ticket) => {
--- a/tests/support/node_caller.rs
+++ b/tests/support/node_caller.rs
@@ -66,12 +66,7 @@
             .with_header("token-count", &format!("10,{events}"));
         match self.call(&stream).await {
             Ok((StatusCode::OK, body)) => {
-                let expected: String = (1..=events)
-                    .map(|number| {
-                        let data = PlatformTarget::event_data(id, number);
-                        format!("id: {number}\ndata: {data}\n\n")
-                    })
-                    .collect();
+                let expected = PlatformTarget::whole_stream(id, events);
                 if body == expected.as_bytes() {
                     CallerOutcome::Whole
                 } else {
@@ -151,7 +146,10 @@
     }
 }
 
-/// Reads the results of a job from a position, if the entry has an answer.
+/// Reads the results of a job from a position.
+///
+/// # Errors
+/// Says why the entry gave no answer.
 pub async fn read_results(
     address: SocketAddr,
     job: &str,
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -82,8 +82,8 @@
     pub store: PlatformStore,
     /// What the targets have run.
     pub target_log: TargetLog,
-    _folder: TempDir,
-    _threads: Vec<StandinThread>,
+    folder: TempDir,
+    threads: Vec<StandinThread>,
 }
 
 impl NodeProcess {
@@ -175,8 +175,8 @@
             size,
             store,
             target_log: TargetLog::default(),
-            _folder: folder,
-            _threads: vec![store_thread.expect("the store listens")],
+            folder,
+            threads: vec![store_thread.expect("the store listens")],
         };
         fleet.start_targets();
         fleet.write_config(1, 2);
@@ -227,6 +227,9 @@
     }
 
     /// Writes a target's entry in the directory.
+    ///
+    /// # Panics
+    /// Panics if the fleet has no such target.
     pub fn register(&self, id: &str, state: &str) {
         let (service, host) = match id.split_once('-') {
             Some(("engine", index)) => ("llm", 10 + index.parse::<u8>().expect("an index")),
@@ -277,7 +280,7 @@
         for (id, host, kind) in targets {
             let target = PlatformTarget { id, kind, log: self.target_log.clone() };
             let thread = target.start(self.at(host, TARGET_PORT)).expect("the target listens");
-            self._threads.push(thread);
+            self.threads.push(thread);
         }
     }
 
@@ -312,8 +315,8 @@
         target_proxy: Option<FaultProxy>,
     ) {
         let name = format!("{role}-{host}");
-        let store_proxy = FaultProxy::start(self._threads[0].address).expect("a proxy");
-        let settings = self._folder.path().join(format!("{name}.yaml"));
+        let store_proxy = FaultProxy::start(self.threads[0].address).expect("a proxy");
+        let settings = self.folder.path().join(format!("{name}.yaml"));
         let text = format!(
             "name: {name}\nrole: {role}\nzone: zone-0\nip: \"{}\"\ninner_port: {INNER_PORT}\n\
              store: \"{}\"\ngrace_s: 4\n{section}",
