--- a/crates/entry/src/batch/batch_coordinator.rs
+++ b/crates/entry/src/batch/batch_coordinator.rs
@@ -7,11 +7,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cv_platform::CallPurpose;
-use cv_platform::KeyRange;
-use cv_platform::KeyValueFault;
-use cv_platform::Transaction;
-use cv_platform::WriteAnswer;
+use cv_key_value::CallPurpose;
+use cv_key_value::KeyRange;
+use cv_key_value::KeyValueFault;
+use cv_key_value::Transaction;
+use cv_key_value::WriteAnswer;
 use cv_policy::MonotonicTime;
 use cv_policy::OrganisationTable;
 use cv_policy::batch::ChunkCommit;
--- a/crates/entry/src/batch/instance_lease.rs
+++ b/crates/entry/src/batch/instance_lease.rs
@@ -4,11 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cv_platform::CallPurpose;
-use cv_platform::KeyValueClient;
-use cv_platform::KeyValueFault;
-use cv_platform::Transaction;
-use cv_platform::WriteAnswer;
+use cv_key_value::CallPurpose;
+use cv_key_value::KeyValueClient;
+use cv_key_value::KeyValueFault;
+use cv_key_value::Transaction;
+use cv_key_value::WriteAnswer;
 use cv_policy::lease::LeaseClock;
 use cv_timeline::EventKind;
 use cv_timer::TimerService;
--- a/crates/entry/src/batch/item_task.rs
+++ b/crates/entry/src/batch/item_task.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use cv_platform::CallPurpose;
-use cv_platform::Transaction;
-use cv_platform::WriteAnswer;
+use cv_key_value::CallPurpose;
+use cv_key_value::Transaction;
+use cv_key_value::WriteAnswer;
 use cv_policy::batch::ChunkCommit;
 use cv_policy::batch::ItemEnd;
 use cv_policy::batch::ItemResult;
--- a/crates/entry/src/batch/job_claim.rs
+++ b/crates/entry/src/batch/job_claim.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use cv_platform::CallPurpose;
-use cv_platform::KeyRange;
-use cv_platform::KeyValueClient;
-use cv_platform::KeyValueFault;
-use cv_platform::Transaction;
-use cv_platform::WriteAnswer;
+use cv_key_value::CallPurpose;
+use cv_key_value::KeyRange;
+use cv_key_value::KeyValueClient;
+use cv_key_value::KeyValueFault;
+use cv_key_value::Transaction;
+use cv_key_value::WriteAnswer;
 use cv_policy::batch::ChunkCommit;
 use cv_policy::batch::ItemResult;
 use cv_policy::batch::JobOwner;
--- a/crates/entry/src/batch/job_view.rs
+++ b/crates/entry/src/batch/job_view.rs
@@ -5,12 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cv_platform::CallPurpose;
-use cv_platform::KeyRange;
-use cv_platform::KeyValueClient;
-use cv_platform::KeyValueEntry;
-use cv_platform::KeyValueFault;
-use cv_platform::WatchEvent;
+use cv_key_value::CallPurpose;
+use cv_key_value::KeyRange;
+use cv_key_value::KeyValueClient;
+use cv_key_value::KeyValueEntry;
+use cv_key_value::KeyValueFault;
+use cv_key_value::WatchEvent;
 use cv_policy::batch::JobRecord;
 
 use super::instance_lease::INSTANCE_PREFIX;
--- a/crates/entry/src/batch/journal_link.rs
+++ b/crates/entry/src/batch/journal_link.rs
@@ -6,7 +6,7 @@
 use cv_control::AppendAnswer;
 use cv_control::JournalPage;
 use cv_control::call_context;
-use cv_platform::InstanceRecord;
+use cv_key_value::InstanceRecord;
 use cv_policy::batch::JournalRecord;
 use cv_policy::stable_hash;
 use cv_storage::JournalStore;
--- a/crates/entry/src/batch/replica_repair.rs
+++ b/crates/entry/src/batch/replica_repair.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cv_platform::CallPurpose;
-use cv_platform::KeyRange;
-use cv_platform::KeyValueClient;
-use cv_platform::Transaction;
-use cv_platform::WriteAnswer;
+use cv_key_value::CallPurpose;
+use cv_key_value::KeyRange;
+use cv_key_value::KeyValueClient;
+use cv_key_value::Transaction;
+use cv_key_value::WriteAnswer;
 use cv_policy::batch::ChunkCommit;
 use cv_policy::batch::FileRecord;
 use cv_policy::batch::JobRecord;
--- a/crates/entry/src/batch/result_stream.rs
+++ b/crates/entry/src/batch/result_stream.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use cv_http::HttpFault;
 use cv_http::ServerExchange;
-use cv_platform::CallPurpose;
-use cv_platform::KeyRange;
-use cv_platform::KeyValueFault;
+use cv_key_value::CallPurpose;
+use cv_key_value::KeyRange;
+use cv_key_value::KeyValueFault;
 use cv_policy::batch::ChunkCommit;
 use cv_policy::batch::ItemResult;
 use cv_policy::batch::JobRecord;
--- a/crates/entry/src/watch/instance_watch.rs
+++ b/crates/entry/src/watch/instance_watch.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cv_platform::InstanceClient;
-use cv_platform::InstanceRecord;
+use cv_key_value::InstanceClient;
+use cv_key_value::InstanceRecord;
 use cv_policy::routing::TargetListing;
 use cv_policy::routing::pick_subset;
 use cv_timer::TimerService;
--- a/crates/serving/src/keeper/job_calls.rs
+++ b/crates/serving/src/keeper/job_calls.rs
@@ -82,6 +82,7 @@
                 cell.is_owned.set(true);
                 cell.state.set(BookState::Current);
             }
+            state.metrics.jobs_accepted.inc();
             (StatusCode::ACCEPTED, "accepted")
         }
         Ok(_) => {
--- a/crates/serving/src/keeper/job_commits.rs
+++ b/crates/serving/src/keeper/job_commits.rs
@@ -92,7 +92,10 @@
                 return true;
             }
             Ok(_) => {
+                let before = cell.book.borrow().listed().len();
                 cell.book.borrow_mut().confirm_segment();
+                let listed = cell.book.borrow().listed().len() - before;
+                state.metrics.results_listed.inc_by(listed as u64);
                 log_listed(state, cell, "written");
                 cell.changed.notify_waiters();
                 return true;
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -210,6 +210,9 @@
         jobs.push((due, cell));
     }
     jobs.sort_by_key(|(due, _)| *due);
+    let waiting = jobs.iter().map(|(_, cell)| cell.book.borrow().waiting().count()).sum::<usize>();
+    state.metrics.items_waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+    state.metrics.jobs_owned.set(i64::try_from(jobs.len()).unwrap_or(i64::MAX));
     for (due, cell) in jobs {
         let waiting: Vec<usize> = cell.book.borrow().waiting().collect();
         for item in waiting {
--- a/crates/serving/src/keeper/keeper_handler.rs
+++ b/crates/serving/src/keeper/keeper_handler.rs
@@ -12,7 +12,6 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
-use prometheus::Registry;
 
 use crate::CallerCall;
 use crate::JobCall;
@@ -33,8 +32,6 @@
 
 /// Handles the calls about jobs.
 pub(crate) struct KeeperHandler<P: PlatformBorder> {
-    /// The keeper's metrics.
-    pub registry: Registry,
     /// The keeper.
     pub state: Rc<KeeperState<P>>,
 }
@@ -42,7 +39,7 @@
 impl<P: PlatformBorder> RequestHandler for KeeperHandler<P> {
     async fn handle(&self, exchange: &mut ServerExchange<'_>) -> Result<(), HttpFault> {
         if exchange.head().uri.path() == METRICS_PATH {
-            return respond_metrics(exchange, &self.registry).await;
+            return respond_metrics(exchange, &self.state.metrics.registry).await;
         }
         if exchange.head().uri.path() == RING_PATH {
             let names = self.state.view.ring().encode_names();
--- /dev/null
+++ b/crates/serving/src/keeper/keeper_metrics.rs
@@ -0,0 +1,41 @@
+//! Metrics of a keeper.
+
+use prometheus::IntCounter;
+use prometheus::IntGauge;
+use prometheus::Registry;
+
+/// Metrics of one keeper, in a registry of their own.
+#[derive(Debug)]
+pub(crate) struct KeeperMetrics {
+    /// Items of owned jobs that wait for a run.
+    pub items_waiting: IntGauge,
+    /// Jobs that were accepted here.
+    pub jobs_accepted: IntCounter,
+    /// Jobs that this keeper runs.
+    pub jobs_owned: IntGauge,
+    pub registry: Registry,
+    /// Results that became readable.
+    pub results_listed: IntCounter,
+}
+
+impl KeeperMetrics {
+    /// Creates and registers the metrics.
+    ///
+    /// # Errors
+    /// Fails if two metrics have the same name.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let items_waiting =
+            IntGauge::new("cv_keeper_items_waiting", "Items of owned jobs that wait for a run.")?;
+        let jobs_owned = IntGauge::new("cv_keeper_jobs_owned", "Jobs that this keeper runs.")?;
+        let jobs_accepted =
+            IntCounter::new("cv_keeper_jobs_accepted_total", "Jobs that were accepted here.")?;
+        let results_listed =
+            IntCounter::new("cv_keeper_results_listed_total", "Results that became readable.")?;
+        registry.register(Box::new(items_waiting.clone()))?;
+        registry.register(Box::new(jobs_owned.clone()))?;
+        registry.register(Box::new(jobs_accepted.clone()))?;
+        registry.register(Box::new(results_listed.clone()))?;
+        Ok(Self { items_waiting, jobs_accepted, jobs_owned, registry, results_listed })
+    }
+}
--- a/crates/serving/src/keeper/keeper_server.rs
+++ b/crates/serving/src/keeper/keeper_server.rs
@@ -21,7 +21,6 @@
 use cv_timer::ProcessClock;
 use cv_timer::TimerService;
 use monoio::net::udp::UdpSocket;
-use prometheus::Registry;
 use tokio::sync::Notify;
 
 use crate::FleetView;
@@ -37,6 +36,7 @@
 use crate::keeper::keeper_lease::leave;
 use crate::keeper::keeper_lease::run_lease;
 use crate::keeper::keeper_lease::watch_isolation;
+use crate::keeper::keeper_metrics::KeeperMetrics;
 use crate::keeper::keeper_state::KeeperState;
 use crate::load_listener::start_load_listener;
 
@@ -76,7 +76,7 @@
     /// Serves until the signal, then until what runs has ended.
     ///
     /// # Errors
-    /// Fails if an address cannot be bound.
+    /// Fails if an address cannot be bound or a metric cannot be made.
     pub async fn run(self, shutdown: ShutdownSignal) -> io::Result<()> {
         let Self { log, settings, .. } = self;
         let clock = ProcessClock::new();
@@ -94,6 +94,7 @@
             is_known: Cell::new(false),
             is_leaving: Cell::new(false),
             lease: Cell::default(),
+            metrics: KeeperMetrics::new().map_err(io::Error::other)?,
             pool: ConnectionPool::new(HttpLimits::default()),
             schedule: RefCell::new(RunSchedule::default()),
             shelf: JobShelf::default(),
@@ -103,7 +104,7 @@
             work: Notify::new(),
         });
         let drain = DrainGate::default();
-        let handler = KeeperHandler { registry: Registry::new(), state: Rc::clone(&state) };
+        let handler = KeeperHandler { state: Rc::clone(&state) };
         let listener = bind_listener(address)?;
         let server =
             HttpServer::new(listener, Rc::new(handler), drain.clone(), HttpLimits::default());
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -24,6 +24,7 @@
 use crate::keeper::job_cell::BookState;
 use crate::keeper::job_cell::JobCell;
 use crate::keeper::job_shelf::JobShelf;
+use crate::keeper::keeper_metrics::KeeperMetrics;
 
 /// First pause between two tries of a write; doubles with each.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
@@ -47,6 +48,7 @@
     pub is_leaving: Cell<bool>,
     /// The lease that the keeper's registration is bound to.
     pub lease: Cell<Option<LeaseClock>>,
+    pub metrics: KeeperMetrics,
     pub pool: ConnectionPool,
     pub schedule: RefCell<RunSchedule>,
     pub shelf: JobShelf,
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -8,6 +8,7 @@
 mod job_shelf;
 mod keeper_handler;
 mod keeper_lease;
+mod keeper_metrics;
 mod keeper_server;
 mod keeper_state;
 mod stored_keys;
--- a/crates/serving/src/side/mod.rs
+++ b/crates/serving/src/side/mod.rs
@@ -3,6 +3,7 @@
 mod engine_run;
 mod load_beacon;
 mod side_handler;
+mod side_metrics;
 mod side_server;
 mod slot_gate;
 
--- a/crates/serving/src/side/side_handler.rs
+++ b/crates/serving/src/side/side_handler.rs
@@ -29,9 +29,12 @@
 use crate::PlatformBorder;
 use crate::QueueTerms;
 use crate::SidecarVerdict;
+use crate::metrics_handler::METRICS_PATH;
+use crate::metrics_handler::respond_metrics;
 use crate::own_headers::strip_hop_by_hop;
 use crate::own_headers::strip_own;
 use crate::side::engine_run::EngineRun;
+use crate::side::side_metrics::SideMetrics;
 use crate::side::slot_gate::SlotGate;
 use crate::side::slot_gate::SlotTicket;
 use crate::target_call::TargetCall;
@@ -67,6 +70,7 @@
     pub engine: SocketAddr,
     pub gate: Rc<SlotGate>,
     pub log: LineLog,
+    pub metrics: SideMetrics,
     pub pool: ConnectionPool,
     pub border: PhantomData<P>,
 }
@@ -104,6 +108,10 @@
 
 impl<P: PlatformBorder> RequestHandler for SideHandler<P> {
     async fn handle(&self, exchange: &mut ServerExchange<'_>) -> Result<(), HttpFault> {
+        if exchange.head().uri.path() == METRICS_PATH {
+            self.metrics.set_reading(&self.gate.reading());
+            return respond_metrics(exchange, &self.metrics.registry).await;
+        }
         let body = exchange.read_body(BODY_BYTES).await?;
         let mut headers = exchange.head().headers.clone();
         let terms = QueueTerms::read(&headers);
@@ -375,6 +383,7 @@
         verdict: SidecarVerdict,
         reason: &str,
     ) -> Result<(), HttpFault> {
+        self.metrics.refused.inc();
         let subject = request.request_id.as_deref().unwrap_or_default();
         self.log.record(LineWeight::Routine, EventKind::Refused, subject, || {
             let reading = self.gate.reading();
--- /dev/null
+++ b/crates/serving/src/side/side_metrics.rs
@@ -0,0 +1,47 @@
+//! Metrics of a sidecar.
+
+use cv_dispatch::QueueReading;
+use prometheus::IntCounter;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+
+/// Metrics of one sidecar, in a registry of their own.
+#[derive(Debug)]
+pub(crate) struct SideMetrics {
+    batch: IntGaugeVec,
+    online: IntGaugeVec,
+    /// Requests that were turned away.
+    pub refused: IntCounter,
+    pub registry: Registry,
+}
+
+impl SideMetrics {
+    /// Creates and registers the metrics.
+    ///
+    /// # Errors
+    /// Fails if two metrics have the same name.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGaugeVec> {
+            let gauge = IntGaugeVec::new(Opts::new(name, help), &["state"])?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let batch = gauge("cv_side_batch", "Batch requests at the engine or in the queue.")?;
+        let online = gauge("cv_side_online", "Online requests at the engine or in the queue.")?;
+        let refused = IntCounter::new("cv_side_refused_total", "Requests that were turned away.")?;
+        registry.register(Box::new(refused.clone()))?;
+        Ok(Self { batch, online, refused, registry })
+    }
+
+    /// Takes the queue's counts.
+    pub fn set_reading(&self, reading: &QueueReading) {
+        let set = |gauge: &IntGaugeVec, running: u32, waiting: u32| {
+            gauge.with_label_values(&["running"]).set(running.into());
+            gauge.with_label_values(&["waiting"]).set(waiting.into());
+        };
+        set(&self.batch, reading.batch_running, reading.batch_waiting);
+        set(&self.online, reading.online_running, reading.online_waiting);
+    }
+}
--- a/crates/serving/src/side/side_server.rs
+++ b/crates/serving/src/side/side_server.rs
@@ -24,6 +24,7 @@
 use crate::drain::drain_server;
 use crate::side::load_beacon::LoadBeacon;
 use crate::side::side_handler::SideHandler;
+use crate::side::side_metrics::SideMetrics;
 use crate::side::slot_gate::SlotGate;
 
 /// Slots assumed of an engine until a request tells them.
@@ -60,7 +61,7 @@
     /// Serves until the signal, then until what runs has ended.
     ///
     /// # Errors
-    /// Fails if an address cannot be bound.
+    /// Fails if an address cannot be bound or a metric cannot be made.
     pub async fn run(self, shutdown: ShutdownSignal) -> io::Result<()> {
         let clock = ProcessClock::new();
         let timers = TimerService::start(clock);
@@ -76,6 +77,7 @@
             engine: self.settings.engine,
             gate,
             log: self.log.clone(),
+            metrics: SideMetrics::new().map_err(io::Error::other)?,
             pool: ConnectionPool::new(HttpLimits::default()),
         };
         let drain = DrainGate::default();
--- /dev/null
+++ b/tests/adapter/main.rs
@@ -0,0 +1,6 @@
+//! The translations of the growers' platform's messages.
+
+mod configuration;
+mod directory;
+mod headers;
+mod jobs;
