Order batch items so that what fits is in time, and take signals before the settings

Change: of the items that will probably be in time, those that have begun go first and then the newest; those that will be late go behind.

--- a/crates/clementinevale/src/main.rs
+++ b/crates/clementinevale/src/main.rs
@@ -185,15 +185,8 @@
 
 /// Serves as a node until asked to terminate.
 fn serve_node(path: &Path, is_check: bool) -> ExitCode {
-    let settings = match read_node(path) {
-        Ok(settings) => settings,
-        Err(report) => return report_settings(&report),
-    };
-    if is_check {
-        println!("{}: sound; instance {}", path.display(), settings.name);
-        return ExitCode::SUCCESS;
-    }
     start_logs();
+    // First of all: until the handlers are there, a word of changed settings ends the process.
     let shutdown = ShutdownSignal::new();
     let reloaded = path.to_owned();
     let reload = move || match read_node(&reloaded) {
@@ -204,6 +197,14 @@
         log::error!("signals cannot be watched: {error}");
         return ExitCode::FAILURE;
     }
+    let settings = match read_node(path) {
+        Ok(settings) => settings,
+        Err(report) => return report_settings(&report),
+    };
+    if is_check {
+        println!("{}: sound; instance {}", path.display(), settings.name);
+        return ExitCode::SUCCESS;
+    }
     let served = run_alone(serve_node_role(settings, shutdown)).change_context(ServeError);
     match served.and_then(|result| result.change_context(ServeError)) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/dispatch/src/due_order.rs
+++ b/crates/dispatch/src/due_order.rs
@@ -1,5 +1,6 @@
 //! In which order batch items are worth a slot.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
@@ -8,9 +9,11 @@
 /// use: online requests take slots back for a peak's length.
 const RUN_MARGIN: f64 = 1.5;
 
-/// Orders batch items by due time, those that will probably be late behind all others.
+/// Orders batch items: of those that will probably be in time, first those that have begun and then
+/// the newest; behind them those that will be late.
 ///
-/// When there is more work than slots, serving strictly by due time makes everything a little late.
+/// When there is more work than slots, serving strictly by due time makes everything a little late,
+/// and what is begun last is broken off before it ends.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DueOrder;
 
@@ -35,7 +38,8 @@
         now: MonotonicTime,
         due: MonotonicTime,
         run: Duration,
-    ) -> (bool, MonotonicTime) {
-        (self.latest_start(due, run) < now, due)
+        has_begun: bool,
+    ) -> (bool, bool, Reverse<MonotonicTime>) {
+        (self.latest_start(due, run) < now, !has_begun, Reverse(due))
     }
 }
--- a/crates/dispatch/src/slot_queue.rs
+++ b/crates/dispatch/src/slot_queue.rs
@@ -25,6 +25,8 @@
 pub struct ArrivalTerms {
     /// Whether a caller waits for it.
     pub class: WorkClass,
+    /// Whether part of a batch request's output is there already.
+    pub has_begun: bool,
     /// When a batch request is due; orders batch requests only.
     pub due: MonotonicTime,
     /// Longest expected wait with which an online request enters the queue.
@@ -75,6 +77,8 @@
 /// A request that waits for a slot.
 #[derive(Clone, Copy, Debug)]
 struct WaitingRow {
+    /// Batch: whether part of the output is there.
+    has_begun: bool,
     /// Batch: time after which it will probably be late.
     latest_start: MonotonicTime,
     /// Batch: when it is due. Online: when it has stayed for long enough.
@@ -170,7 +174,7 @@
         if self.is_leaving {
             commands.push(QueueCommand::Expire(ticket));
         } else {
-            self.wait_batch(WaitingRow { latest_start, limit: due, ticket });
+            self.wait_batch(WaitingRow { has_begun: false, latest_start, limit: due, ticket });
         }
     }
 
@@ -250,7 +254,12 @@
         }
         if !wait.is_zero() {
             let limit = now + terms.stay;
-            self.online_waiting.push(WaitingRow { latest_start: limit, limit, ticket });
+            self.online_waiting.push(WaitingRow {
+                has_begun: false,
+                latest_start: limit,
+                limit,
+                ticket,
+            });
             return QueueVerdict::Wait;
         }
         self.start_online(now, ticket);
@@ -269,7 +278,8 @@
             return QueueVerdict::Refuse(REFILL_DELAY);
         }
         let latest_start = DueOrder.latest_start(terms.due, terms.run);
-        let row = WaitingRow { latest_start, limit: terms.due, ticket };
+        let has_begun = terms.has_begun;
+        let row = WaitingRow { has_begun, latest_start, limit: terms.due, ticket };
         if self.batch_waiting.is_empty() && self.may_start_batch(now) {
             self.start_batch(now, &row);
             return QueueVerdict::Start;
@@ -286,13 +296,16 @@
 
     /// Takes the batch request that is to run next.
     ///
-    /// The one that is due first, of those that will probably be in time if there are any.
+    /// In the order of [`DueOrder`]; what it puts last goes by due time.
     fn take_batch(&mut self, now: MonotonicTime) -> Option<WaitingRow> {
         if self.batch_waiting.is_empty() {
             return None;
         }
-        let in_time = self.batch_waiting.iter().position(|row| row.latest_start >= now);
-        Some(self.batch_waiting.remove(in_time.unwrap_or(0)))
+        let rows = &self.batch_waiting;
+        let begun = rows.iter().position(|row| row.latest_start >= now && row.has_begun);
+        let newest = || rows.iter().rposition(|row| row.latest_start >= now);
+        let next = begun.or_else(newest).unwrap_or(0);
+        Some(self.batch_waiting.remove(next))
     }
 
     /// Fills free slots, with online requests first.
@@ -329,7 +342,7 @@
                 let ran = now.since(row.started);
                 let latest_start = DueOrder.after_run(row.latest_start, ran);
                 let RunningRow { due, ticket, .. } = row;
-                self.wait_batch(WaitingRow { latest_start, limit: due, ticket });
+                self.wait_batch(WaitingRow { has_begun: true, latest_start, limit: due, ticket });
                 commands.push(QueueCommand::Preempt(row.ticket));
             }
         }
@@ -349,7 +362,7 @@
 
     /// Counts a batch request as running.
     fn start_batch(&mut self, now: MonotonicTime, row: &WaitingRow) {
-        let WaitingRow { latest_start, limit, ticket } = *row;
+        let WaitingRow { latest_start, limit, ticket, .. } = *row;
         self.batch_running.push(RunningRow { due: limit, latest_start, started: now, ticket });
     }
 }
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -217,7 +217,7 @@
             status => return RunEnd::Broken(format!("status={status}")),
         }
         let mut splitter = EventSplitter::default();
-        let mut heard = Instant::now();
+        let mut last_output = Instant::now();
         loop {
             let piece = monoio::select! {
                 piece = connection.read_piece() => piece,
@@ -238,9 +238,9 @@
             match self.record_events(&mut splitter) {
                 Ok(events) => {
                     let mut estimate = self.state.estimate.get();
-                    estimate.record_events(events, heard.elapsed());
+                    estimate.record_events(events, last_output.elapsed());
                     self.state.estimate.set(estimate);
-                    heard = Instant::now();
+                    last_output = Instant::now();
                 }
                 Err(detail) => return RunEnd::Broken(detail),
             }
--- a/crates/serving/src/side/side_handler.rs
+++ b/crates/serving/src/side/side_handler.rs
@@ -335,7 +335,15 @@
         if slots > 0 {
             self.gate.set_slots(slots);
         }
-        let terms = ArrivalTerms { class, due: self.clock.now() + patience, patience, run, stay };
+        let has_begun = P::request_terms(&request.headers).resume_after.is_some();
+        let terms = ArrivalTerms {
+            has_begun,
+            class,
+            due: self.clock.now() + patience,
+            patience,
+            run,
+            stay,
+        };
         let Ok(ticket) = self.gate.arrive(&terms) else {
             self.refuse(exchange, request, SidecarVerdict::NotRun, "queue_full").await?;
             return Ok(None);
