Let a sidecar invite each body, so that a frozen one can run nothing later

Change: entries and keepers send the body only once the sidecar invites it (100 Continue); without the invitation within a quarter of a second the request has provably not run and goes to the engine directly or elsewhere.

--- a/crates/clementinevale/tests/nodes/online_requests.rs
+++ b/crates/clementinevale/tests/nodes/online_requests.rs
@@ -66,6 +66,26 @@
     assert_eq!(outcome.expect("a runtime"), CallerOutcome::Whole);
 }
 
+#[test]
+fn a_request_is_not_lost_in_a_sidecar_that_has_just_frozen() {
+    let fleet = small_fleet();
+    let entry = fleet.entries()[0];
+    // The sidecars report for the first time.
+    std::thread::sleep(Duration::from_millis(1_200));
+    fleet.nodes[0].signal(Signal::STOP);
+    fleet.nodes[1].signal(Signal::STOP);
+    // Not one of these may be repeated, and nobody knows yet that the sidecars are frozen.
+    let outcomes = run_alone(async {
+        let first = ask_stream(entry, "hints", "s1", 5).await;
+        (first, ask_stream(entry, "hints", "s2", 5).await)
+    });
+    fleet.nodes[0].signal(Signal::CONT);
+    fleet.nodes[1].signal(Signal::CONT);
+    assert_eq!(outcomes.expect("a runtime"), (CallerOutcome::Whole, CallerOutcome::Whole));
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(fleet.target_log.runs().len(), 2, "a request ran when its sidecar woke up");
+}
+
 #[test]
 fn online_requests_go_on_without_the_store() {
     let fleet = small_fleet();
--- a/crates/dispatch/src/target_roster.rs
+++ b/crates/dispatch/src/target_roster.rs
@@ -18,7 +18,7 @@
 const MAX_PAUSE: Duration = Duration::from_secs(4);
 
 /// Silence after which a sidecar that reports several times a second is passed by.
-const SIDECAR_SILENCE: Duration = Duration::from_millis(900);
+const SIDECAR_SILENCE: Duration = Duration::from_millis(800);
 
 /// Time in which the sidecar of a target that became known has to report for the first time.
 const FIRST_REPORT_TIME: Duration = Duration::from_millis(2_500);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -5,9 +5,11 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
 use http::header::CONNECTION;
+use http::header::EXPECT;
 use http::response::Parts as ResponseHead;
 use monoio::io::OwnedReadHalf;
 use monoio::io::OwnedWriteHalf;
@@ -66,6 +68,8 @@
 
 /// One connection to a server.
 pub struct ClientConnection {
+    /// Head of a final answer that came instead of the invitation to send a body.
+    early_head: Option<ResponseHead>,
     framing: BodyFraming,
     /// Time for which the server promises to keep the connection, if it says so.
     keep_alive: Option<Duration>,
@@ -94,6 +98,7 @@
         let _ = stream.set_tcp_keepalive(Some(PROBE_IDLE), Some(PROBE_INTERVAL), Some(PROBES));
         let (read_half, write_half) = stream.into_split();
         Ok(Self {
+            early_head: None,
             framing: BodyFraming::Empty,
             keep_alive: None,
             reader: HttpReader::new(read_half, limits),
@@ -112,6 +117,33 @@
         self.writer.write_request(method, path, headers, body).await
     }
 
+    /// Sends a request's head and, once the server invites it within `patience`, the body.
+    ///
+    /// Until the body has been sent, the server cannot have acted on the request, however long it
+    /// holds the head.
+    ///
+    /// # Errors
+    /// The fault, and whether the body may have been sent.
+    pub async fn send_invited(
+        &mut self,
+        request: &ClientRequest,
+        patience: Duration,
+    ) -> Result<(), (HttpFault, bool)> {
+        self.reusable = false;
+        let ClientRequest { body, headers, method, path } = request;
+        let mut headers = headers.clone();
+        headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
+        let sent = self.writer.write_request_head(method, path, &headers, body.len()).await;
+        sent.map_err(|fault| (fault, false))?;
+        let head = self.reader.read_response_head(patience).await;
+        let head = head.map_err(|fault| (fault, false))?;
+        if head.status == StatusCode::CONTINUE {
+            return self.writer.write_body(body).await.map_err(|fault| (fault, true));
+        }
+        self.early_head = Some(head);
+        Ok(())
+    }
+
     /// Reads the head of the response to a request with `method`, which begins within `patience`.
     ///
     /// # Errors
@@ -121,14 +153,20 @@
         method: &Method,
         patience: Duration,
     ) -> Result<ResponseHead, HttpFault> {
-        let mut head = self.reader.read_response_head(patience).await?;
+        let early = self.early_head.take();
+        let is_early = early.is_some();
+        let mut head = match early {
+            Some(head) => head,
+            None => self.reader.read_response_head(patience).await?,
+        };
         while head.status.is_informational() {
             head = self.reader.read_response_head(patience).await?;
         }
         self.framing = BodyFraming::of_response(method, head.status, &head.headers)?;
         let closes = matches!(self.framing, BodyFraming::UntilClose)
             || head.headers.get(CONNECTION).is_some_and(|value| value == "close");
-        self.reusable = !closes;
+        // After an early answer the server still waits for the body.
+        self.reusable = !closes && !is_early;
         self.keep_alive = promised_idle(&head.headers);
         Ok(head)
     }
--- a/crates/http/src/writer.rs
+++ b/crates/http/src/writer.rs
@@ -44,16 +44,32 @@
         headers: &HeaderMap,
         body: &Bytes,
     ) -> Result<(), HttpFault> {
-        let mut head = BytesMut::with_capacity(256 + body.len().min(COPY_BYTES));
-        head.extend_from_slice(method.as_str().as_bytes());
-        head.extend_from_slice(b" ");
-        head.extend_from_slice(path.as_bytes());
-        head.extend_from_slice(b" HTTP/1.1\r\n");
-        put_headers(&mut head, headers);
-        put_length(&mut head, body.len());
+        let head = request_head(method, path, headers, body.len());
         self.write_with_body(head, body).await
     }
 
+    /// Writes the head of a request whose body follows.
+    ///
+    /// # Errors
+    /// Fails if the connection does, or if the peer does not take the bytes in time.
+    pub async fn write_request_head(
+        &mut self,
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+        length: usize,
+    ) -> Result<(), HttpFault> {
+        self.write(request_head(method, path, headers, length).freeze()).await
+    }
+
+    /// Writes the body of a request whose head has been written.
+    ///
+    /// # Errors
+    /// Fails if the connection does, or if the peer does not take the bytes in time.
+    pub async fn write_body(&mut self, body: &Bytes) -> Result<(), HttpFault> {
+        self.write(body.clone()).await
+    }
+
     /// Writes a response with its whole body.
     ///
     /// # Errors
@@ -167,6 +183,18 @@
     }
 }
 
+/// Returns the head of a request with a body of the given length.
+fn request_head(method: &Method, path: &str, headers: &HeaderMap, length: usize) -> BytesMut {
+    let mut head = BytesMut::with_capacity(256 + length.min(COPY_BYTES));
+    head.extend_from_slice(method.as_str().as_bytes());
+    head.extend_from_slice(b" ");
+    head.extend_from_slice(path.as_bytes());
+    head.extend_from_slice(b" HTTP/1.1\r\n");
+    put_headers(&mut head, headers);
+    put_length(&mut head, length);
+    head
+}
+
 /// Appends the body's length and the end of the head.
 fn put_length(head: &mut BytesMut, length: usize) {
     head.extend_from_slice(b"content-length: ");
--- a/crates/serving/src/front/answer_relay.rs
+++ b/crates/serving/src/front/answer_relay.rs
@@ -24,7 +24,7 @@
 /// How the relay of one run ended.
 pub(crate) enum RelayEnd {
     /// The caller has the whole answer; the connection may be used again.
-    Whole(ClientConnection),
+    Whole(Box<ClientConnection>),
     /// The caller went away.
     CallerGone,
     /// The run broke off or fell silent.
@@ -106,7 +106,7 @@
                 self.started = true;
                 self.first_at = Some(Instant::now());
                 exchange.respond(status, headers, &body).await?;
-                Ok(RelayEnd::Whole(connection))
+                Ok(RelayEnd::Whole(Box::new(connection)))
             }
             Ok(Err(fault)) => Ok(RelayEnd::Broken(fault.to_string())),
             Err(_) => Ok(RelayEnd::Broken("body late".to_owned())),
@@ -146,7 +146,7 @@
                 }
                 Ok(Ok(None)) => {
                     exchange.finish_stream().await?;
-                    return Ok(RelayEnd::Whole(connection));
+                    return Ok(RelayEnd::Whole(Box::new(connection)));
                 }
                 Ok(Err(fault)) => return Ok(RelayEnd::Broken(fault.to_string())),
                 Err(_) => return Ok(RelayEnd::Broken("stream silent".to_owned())),
--- a/crates/serving/src/front/online_call.rs
+++ b/crates/serving/src/front/online_call.rs
@@ -182,6 +182,7 @@
         };
         let call = TargetCall {
             address,
+            is_sidecar: choice.through_sidecar,
             pool: &handler.pool,
             request_id_of: |headers| P::answer_marks(headers).request_id,
         };
@@ -234,7 +235,7 @@
             relay.relay(exchange, connection, head.status, &headers, left, self.route).await?;
         match end {
             RelayEnd::Whole(connection) => {
-                call.give_back(connection);
+                call.give_back(*connection);
                 self.note_success(&choice.id, head.status, relay);
                 Ok(AttemptEnd::Answered)
             }
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -179,6 +179,7 @@
         };
         let call = TargetCall {
             address,
+            is_sidecar: self.choice.through_sidecar,
             pool: &self.state.pool,
             request_id_of: |headers| P::answer_marks(headers).request_id,
         };
--- a/crates/serving/src/keeper/job_commits.rs
+++ b/crates/serving/src/keeper/job_commits.rs
@@ -24,7 +24,7 @@
 const SEGMENT_BYTES: usize = 400 * 1024;
 
 /// Time in which results that end together are collected into one write.
-const COLLECT_TIME: Duration = Duration::from_millis(200);
+const COLLECT_TIME: Duration = Duration::from_millis(350);
 
 /// Longest time that one write is repeated before the job is looked at anew.
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
--- a/crates/serving/src/own_headers.rs
+++ b/crates/serving/src/own_headers.rs
@@ -149,8 +149,15 @@
 
 /// Removes the headers that concern one connection only.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    for name in ["connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer"]
-    {
+    for name in [
+        "connection",
+        "expect",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "te",
+        "trailer",
+    ] {
         headers.remove(name);
     }
 }
--- a/crates/serving/src/side/mod.rs
+++ b/crates/serving/src/side/mod.rs
@@ -1,5 +1,6 @@
 //! The process beside a model target.
 
+mod batch_relay;
 mod engine_run;
 mod load_beacon;
 mod side_handler;
--- a/crates/serving/src/side/side_handler.rs
+++ b/crates/serving/src/side/side_handler.rs
@@ -7,9 +7,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use cv_dispatch::ArrivalTerms;
-use cv_dispatch::EventSplitter;
 use cv_http::ClientRequest;
 use cv_http::ConnectionPool;
 use cv_http::HttpFault;
@@ -23,7 +21,6 @@
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
-use monoio::time::timeout;
 
 use crate::AttemptTerms;
 use crate::PlatformBorder;
@@ -33,6 +30,7 @@
 use crate::metrics_handler::respond_metrics;
 use crate::own_headers::strip_hop_by_hop;
 use crate::own_headers::strip_own;
+use crate::side::batch_relay::BatchRelay;
 use crate::side::engine_run::EngineRun;
 use crate::side::side_metrics::SideMetrics;
 use crate::side::slot_gate::SlotGate;
@@ -48,22 +46,6 @@
 /// Wait of an online request for a slot that is written down in any case.
 const SLOW_WAIT: Duration = Duration::from_millis(150);
 
-/// Silence of the engine after which a batch run is given up; it makes an event every few
-/// hundredths of a second, and is silent for longer only while it reads a long prompt again.
-const STALL_PATIENCE: Duration = Duration::from_millis(2_500);
-
-/// Time for which the output of batch runs is collected before it is passed on.
-const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Output of a batch run that is passed on at once, in bytes.
-const FLUSH_BYTES: usize = 8 * 1024;
-
-/// Pause of a batch request that the engine turned away although a slot seemed free.
-const ENGINE_FULL_PAUSE: Duration = Duration::from_millis(100);
-
-/// Times that a batch request is tried again at an engine that turns it away.
-const ENGINE_FULL_TRIES: u32 = 20;
-
 /// Handles the requests to one engine.
 pub(crate) struct SideHandler<P> {
     pub clock: ProcessClock,
@@ -76,34 +58,14 @@
 }
 
 /// A request as it arrived.
-struct SideRequest {
-    arrived: Instant,
-    body: Bytes,
-    headers: HeaderMap,
-    method: Method,
-    path: String,
-    request_id: Option<String>,
-    terms: QueueTerms,
-}
-
-/// How one run of a batch item ended.
-enum BatchPass {
-    /// The answer is whole.
-    Whole,
-    /// The slot was needed for an online request.
-    Preempted,
-    /// The engine did not take the request.
-    Full,
-    /// The run broke off; the keeper decides what to do.
-    Broken,
-}
-
-/// What has been passed on of a batch item.
-#[derive(Default)]
-struct BatchProgress {
-    last_event: Option<u64>,
-    pending: BytesMut,
-    started: bool,
+pub(crate) struct SideRequest {
+    pub arrived: Instant,
+    pub body: Bytes,
+    pub headers: HeaderMap,
+    pub method: Method,
+    pub path: String,
+    pub request_id: Option<String>,
+    pub terms: QueueTerms,
 }
 
 impl<P: PlatformBorder> RequestHandler for SideHandler<P> {
@@ -186,142 +148,9 @@
         exchange: &mut ServerExchange<'_>,
         request: &SideRequest,
     ) -> Result<(), HttpFault> {
-        let Some(ticket) = self.admit(exchange, request).await? else {
-            return Ok(());
-        };
-        let mut progress = BatchProgress {
-            last_event: P::request_terms(&request.headers).resume_after,
-            ..BatchProgress::default()
-        };
-        let mut full = 0;
-        loop {
-            match self.batch_pass(exchange, request, &ticket, &mut progress).await? {
-                BatchPass::Whole => return exchange.finish_stream().await,
-                BatchPass::Broken if progress.started => return Err(HttpFault::Truncated),
-                BatchPass::Broken => return Ok(()),
-                BatchPass::Preempted if self.wait_again(exchange, &ticket).await? => {}
-                BatchPass::Full if full < ENGINE_FULL_TRIES => {
-                    full += 1;
-                    ticket.requeue();
-                    if !self.wait_again(exchange, &ticket).await? {
-                        break;
-                    }
-                    monoio::time::sleep(ENGINE_FULL_PAUSE).await;
-                }
-                BatchPass::Preempted | BatchPass::Full => break,
-            }
-        }
-        if progress.started {
-            return Err(HttpFault::Truncated);
-        }
-        self.refuse(exchange, request, SidecarVerdict::NotRun, "no_slot").await
-    }
-
-    /// Runs a batch item until it ends, breaks off or loses its slot.
-    async fn batch_pass(
-        &self,
-        exchange: &mut ServerExchange<'_>,
-        request: &SideRequest,
-        ticket: &SlotTicket,
-        progress: &mut BatchProgress,
-    ) -> Result<BatchPass, HttpFault> {
-        let call = self.call();
-        let terms = AttemptTerms { resume_after: progress.last_event, ..AttemptTerms::default() };
-        let forwarded = Self::attempt(request, terms);
-        let started = monoio::select! {
-            started = EngineRun::start(&call, &forwarded, request.request_id.as_deref(), STALL_PATIENCE) => started,
-            () = ticket.preempted() => return Ok(BatchPass::Preempted),
-            () = exchange.closed() => return Err(HttpFault::Closed),
-        };
-        let run = match started {
-            Ok(run) => run,
-            Err(SidecarVerdict::NotRun) => return Ok(BatchPass::Full),
-            Err(SidecarVerdict::Unknown) => {
-                if !progress.started {
-                    self.refuse(exchange, request, SidecarVerdict::Unknown, "engine_silent")
-                        .await?;
-                }
-                return Ok(BatchPass::Broken);
-            }
-        };
-        if P::answer_marks(&run.head.headers).not_run
-            && run.head.status != StatusCode::MISDIRECTED_REQUEST
-        {
-            run.give_back(&call);
-            return Ok(BatchPass::Full);
-        }
-        let mut headers = run.head.headers.clone();
-        strip_hop_by_hop(&mut headers);
-        if !run.head.status.is_success() {
-            if !progress.started {
-                exchange.respond(run.head.status, &headers, &Bytes::new()).await?;
-            }
-            return Ok(BatchPass::Broken);
-        }
-        if !progress.started {
-            exchange.start_stream(run.head.status, &headers).await?;
-            progress.started = true;
-        }
-        self.relay_batch(exchange, run, ticket, progress).await
-    }
-
-    /// Passes a batch run's whole events on, many at a time.
-    async fn relay_batch(
-        &self,
-        exchange: &mut ServerExchange<'_>,
-        mut run: EngineRun,
-        ticket: &SlotTicket,
-        progress: &mut BatchProgress,
-    ) -> Result<BatchPass, HttpFault> {
-        let mut splitter = EventSplitter::default();
-        let mut flushed = Instant::now();
-        loop {
-            let piece = monoio::select! {
-                piece = timeout(STALL_PATIENCE, run.next_piece()) => {
-                    piece.unwrap_or(Err(HttpFault::TimedOut("engine event")))
-                }
-                () = ticket.preempted() => return Ok(BatchPass::Preempted),
-                () = exchange.closed() => return Err(HttpFault::Closed),
-            };
-            let ended = match piece {
-                Ok(Some(piece)) => {
-                    splitter.push(&piece);
-                    None
-                }
-                Ok(None) if splitter.has_rest() => Some(BatchPass::Broken),
-                Ok(None) => Some(BatchPass::Whole),
-                Err(_) => Some(BatchPass::Broken),
-            };
-            while let Some(event) = splitter.next_event() {
-                progress.last_event = event.id.or(progress.last_event);
-                progress.pending.extend_from_slice(&event.raw);
-            }
-            let is_due =
-                flushed.elapsed() >= FLUSH_INTERVAL || progress.pending.len() >= FLUSH_BYTES;
-            if (is_due || ended.is_some()) && !progress.pending.is_empty() {
-                exchange.send_piece(&progress.pending.split().freeze()).await?;
-                flushed = Instant::now();
-            }
-            match ended {
-                Some(BatchPass::Whole) => {
-                    run.give_back(&self.call());
-                    return Ok(BatchPass::Whole);
-                }
-                Some(pass) => return Ok(pass),
-                None => {}
-            }
-        }
-    }
-
-    /// Waits for a batch item's next slot; tells whether it has one.
-    async fn wait_again(
-        &self,
-        exchange: &mut ServerExchange<'_>,
-        ticket: &SlotTicket,
-    ) -> Result<bool, HttpFault> {
-        monoio::select! {
-            started = ticket.started() => Ok(started),
-            () = exchange.closed() => Err(HttpFault::Closed),
+        match self.admit(exchange, request).await? {
+            Some(ticket) => BatchRelay::new(self, request, ticket).run(exchange).await,
+            None => Ok(()),
         }
     }
 
@@ -383,7 +212,7 @@
     }
 
     /// Answers a request that gets no answer of the engine.
-    async fn refuse(
+    pub async fn refuse(
         &self,
         exchange: &mut ServerExchange<'_>,
         request: &SideRequest,
@@ -410,7 +239,7 @@
     }
 
     /// Makes the engine's request from one that arrived.
-    fn attempt(request: &SideRequest, terms: AttemptTerms<'_>) -> ClientRequest {
+    pub fn attempt(request: &SideRequest, terms: AttemptTerms<'_>) -> ClientRequest {
         ClientRequest {
             body: request.body.clone(),
             headers: P::attempt_headers(&request.headers, &terms),
@@ -420,9 +249,10 @@
     }
 
     /// Returns what calls the engine.
-    fn call(&self) -> TargetCall<'_> {
+    pub fn call(&self) -> TargetCall<'_> {
         TargetCall {
             address: self.engine,
+            is_sidecar: false,
             pool: &self.pool,
             request_id_of: |headers| P::answer_marks(headers).request_id,
         }
--- a/crates/serving/src/target_call.rs
+++ b/crates/serving/src/target_call.rs
@@ -14,13 +14,17 @@
 /// Answers to other requests that are skipped before the connection is given up.
 const STRAY_ANSWERS: usize = 3;
 
+/// Longest wait for a sidecar's invitation, which it sends before anything else; one that is frozen
+/// does not, and cannot run the request later without its body.
+const INVITE_PATIENCE: Duration = Duration::from_millis(250);
+
 /// Longest stray answer that is read to its end, in bytes.
 const STRAY_BYTES: usize = 256 * 1024;
 
 /// Why an attempt got no answer.
 #[derive(Debug)]
 pub(crate) enum TargetFault {
-    /// No byte of the request was sent.
+    /// No byte of the request was sent, or not its body.
     NotSent(HttpFault),
     /// The request was sent, or part of it, and may run.
     Unknown(HttpFault),
@@ -39,6 +43,8 @@
 pub(crate) struct TargetCall<'a> {
     /// Where the server listens.
     pub address: SocketAddr,
+    /// Whether the server is a sidecar, which invites the body of each request at once.
+    pub is_sidecar: bool,
     /// Kept connections.
     pub pool: &'a ConnectionPool,
     /// Reads the request that an answer belongs to.
@@ -59,7 +65,14 @@
     ) -> Result<(ClientConnection, ResponseHead), TargetFault> {
         let connected = self.pool.connect(self.address, connect_patience).await;
         let mut connection = connected.map_err(TargetFault::NotSent)?;
-        connection.send(request).await.map_err(TargetFault::Unknown)?;
+        if self.is_sidecar && !request.body.is_empty() {
+            let invited = connection.send_invited(request, INVITE_PATIENCE).await;
+            invited.map_err(|(fault, may_have_run)| {
+                if may_have_run { TargetFault::Unknown(fault) } else { TargetFault::NotSent(fault) }
+            })?;
+        } else {
+            connection.send(request).await.map_err(TargetFault::Unknown)?;
+        }
         for _ in 0..STRAY_ANSWERS {
             let head = connection.read_head(&request.method, head_patience).await;
             let head = head.map_err(TargetFault::Unknown)?;
