--- a/crates/clementinevale/tests/nodes/online_requests.rs
+++ b/crates/clementinevale/tests/nodes/online_requests.rs
@@ -161,6 +161,22 @@
     assert!(fleet.target_log.runs().iter().all(|run| run.target == "engine-1"));
 }
 
+#[test]
+fn a_target_whose_address_is_used_again_is_passed_over() {
+    let fleet = small_fleet();
+    let entry = fleet.entries()[0];
+    fleet.register("ghost-0", "ready");
+    fleet.register("ghost-1", "ready");
+    std::thread::sleep(Duration::from_millis(800));
+    run_alone(async {
+        for number in 0..12 {
+            let id = format!("s{number}");
+            assert_eq!(ask_stream(entry, "hints", &id, 2).await, CallerOutcome::Whole);
+        }
+    })
+    .expect("a runtime");
+}
+
 #[test]
 fn a_terminated_entry_finishes_what_it_has_read() {
     let mut fleet = small_fleet();
--- a/crates/serving/src/front/online_call.rs
+++ b/crates/serving/src/front/online_call.rs
@@ -218,7 +218,8 @@
     ) -> Result<AttemptEnd, HttpFault> {
         let marks = P::answer_marks(&head.headers);
         let verdict = SidecarVerdict::read(&head.headers);
-        if marks.not_run || verdict == Some(SidecarVerdict::NotRun) {
+        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        if marks.not_run || is_misdirected || verdict == Some(SidecarVerdict::NotRun) {
             return Ok(self.take_refusal(call, connection, choice).await);
         }
         self.sent += 1;
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -205,7 +205,8 @@
     ) -> RunEnd {
         let marks = P::answer_marks(&head.headers);
         let verdict = SidecarVerdict::read(&head.headers);
-        if marks.not_run || verdict == Some(SidecarVerdict::NotRun) {
+        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        if marks.not_run || is_misdirected || verdict == Some(SidecarVerdict::NotRun) {
             return RunEnd::Refused;
         }
         if verdict.is_some() || !marks.is_signed && head.status.is_success() {
--- a/crates/serving/src/keeper/job_commits.rs
+++ b/crates/serving/src/keeper/job_commits.rs
@@ -88,8 +88,7 @@
     loop {
         match state.commit_resolved(&commit, WRITE_PATIENCE).await {
             Ok(CommitOutcome::Conflict(items)) => {
-                adopt(state, cell, position, value, &items);
-                return true;
+                return adopt(state, cell, position, value, &items);
             }
             Ok(_) => {
                 let before = cell.book.borrow().listed().len();
@@ -102,6 +101,7 @@
             }
             Err(StoreFault::Invalid(detail)) => {
                 log::error!("results at {key} are refused: {detail}");
+                cell.book.borrow_mut().abandon_segment();
                 return false;
             }
             Err(_) if cell.is_owned.get() => {}
@@ -110,16 +110,18 @@
     }
 }
 
-/// Takes what stands at a position already.
+/// Takes what stands at a position already; tells whether that is known now.
 fn adopt<P: PlatformBorder>(
     state: &KeeperState<P>,
     cell: &JobCell,
     position: usize,
     value: &[u8],
     items: &[StoredItem],
-) {
+) -> bool {
     let Some(item) = items.first() else {
-        return;
+        log::error!("a write at position {position} conflicts with nothing");
+        cell.book.borrow_mut().abandon_segment();
+        return false;
     };
     if item.value == value {
         cell.book.borrow_mut().confirm_segment();
@@ -132,6 +134,7 @@
         log_listed(state, cell, "another owner's");
     }
     cell.changed.notify_waiters();
+    true
 }
 
 /// Reads the results that earlier owners have listed into the book.
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -238,13 +238,16 @@
         self.store.write("op/config", &config);
     }
 
-    /// Writes a target's entry in the directory.
+    /// Writes a target's entry in the directory; `ghost-N` names a target that is gone, at the address
+    /// of `engine-N`.
     ///
     /// # Panics
     /// Panics if the fleet has no such target.
     pub fn register(&self, id: &str, state: &str) {
         let (service, host) = match id.split_once('-') {
-            Some(("engine", index)) => ("llm", 10 + index.parse::<u8>().expect("an index")),
+            Some(("engine" | "ghost", index)) => {
+                ("llm", 10 + index.parse::<u8>().expect("an index"))
+            }
             _ => ("desk", 30),
         };
         let entry: Value = json!({
