Read what there is to do before a keeper that was turned away owns jobs again

Change: a keeper reads all work after it has registered and before it owns anything; one that is isolated owns nothing even while its lease holds.

--- a/crates/clementinevale/tests/nodes/batch_jobs.rs
+++ b/crates/clementinevale/tests/nodes/batch_jobs.rs
@@ -22,6 +22,9 @@
 /// Time after which a result that was read anywhere is there everywhere.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// Time after which no item of an ended job may start.
+const CANCEL_TIME: Duration = Duration::from_secs(3);
+
 /// Longest time until a job is done.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -151,6 +154,39 @@
     });
 }
 
+#[test]
+fn a_keeper_that_was_cut_off_runs_nothing_of_a_job_that_ended_meanwhile() {
+    let fleet = small_fleet();
+    let entries = fleet.entries();
+    let jobs: Vec<String> = (0..4).map(|job| format!("job{job}")).collect();
+    run_alone(async {
+        for job in &jobs {
+            submit_for_certain(&entries, job, 150).await;
+        }
+    })
+    .expect("a runtime");
+    let keeper = fleet.nodes.iter().find(|node| node.name.starts_with("keeper"));
+    let proxy = &keeper.expect("a keeper").store_proxy;
+    proxy.set_mode(FaultMode::Cut);
+    std::thread::sleep(Duration::from_millis(500));
+    run_alone(async {
+        for job in &jobs {
+            let began = Instant::now();
+            while !end_job(entries[0], job).await {
+                assert!(began.elapsed() < PATIENCE, "the end is not acknowledged");
+            }
+        }
+    })
+    .expect("a runtime");
+    let acknowledged = Instant::now();
+    std::thread::sleep(Duration::from_secs(4));
+    proxy.set_mode(FaultMode::Pass);
+    std::thread::sleep(Duration::from_secs(3));
+    let late =
+        fleet.target_log.runs().into_iter().filter(|run| run.began > acknowledged + CANCEL_TIME);
+    assert_eq!(late.count(), 0, "items of ended jobs run");
+}
+
 #[test]
 fn jobs_survive_the_kill_of_every_process() {
     let mut fleet = small_fleet();
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -60,7 +60,7 @@
 }
 
 /// Takes news of jobs and their ends.
-fn take_work<P: PlatformBorder>(state: &KeeperState<P>, news: FollowerNews) {
+pub(crate) fn take_work<P: PlatformBorder>(state: &KeeperState<P>, news: FollowerNews) {
     let changes = match news {
         FollowerNews::Snapshot(items) => items.into_iter().map(StoreChange::Put).collect(),
         FollowerNews::Changes(changes) => changes,
--- a/crates/serving/src/keeper/keeper_lease.rs
+++ b/crates/serving/src/keeper/keeper_lease.rs
@@ -15,10 +15,13 @@
 
 use crate::CommitOutcome;
 use crate::CoordinationStore;
+use crate::FollowerNews;
 use crate::PlatformBorder;
 use crate::StoreCommit;
 use crate::fleet_view::KEEPERS_PREFIX;
+use crate::keeper::job_dispatch::take_work;
 use crate::keeper::keeper_state::KeeperState;
+use crate::keeper::stored_keys::WORK_PREFIX;
 
 /// Time to live of the lease; a keeper that dies is missed for so long.
 const LEASE_TTL: Duration = Duration::from_secs(4);
@@ -133,6 +136,7 @@
             break;
         }
     }
+    read_work(state).await;
     state.is_known.set(true);
     state.work.notify_one();
     let mut missing = 0;
@@ -144,6 +148,19 @@
     }
 }
 
+/// Reads what there is to do, until that succeeds.
+///
+/// Jobs may have ended while the store turned this keeper away, and its watch may come back later
+/// than its lease.
+async fn read_work<P: PlatformBorder>(state: &KeeperState<P>) {
+    loop {
+        match state.view.link.observe(state.store.range(WORK_PREFIX).await) {
+            Ok(snapshot) => return take_work(state, FollowerNews::Snapshot(snapshot.items)),
+            Err(_) => monoio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
 /// Finds out, for as long as the process runs, whether the store answers others and not this one.
 ///
 /// Others may then own and end the jobs of this keeper, which would not hear of it.
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -93,8 +93,8 @@
         let Some(lease) = self.lease.get() else {
             return false;
         };
-        let is_outage = !self.hears_store() && !self.is_isolated.get();
-        !self.is_leaving.get() && self.is_known.get() && (lease.holds(now) || is_outage)
+        let is_wanted = !self.is_leaving.get() && self.is_known.get() && !self.is_isolated.get();
+        is_wanted && (lease.holds(now) || !self.hears_store())
     }
 
     /// Gives up all jobs; what their books lack has to be read before they are owned again.
