Name the parts of commits and faults of sending, and let a keeper leave while it drains

Cause besides (read, not seen): a keeper told the store first and drained afterwards, so a silent store could use up three of the grace's seconds. Both run at once now.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -66,6 +66,15 @@
     pub status: StatusCode,
 }
 
+/// Why a request could not be sent.
+#[derive(Debug)]
+pub enum SendFault {
+    /// No byte of the body was sent.
+    BeforeBody(HttpFault),
+    /// The body was sent in part, or as a whole.
+    WithinBody(HttpFault),
+}
+
 /// One connection to a server.
 pub struct ClientConnection {
     /// Head of a final answer that came instead of the invitation to send a body.
@@ -123,22 +132,22 @@
     /// holds the head.
     ///
     /// # Errors
-    /// The fault, and whether the body may have been sent.
+    /// Tells whether part of the body may have been sent.
     pub async fn send_invited(
         &mut self,
         request: &ClientRequest,
         patience: Duration,
-    ) -> Result<(), (HttpFault, bool)> {
+    ) -> Result<(), SendFault> {
         self.reusable = false;
         let ClientRequest { body, headers, method, path } = request;
         let mut headers = headers.clone();
         headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
         let sent = self.writer.write_request_head(method, path, &headers, body.len()).await;
-        sent.map_err(|fault| (fault, false))?;
+        sent.map_err(SendFault::BeforeBody)?;
         let head = self.reader.read_response_head(patience).await;
-        let head = head.map_err(|fault| (fault, false))?;
+        let head = head.map_err(SendFault::BeforeBody)?;
         if head.status == StatusCode::CONTINUE {
-            return self.writer.write_body(body).await.map_err(|fault| (fault, true));
+            return self.writer.write_body(body).await.map_err(SendFault::WithinBody);
         }
         self.early_head = Some(head);
         Ok(())
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -18,6 +18,7 @@
 pub use crate::client::ClientConnection;
 pub use crate::client::ClientRequest;
 pub use crate::client::ClientResponse;
+pub use crate::client::SendFault;
 pub use crate::exchange::ServerExchange;
 pub use crate::fault::HttpFault;
 pub use crate::framing::BodyFraming;
--- a/crates/serving/src/coordination_store.rs
+++ b/crates/serving/src/coordination_store.rs
@@ -42,17 +42,59 @@
     pub revision: u64,
 }
 
+/// A condition of a commit.
+#[derive(Clone, Debug)]
+pub struct ExpectedKey {
+    /// The key.
+    pub key: String,
+    /// The revision that it has to be at; 0 demands that the key does not exist.
+    pub revision: u64,
+}
+
+/// A key to write.
+#[derive(Clone, Debug)]
+pub struct StorePut {
+    /// The key.
+    pub key: String,
+    /// The lease that the key goes with; 0 means none.
+    pub lease: u64,
+    /// The value.
+    pub value: Vec<u8>,
+}
+
 /// Writes that happen together if all expectations hold.
 #[derive(Clone, Debug, Default)]
 pub struct StoreCommit {
-    /// Keys with the revision that each has to be at; 0 demands that the key does not exist.
-    pub expected: Vec<(String, u64)>,
-    /// Keys to write, each with its lease; 0 means none.
-    pub puts: Vec<(String, Vec<u8>, u64)>,
+    /// What has to hold.
+    pub expected: Vec<ExpectedKey>,
+    /// Keys to write.
+    pub puts: Vec<StorePut>,
     /// Keys to remove.
     pub removals: Vec<String>,
 }
 
+impl StoreCommit {
+    /// Creates a key that must not exist.
+    #[must_use]
+    pub fn create(key: &str, value: Vec<u8>) -> Self {
+        let expected = vec![ExpectedKey { key: key.to_owned(), revision: 0 }];
+        Self { expected, ..Self::put(key, value, 0) }
+    }
+
+    /// Writes a key, bound to a lease unless that is 0.
+    #[must_use]
+    pub fn put(key: &str, value: Vec<u8>, lease: u64) -> Self {
+        let puts = vec![StorePut { key: key.to_owned(), lease, value }];
+        Self { puts, ..Self::default() }
+    }
+
+    /// Removes keys.
+    #[must_use]
+    pub fn remove(keys: &[String]) -> Self {
+        Self { removals: keys.to_vec(), ..Self::default() }
+    }
+}
+
 /// What became of a commit.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CommitOutcome {
--- a/crates/serving/src/front/mod.rs
+++ b/crates/serving/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! The entry: the callers' border.
 
 mod answer_relay;
+mod attempt_notes;
 mod front_handler;
 mod front_metrics;
 mod front_server;
--- a/crates/serving/src/front/online_call.rs
+++ b/crates/serving/src/front/online_call.rs
@@ -29,6 +29,7 @@
 use crate::SidecarVerdict;
 use crate::front::answer_relay::AnswerRelay;
 use crate::front::answer_relay::RelayEnd;
+use crate::front::attempt_notes::AttemptNotes;
 use crate::front::front_handler::FrontHandler;
 use crate::target_call::TargetCall;
 use crate::target_call::TargetFault;
@@ -51,12 +52,6 @@
 /// Share of the time left that one attempt of an idempotent request may take.
 const ATTEMPT_SHARE: f64 = 0.45;
 
-/// Time for which a sidecar that cannot be reached is passed by.
-const SIDECAR_PAUSE: Duration = Duration::from_secs(1);
-
-/// Time for which a target that cannot be reached is set aside.
-const TARGET_PAUSE: Duration = Duration::from_millis(700);
-
 /// A caller's request being served.
 pub(crate) struct OnlineCall<'a, P> {
     began: Instant,
@@ -134,15 +129,21 @@
                 AttemptEnd::Answered => return Ok(()),
                 AttemptEnd::NotRun => {
                     refusals += 1;
-                    self.note_refusal(&choice);
+                    self.notes().record_refusal(&choice);
                     self.tried.push(choice.id);
                     if refusals >= REFUSALS {
                         return self.conclude(exchange, &relay, "all_busy").await;
                     }
                 }
-                AttemptEnd::Unreachable => self.note_unreachable(&choice),
+                AttemptEnd::Unreachable => {
+                    self.notes().record_unreachable(&choice);
+                    // Without its sidecar the target itself may still take the request.
+                    if !choice.through_sidecar {
+                        self.tried.push(choice.id);
+                    }
+                }
                 AttemptEnd::Broken(detail) => {
-                    self.note_failure(&choice, &detail);
+                    self.notes().record_failure(&choice, &detail);
                     self.tried.push(choice.id);
                     let may_go_on = self.route.may_repeat() && relay.can_resume();
                     if !may_go_on || self.sent >= self.route.max_attempts {
@@ -393,54 +394,10 @@
         AttemptEnd::Answered
     }
 
-    /// Notes a target that has no slot for the request.
-    fn note_refusal(&self, choice: &TargetChoice) {
-        let view = &self.handler.view;
-        let now = view.clock.now();
-        view.with_roster(|roster| {
-            if let Some(row) = roster.get_mut(&choice.id).filter(|_| choice.through_sidecar) {
-                row.note_full(now);
-            }
-        });
-    }
-
-    /// Notes an attempt that may have run without a whole answer.
-    fn note_failure(&self, choice: &TargetChoice, detail: &str) {
-        let view = &self.handler.view;
-        let now = view.clock.now();
-        view.with_roster(|roster| {
-            if let Some(row) = roster.get_mut(&choice.id) {
-                row.record_failure(now);
-            }
-        });
-        let subject = self.terms.request_id.as_deref().unwrap_or_default();
-        view.log.record(LineWeight::Essential, EventKind::AttemptFailed, subject, || {
-            format!("target={} through_sidecar={} {detail}", choice.id, choice.through_sidecar)
-        });
-    }
-
-    /// Notes a target or a sidecar that takes no connection.
-    fn note_unreachable(&mut self, choice: &TargetChoice) {
-        let view = &self.handler.view;
-        let now = view.clock.now();
-        view.with_roster(|roster| {
-            let Some(row) = roster.get_mut(&choice.id) else {
-                return;
-            };
-            if choice.through_sidecar {
-                row.bypass_sidecar(now, SIDECAR_PAUSE);
-            } else {
-                row.pause(now, TARGET_PAUSE);
-            }
-        });
-        if !choice.through_sidecar {
-            self.tried.push(choice.id.clone());
-        }
-        let subject = self.terms.request_id.as_deref().unwrap_or_default();
-        view.log.record(LineWeight::Essential, EventKind::AttemptFailed, subject, || {
-            let (id, sidecar) = (&choice.id, choice.through_sidecar);
-            format!("target={id} through_sidecar={sidecar} unreachable")
-        });
+    /// Returns what takes notes of attempts.
+    fn notes(&self) -> AttemptNotes<'_> {
+        let request = self.terms.request_id.as_deref().unwrap_or_default();
+        AttemptNotes { request, view: &self.handler.view }
     }
 
     /// Returns the time left for the final answer.
--- a/crates/serving/src/keeper/job_calls.rs
+++ b/crates/serving/src/keeper/job_calls.rs
@@ -68,11 +68,7 @@
             return bare(StatusCode::SERVICE_UNAVAILABLE);
         }
     };
-    let commit = StoreCommit {
-        expected: vec![(key.clone(), 0)],
-        puts: vec![(key, value, 0)],
-        removals: Vec::new(),
-    };
+    let commit = StoreCommit::create(&key, value);
     let outcome = state.commit_resolved(&commit, WRITE_PATIENCE).await;
     let (status, how) = match outcome {
         Ok(CommitOutcome::Done) => {
@@ -182,8 +178,7 @@
         Ok(None) => return bare(StatusCode::NOT_FOUND),
         Err(_) => return bare(StatusCode::SERVICE_UNAVAILABLE),
     }
-    let puts = vec![(end_key(job), Vec::new(), 0)];
-    let commit = StoreCommit { puts, ..StoreCommit::default() };
+    let commit = StoreCommit::put(&end_key(job), Vec::new(), 0);
     match state.commit_resolved(&commit, WRITE_PATIENCE).await {
         Ok(_) => {
             end_job(state, job);
--- a/crates/serving/src/keeper/job_commits.rs
+++ b/crates/serving/src/keeper/job_commits.rs
@@ -80,11 +80,7 @@
     position: usize,
     value: &[u8],
 ) -> bool {
-    let commit = StoreCommit {
-        expected: vec![(key.to_owned(), 0)],
-        puts: vec![(key.to_owned(), value.to_vec(), 0)],
-        removals: Vec::new(),
-    };
+    let commit = StoreCommit::create(key, value.to_vec());
     loop {
         match state.commit_resolved(&commit, WRITE_PATIENCE).await {
             Ok(CommitOutcome::Conflict(items)) => {
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -189,7 +189,7 @@
         removals.push(end_key(&job));
         removals.push(job_key(&job));
         for keys in removals.chunks(16) {
-            let commit = StoreCommit { removals: keys.to_vec(), ..StoreCommit::default() };
+            let commit = StoreCommit::remove(keys);
             if let Err(fault) = state.view.link.observe(state.store.commit(&commit).await) {
                 log::warn!("old job {job} stays in the store: {fault}");
                 return;
--- a/crates/serving/src/keeper/keeper_lease.rs
+++ b/crates/serving/src/keeper/keeper_lease.rs
@@ -93,8 +93,7 @@
         zone: identity.zone.clone(),
     };
     let key = format!("{KEEPERS_PREFIX}{}", record.name);
-    let commit =
-        StoreCommit { puts: vec![(key, record.encode(), lease)], ..StoreCommit::default() };
+    let commit = StoreCommit::put(&key, record.encode(), lease);
     match state.commit_resolved(&commit, LEASE_TTL / 2).await {
         Ok(CommitOutcome::Done) => {
             state.lease.set(Some(LeaseClock::new(lease, sent, LEASE_TTL)));
--- a/crates/serving/src/keeper/keeper_server.rs
+++ b/crates/serving/src/keeper/keeper_server.rs
@@ -118,8 +118,8 @@
             format!("listen={address}")
         });
         shutdown.given().await;
-        leave(&state).await;
-        drain_server(&drain, &log, settings.grace).await;
+        // A store that does not answer must not use up the time for what runs.
+        futures::join!(leave(&state), drain_server(&drain, &log, settings.grace));
         Ok(())
     }
 }
@@ -148,7 +148,7 @@
 async fn retire<P: PlatformBorder>(state: &KeeperState<P>) {
     leave(state).await;
     let (key, value) = P::retire_status(&state.identity.name, true);
-    let commit = StoreCommit { puts: vec![(key, value, 0)], ..StoreCommit::default() };
+    let commit = StoreCommit::put(&key, value, 0);
     let outcome = state.commit_resolved(&commit, RETIRE_PATIENCE).await;
     state.view.log.record(LineWeight::Essential, EventKind::Stopped, "keeper", || {
         format!("retired={outcome:?}")
--- a/crates/serving/src/target_call.rs
+++ b/crates/serving/src/target_call.rs
@@ -8,6 +8,7 @@
 use cv_http::ClientRequest;
 use cv_http::ConnectionPool;
 use cv_http::HttpFault;
+use cv_http::SendFault;
 use http::HeaderMap;
 use http::response::Parts as ResponseHead;
 
@@ -67,8 +68,9 @@
         let mut connection = connected.map_err(TargetFault::NotSent)?;
         if self.is_sidecar && !request.body.is_empty() {
             let invited = connection.send_invited(request, INVITE_PATIENCE).await;
-            invited.map_err(|(fault, may_have_run)| {
-                if may_have_run { TargetFault::Unknown(fault) } else { TargetFault::NotSent(fault) }
+            invited.map_err(|fault| match fault {
+                SendFault::BeforeBody(fault) => TargetFault::NotSent(fault),
+                SendFault::WithinBody(fault) => TargetFault::Unknown(fault),
             })?;
         } else {
             connection.send(request).await.map_err(TargetFault::Unknown)?;
