--- a/crates/clementinevale/tests/soak/main.rs
+++ b/crates/clementinevale/tests/soak/main.rs
@@ -29,7 +29,7 @@
 ];
 
 /// Seeds that are played when none are named.
-const SHORT_SEEDS: [u64; 1] = [1];
+const SHORT_SEEDS: [u64; 2] = [1, 2];
 
 /// Seconds of faults when none are named.
 const SHORT_SECONDS: u64 = 8;
