Offer a new configuration out of turn, and let experiments fail when faults are not played

With 200 sidecars the turn of the last came after 27 s. Found by printing who lags during `config-spread`: the lag fell by 7 to 8 sidecars a second.

Change: `StatusRound` decides whom to ask; sidecars that answer and have an older revision are asked out of turn, 64 a round at most.

Experiments: `--seconds` is now the length of all measured phases together, each phase is told on standard error, and a fault that could not be played fails the experiment (`not_played`).

--- a/crates/bench/src/experiment/affinity.rs
+++ b/crates/bench/src/experiment/affinity.rs
@@ -6,8 +6,8 @@
 use cv_policy::routing::RoutingPolicy;
 use cv_standin::EngineSettings;
 
-use super::ExperimentOptions;
 use super::ExperimentReport;
+use super::PhaseOptions;
 use super::shared_load::CompletionLoad;
 use super::shared_load::plan_for;
 use crate::deployment::DeploymentSpec;
@@ -29,7 +29,7 @@
 const RATE: f64 = 60.0;
 
 /// Runs the experiment.
-pub(super) fn run(options: ExperimentOptions, report: &mut ExperimentReport) {
+pub(super) fn run(options: PhaseOptions, report: &mut ExperimentReport) {
     let own = measure("affinity", RoutingPolicy::BoundedAffinity, options, report);
     let baseline = measure("round_robin", RoutingPolicy::RoundRobin, options, report);
     report.figure("first_p50_ratio", own.first_ms(0.5) / baseline.first_ms(0.5));
@@ -40,7 +40,7 @@
 fn measure(
     name: &str,
     routing: RoutingPolicy,
-    options: ExperimentOptions,
+    options: PhaseOptions,
     report: &mut ExperimentReport,
 ) -> LoadReport {
     let deployment = SmallDeployment::start(spec(routing));
@@ -51,7 +51,8 @@
         prompts: PromptSource::new(options.seed, PREFIXES, PREFIX_WORDS, 16),
         tokens: 8,
     };
-    let plan = plan_for(&deployment, RATE, options.phase(), options.seed);
+    report.begin_phase(name);
+    let plan = plan_for(&deployment, RATE, options.length, options.seed);
     let load = load.spawn(plan).join();
     let engines = deployment.targets.iter().filter_map(|target| target.engine.as_ref());
     let (mut cached, mut prompts) = (0, 0);
--- a/crates/bench/src/experiment/burst.rs
+++ b/crates/bench/src/experiment/burst.rs
@@ -5,8 +5,8 @@
 use cv_policy::admission::AdmissionSettings;
 use tempfile::TempDir;
 
-use super::ExperimentOptions;
 use super::ExperimentReport;
+use super::PhaseOptions;
 use super::shared_batch::BatchBench;
 use super::shared_batch::ENGINES;
 use super::shared_batch::SLOTS;
@@ -25,15 +25,18 @@
 const THROUGHPUT: f64 = 0.75;
 
 /// Runs the experiment.
-pub(super) fn run(options: ExperimentOptions, report: &mut ExperimentReport) {
+pub(super) fn run(options: PhaseOptions, report: &mut ExperimentReport) {
     let folder = TempDir::new().expect("a folder for the disks");
     let admission = AdmissionSettings::builder().slots(SLOTS).build();
     let bench = BatchBench::start(&folder, admission);
-    let bursts = (options.seconds / PERIOD.as_secs()).max(1);
+    let bursts = (options.length.as_secs() / PERIOD.as_secs()).max(1);
+    report.begin_phase("bursts alone");
     let alone = run_bursts(&bench, bursts, options);
+    report.begin_phase("batch alone");
     let job = bench.submit_endless();
     let idle_rate = bench.settled_batch_rate(options);
     let before = bench.generated_tokens();
+    report.begin_phase("bursts beside batch");
     let beside = run_bursts(&bench, bursts, options);
     let generated = (bench.generated_tokens() - before) as f64;
     bench.cancel(&job);
@@ -57,13 +60,13 @@
 }
 
 /// Runs bursts that fill every slot, one a period.
-fn run_bursts(bench: &BatchBench, bursts: u64, options: ExperimentOptions) -> LoadReport {
+fn run_bursts(bench: &BatchBench, bursts: u64, options: PhaseOptions) -> LoadReport {
     let requests = f64::from(SLOTS) * ENGINES as f64;
     let rate = requests / LENGTH.as_secs_f64();
     let mut report = LoadReport::new();
     for burst in 0..bursts {
         let begin = std::time::Instant::now();
-        let seeded = ExperimentOptions { seed: options.seed + burst, ..options };
+        let seeded = PhaseOptions { seed: options.seed + burst, ..options };
         report.merge(&bench.burst(rate, seeded, LENGTH));
         std::thread::sleep(PERIOD.saturating_sub(begin.elapsed()));
     }
--- a/crates/bench/src/experiment/config_spread.rs
+++ b/crates/bench/src/experiment/config_spread.rs
@@ -16,8 +16,8 @@
 use serde_json::Value;
 use serde_json::json;
 
-use super::ExperimentOptions;
 use super::ExperimentReport;
+use super::PhaseOptions;
 use crate::deployment::DeploymentSpec;
 use crate::deployment::SmallDeployment;
 
@@ -36,11 +36,14 @@
 /// Longest wait for one change.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Changes that are made at least.
+const FEWEST_CHANGES: u64 = 3;
+
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
 /// Runs the experiment.
-pub(crate) fn run(options: ExperimentOptions, report: &mut ExperimentReport) {
+pub(crate) fn run(options: PhaseOptions, report: &mut ExperimentReport) {
     let deployment = SmallDeployment::start(DeploymentSpec::builder().entries(ENTRIES).build());
     let (_threads, listings) = start_followers();
     let mut all = listings;
@@ -52,7 +55,12 @@
     let before = call_count(&deployment);
     let mut times = Vec::new();
     let mut conflicts = 0.0;
-    for change in 0..options.seconds.max(3) {
+    let begin = Instant::now();
+    for change in 0.. {
+        if change >= FEWEST_CHANGES && begin.elapsed() >= options.length {
+            break;
+        }
+        report.begin_phase(&format!("change {change}"));
         let document = json!({"defaults": {"deadline_ms": 20_000 + change}}).to_string();
         let answer = admin.put_config(&document, revision);
         let stale = admin.put_config(&document, revision);
--- a/crates/bench/src/experiment/drain.rs
+++ b/crates/bench/src/experiment/drain.rs
@@ -6,8 +6,8 @@
 use cv_standin::EngineSettings;
 use tempfile::TempDir;
 
-use super::ExperimentOptions;
 use super::ExperimentReport;
+use super::PhaseOptions;
 use super::shared_load::CompletionLoad;
 use super::shared_load::ServiceLoad;
 use super::shared_load::plan_for;
@@ -36,7 +36,7 @@
 const JOB_PATIENCE: Duration = Duration::from_mins(2);
 
 /// Runs the experiment.
-pub(super) fn run(options: ExperimentOptions, report: &mut ExperimentReport) {
+pub(super) fn run(options: PhaseOptions, report: &mut ExperimentReport) {
     let folder = TempDir::new().expect("a folder for the disks");
     let mut deployment = SmallDeployment::start(spec(&folder));
     let client = BatchClient::new(deployment.entry_addresses()[0], "members");
@@ -46,7 +46,7 @@
     let job = client.create(&file, Some("drain"), due).expect("the job is accepted");
     let restarts = deployment.entries.len() + deployment.targets.len();
     // Draining takes some seconds for each part, which the load has to outlast.
-    let duration = Duration::from_secs(5) * restarts as u32 + options.phase();
+    let duration = Duration::from_secs(5) * restarts as u32 + options.length;
     let addresses = AddressBook::new(&deployment.entry_addresses());
     let mut plan = plan_for(&deployment, QUESTION_RATE, duration, options.seed);
     plan.addresses = addresses.clone();
@@ -59,7 +59,7 @@
         path: "/services/orders-app/orders",
     };
     let orders = orders.spawn(order_plan);
-    restart_all(&mut deployment, &addresses);
+    restart_all(&mut deployment, &addresses, report);
     let (questions, orders) = (questions.join(), orders.join());
     let client = BatchClient::new(deployment.entry_addresses()[0], "members");
     let ended = client.wait(&job, JOB_PATIENCE);
@@ -74,13 +74,19 @@
 }
 
 /// Restarts every sidecar and every entry, one after the other.
-fn restart_all(deployment: &mut SmallDeployment, addresses: &AddressBook) {
+fn restart_all(
+    deployment: &mut SmallDeployment,
+    addresses: &AddressBook,
+    report: &ExperimentReport,
+) {
     for index in 0..deployment.targets.len() {
+        report.begin_phase(&format!("sidecar {index} restarts"));
         deployment.restart_sidecar(index);
         std::thread::sleep(PAUSE);
         deployment.wait_until_ready();
     }
     for index in 0..deployment.entries.len() {
+        report.begin_phase(&format!("entry {index} restarts"));
         let leaving = deployment.entries[index].as_ref().map(|entry| entry.data);
         let mut others = deployment.entry_addresses();
         others.retain(|address| Some(*address) != leaving);
--- a/crates/bench/src/experiment/experiment_options.rs
+++ b/crates/bench/src/experiment/experiment_options.rs
@@ -1,96 +1,33 @@
-//! Which experiment, from which seed, for how long.
+//! How long an experiment measures, and from which seed.
 
 use std::time::Duration;
 
-/// The experiments.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ExperimentName {
-    /// Prefix affinity against round robin.
-    Affinity,
-    /// Batch beside online with bursts.
-    Burst,
-    /// Configuration changes over many followers.
-    ConfigSpread,
-    /// Rolling restart of the whole deployment under load.
-    Drain,
-    /// A batch job through deaths, pauses and outages.
-    Failover,
-    /// One bad target among good ones.
-    FaultyTarget,
-    /// Batch beside steady online load.
-    Mixed,
-    /// The path against direct calls.
-    Online,
-    /// More requests than the targets can answer.
-    Overload,
-}
-
-impl ExperimentName {
-    /// All experiments.
-    pub const ALL: [Self; 9] = [
-        Self::Affinity,
-        Self::Burst,
-        Self::ConfigSpread,
-        Self::Drain,
-        Self::Failover,
-        Self::FaultyTarget,
-        Self::Mixed,
-        Self::Online,
-        Self::Overload,
-    ];
-
-    /// Returns the name as operators write it.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Affinity => "affinity",
-            Self::Burst => "burst",
-            Self::ConfigSpread => "config-spread",
-            Self::Drain => "drain",
-            Self::Failover => "failover",
-            Self::FaultyTarget => "faulty-target",
-            Self::Mixed => "mixed",
-            Self::Online => "online",
-            Self::Overload => "overload",
-        }
-    }
-
-    /// Describes the experiment in a line.
-    #[must_use]
-    pub fn description(self) -> &'static str {
-        match self {
-            Self::Affinity => "prefix cache hits and first tokens, against round robin",
-            Self::Burst => "batch beside online bursts: harm, throughput, slots given back",
-            Self::ConfigSpread => "time until a change is in force everywhere, calls it costs",
-            Self::Drain => "rolling restart of every entry and sidecar under load",
-            Self::Failover => "a batch job through deaths, pauses and an outage",
-            Self::FaultyTarget => "one slow, dead or half-open target out of 12",
-            Self::Mixed => "batch beside steady online load, against a shared queue and a split",
-            Self::Online => "latency and throughput of the path, against direct calls",
-            Self::Overload => "goodput from half to four times capacity, against no limits",
-        }
-    }
-
-    /// Finds the experiment that a text names.
-    #[must_use]
-    pub fn from_text(text: &str) -> Option<Self> {
-        Self::ALL.iter().copied().find(|name| name.as_str() == text)
-    }
-}
+/// Shortest phase; a shorter one has too few requests for a 99th percentile.
+const SHORTEST_PHASE: Duration = Duration::from_secs(1);
 
 /// How an experiment is run.
 #[derive(Clone, Copy, Debug)]
 pub struct ExperimentOptions {
-    /// Length of each measured phase, in seconds.
+    /// Length of all measured phases together, in seconds.
     pub seconds: u64,
     /// Seed of the load.
     pub seed: u64,
 }
 
 impl ExperimentOptions {
-    /// Returns the length of each measured phase.
+    /// Splits the time evenly over a number of phases.
     #[must_use]
-    pub fn phase(&self) -> Duration {
-        Duration::from_secs(self.seconds.max(1))
+    pub fn split(&self, phases: u32) -> PhaseOptions {
+        let length = Duration::from_secs(self.seconds) / phases.max(1);
+        PhaseOptions { length: length.max(SHORTEST_PHASE), seed: self.seed }
     }
 }
+
+/// How each phase of an experiment is run.
+#[derive(Clone, Copy, Debug)]
+pub struct PhaseOptions {
+    /// Length of the phase.
+    pub length: Duration,
+    /// Seed of the load.
+    pub seed: u64,
+}
--- a/crates/bench/src/experiment/experiment_report.rs
+++ b/crates/bench/src/experiment/experiment_report.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use super::ExperimentOptions;
+use super::PhaseProgress;
 use crate::load::LoadReport;
 use crate::load::PromiseCounts;
 
@@ -42,7 +43,12 @@
     pub figures: BTreeMap<String, f64>,
     /// The experiment.
     pub name: &'static str,
-    /// Length of each measured phase, in seconds.
+    /// Faults that the experiment was to bring about and could not.
+    pub not_played: Vec<String>,
+    /// Tells how far the experiment is.
+    #[serde(skip)]
+    progress: PhaseProgress,
+    /// Length of all measured phases together, in seconds.
     pub seconds: u64,
     /// Seed of the load.
     pub seed: u64,
@@ -53,19 +59,37 @@
 impl ExperimentReport {
     /// Creates an empty report.
     #[must_use]
-    pub fn new(name: &'static str, options: ExperimentOptions) -> Self {
+    pub fn new(name: &'static str, options: ExperimentOptions, progress: PhaseProgress) -> Self {
         Self {
             broken: Vec::new(),
             counts: PromiseCounts::default(),
             curves: Vec::new(),
             figures: BTreeMap::new(),
             name,
+            not_played: Vec::new(),
+            progress,
             seconds: options.seconds,
             seed: options.seed,
             targets: Vec::new(),
         }
     }
 
+    /// Tells that a phase begins.
+    pub fn begin_phase(&self, name: &str) {
+        self.progress.begin_phase(name);
+    }
+
+    /// Notes that a fault could not be brought about, which fails the experiment.
+    pub fn skip_fault(&mut self, name: &str) {
+        self.not_played.push(name.to_owned());
+    }
+
+    /// Returns whether all faults were played and no promise was broken.
+    #[must_use]
+    pub fn has_passed(&self) -> bool {
+        self.broken.is_empty() && self.not_played.is_empty()
+    }
+
     /// Notes a figure.
     pub fn figure(&mut self, name: impl Into<String>, value: f64) {
         let rounded = (value * 10_000.0).round() / 10_000.0;
--- a/crates/bench/src/experiment/failover.rs
+++ b/crates/bench/src/experiment/failover.rs
@@ -7,8 +7,8 @@
 use cv_standin::EngineSettings;
 use tempfile::TempDir;
 
-use super::ExperimentOptions;
 use super::ExperimentReport;
+use super::PhaseOptions;
 use crate::deployment::DeploymentSpec;
 use crate::deployment::ModelSpec;
 use crate::deployment::SmallDeployment;
@@ -18,14 +18,18 @@
 /// Entries with a disk.
 const ENTRIES: usize = 5;
 
-/// Items for each second of a phase.
-const ITEMS_PER_SECOND: u64 = 3_000;
+/// Items that the engines answer in a second, at most.
+const ITEMS_PER_SECOND: u64 = 1_200;
+
+/// Time that the job runs at least, besides that of the phase: the faults leave work for the
+/// engines for about half a second each.
+const SHORTEST_JOB: Duration = Duration::from_secs(10);
 
 /// Most items in one job.
 const MAX_ITEMS: u64 = 150_000;
 
 /// Length of each answer, in tokens.
-const TOKENS: usize = 4;
+const TOKENS: usize = 8;
 
 /// Time to live of the leases.
 const LEASE_TTL: Duration = Duration::from_secs(2);
@@ -33,6 +37,12 @@
 /// Pauses of owners, each longer than the lease.
 const FREEZES: u32 = 3;
 
+/// Shortest outage of the key-value service, longer than the leases.
+const SHORTEST_OUTAGE: Duration = Duration::from_secs(5);
+
+/// Longest outage of the key-value service.
+const LONGEST_OUTAGE: Duration = Duration::from_mins(1);
+
 /// Longest time until work goes on after a fault.
 const PROGRESS_PATIENCE: Duration = Duration::from_mins(1);
 
@@ -40,10 +50,11 @@
 const JOB_PATIENCE: Duration = Duration::from_mins(10);
 
 /// Runs the experiment.
-pub(super) fn run(options: ExperimentOptions, report: &mut ExperimentReport) {
+pub(super) fn run(options: PhaseOptions, report: &mut ExperimentReport) {
     let folder = TempDir::new().expect("a folder for the disks");
     let mut deployment = SmallDeployment::start(spec(&folder));
-    let items = (options.seconds * ITEMS_PER_SECOND).min(MAX_ITEMS) as usize;
+    let items =
+        ((options.length + SHORTEST_JOB).as_secs() * ITEMS_PER_SECOND).min(MAX_ITEMS) as usize;
     let audit = BatchAudit::completions("failover", "assist-llm", items, TOKENS);
     let begin = Instant::now();
     let mut drill = FailoverDrill::submit(&deployment, &audit, report);
@@ -66,7 +77,7 @@
             }
         });
     }
-    let outage = Duration::from_secs(options.seconds.clamp(5, 60));
+    let outage = options.length.clamp(SHORTEST_OUTAGE, LONGEST_OUTAGE);
     drill.fault(&mut deployment, report, "service_down", |deployment, _| {
         deployment.key_value.change_faults(|faults| faults.down = true);
         std::thread::sleep(outage);
@@ -128,14 +139,17 @@
         name: &str,
         fault: impl FnOnce(&mut SmallDeployment, usize),
     ) {
+        report.begin_phase(name);
         let Some((owner, _)) = self.wait_for_progress(deployment, 0) else {
-            report.figure(format!("{name}_skipped"), 1.0);
+            report.skip_fault(name);
             return;
         };
         fault(deployment, owner);
         let (begin, before) = (Instant::now(), self.ended_items(deployment));
         if self.wait_for_progress(deployment, before).is_some() {
             report.figure(format!("{name}_recovery_s"), begin.elapsed().as_secs_f64());
+        } else {
+            report.skip_fault(name);
         }
     }
 
@@ -195,7 +209,7 @@
 fn spec(folder: &TempDir) -> DeploymentSpec {
     let engine = EngineSettings::builder()
         .max_sequences(64)
-        .step_base(Duration::from_millis(2))
+        .step_base(Duration::from_millis(20))
         .step_per_sequence(Duration::from_micros(5))
         .build();
     let model = ModelSpec::builder()
--- a/crates/bench/src/experiment/faulty_target.rs
+++ b/crates/bench/src/experiment/faulty_target.rs
@@ -6,8 +6,8 @@
 use cv_standin::EngineSettings;
 use cv_standin::FaultMode;
 
-use super::ExperimentOptions;
 use super::ExperimentReport;
+use super::PhaseOptions;
 use super::shared_load::CompletionLoad;
 use super::shared_load::plan_for;
 use crate::deployment::DeploymentSpec;
@@ -94,18 +94,20 @@
 }
 
 /// Runs the experiment.
-pub(super) fn run(options: ExperimentOptions, report: &mut ExperimentReport) {
+pub(super) fn run(options: PhaseOptions, report: &mut ExperimentReport) {
     let deployment = SmallDeployment::start(spec());
-    let healthy = measure(&deployment, options.phase(), options.seed);
+    report.begin_phase("healthy");
+    let healthy = measure(&deployment, options.length, options.seed);
     drop(deployment);
     report.figure("healthy_first_p99_ms", healthy.first_ms(0.99));
     report.count(&healthy.promises);
     report.curve("healthy", &healthy);
     for fault in TargetFault::ALL {
+        report.begin_phase(fault.name());
         let mut deployment = SmallDeployment::start(spec());
         fault.apply(&mut deployment);
         let during = measure(&deployment, ADAPTATION, options.seed);
-        let after = measure(&deployment, options.phase(), options.seed + 1);
+        let after = measure(&deployment, options.length, options.seed + 1);
         let name = fault.name();
         report.figure(format!("{name}_during_p99_ms"), during.first_ms(0.99));
         report.figure(format!("{name}_not_answered"), (after.sent - after.in_time) as f64);
--- a/crates/bench/src/experiment/mixed.rs
+++ b/crates/bench/src/experiment/mixed.rs
@@ -4,8 +4,8 @@
 use cv_policy::admission::QueueOrder;
 use tempfile::TempDir;
 
-use super::ExperimentOptions;
 use super::ExperimentReport;
+use super::PhaseOptions;
 use super::shared_batch::BatchBench;
 use super::shared_batch::SLOTS;
 
@@ -19,7 +19,7 @@
 const THROUGHPUT: f64 = 0.9;
 
 /// Runs the experiment.
-pub(super) fn run(options: ExperimentOptions, report: &mut ExperimentReport) {
+pub(super) fn run(options: PhaseOptions, report: &mut ExperimentReport) {
     let own = AdmissionSettings::builder().slots(SLOTS).build();
     let shared = AdmissionSettings::builder()
         .batch_beside_online(SLOTS)
@@ -47,16 +47,20 @@
 fn measure(
     name: &str,
     admission: AdmissionSettings,
-    options: ExperimentOptions,
+    options: PhaseOptions,
     report: &mut ExperimentReport,
 ) -> (f64, f64) {
     let folder = TempDir::new().expect("a folder for the disks");
     let bench = BatchBench::start(&folder, admission);
-    let alone = bench.online(ONLINE_RATE, options, options.phase());
+    let label = if name.is_empty() { "own" } else { name };
+    report.begin_phase(&format!("{label}: online alone"));
+    let alone = bench.online(ONLINE_RATE, options, options.length);
+    report.begin_phase(&format!("{label}: batch alone"));
     let job = bench.submit_endless();
     let idle_rate = bench.settled_batch_rate(options);
     let before = bench.generated_tokens();
-    let beside = bench.online(ONLINE_RATE, options, options.phase());
+    report.begin_phase(&format!("{label}: online beside batch"));
+    let beside = bench.online(ONLINE_RATE, options, options.length);
     let generated = (bench.generated_tokens() - before) as f64;
     bench.cancel(&job);
     let seconds = beside.wall.as_secs_f64();
--- a/crates/bench/src/experiment/online.rs
+++ b/crates/bench/src/experiment/online.rs
@@ -5,8 +5,8 @@
 
 use cv_policy::admission::AdmissionSettings;
 
-use super::ExperimentOptions;
 use super::ExperimentReport;
+use super::PhaseOptions;
 use super::shared_load::LoadHandle;
 use super::shared_load::ServiceLoad;
 use super::shared_load::join_all;
@@ -31,7 +31,7 @@
 const REQUESTS_PER_SECOND: f64 = 20_000.0;
 
 /// Runs the experiment.
-pub(super) fn run(options: ExperimentOptions, report: &mut ExperimentReport) {
+pub(super) fn run(options: PhaseOptions, report: &mut ExperimentReport) {
     let deployment = SmallDeployment::start(spec());
     let direct: Vec<SocketAddr> = deployment
         .targets
@@ -39,8 +39,10 @@
         .filter_map(|target| target.target.as_ref().map(|target| target.address))
         .collect();
     let entries = deployment.entry_addresses();
+    report.begin_phase("direct at full load");
     let full_direct = measure_full("direct", &direct, "/notes", options);
     let before = processor_seconds();
+    report.begin_phase("path at full load");
     let full_path = measure_full("path", &entries, "/services/echo/notes", options);
     let used = processor_seconds() - before;
     let rate = full_path.goodput();
@@ -48,7 +50,9 @@
     report.at_least("path_full_rps", rate, REQUESTS_PER_SECOND);
     report.figure("path_rps_per_core", full_path.in_time as f64 / used.max(1e-9));
     let half = rate / 2.0;
+    report.begin_phase("direct at half load");
     let half_direct = measure_half("half-direct", &direct, "/notes", half, options);
+    report.begin_phase("path at half load");
     let half_path = measure_half("half-path", &entries, "/services/echo/notes", half, options);
     report.figure("half_load_rps", half);
     for (name, quantile) in [("p50", 0.5), ("p99", 0.99)] {
@@ -83,7 +87,7 @@
     name: &str,
     addresses: &[SocketAddr],
     path: &'static str,
-    options: ExperimentOptions,
+    options: PhaseOptions,
 ) -> LoadReport {
     let spawn = |loader: usize| {
         let plan = plan(addresses, 0.0, options, loader);
@@ -98,7 +102,7 @@
     addresses: &[SocketAddr],
     path: &'static str,
     rate: f64,
-    options: ExperimentOptions,
+    options: PhaseOptions,
 ) -> LoadReport {
     let spawn = |loader: usize| -> LoadHandle {
         let plan = plan(addresses, rate / LOADERS as f64, options, loader);
@@ -114,16 +118,11 @@
 }
 
 /// Returns the plan of one thread.
-fn plan(
-    addresses: &[SocketAddr],
-    rate: f64,
-    options: ExperimentOptions,
-    loader: usize,
-) -> LoadPlan {
+fn plan(addresses: &[SocketAddr], rate: f64, options: PhaseOptions, loader: usize) -> LoadPlan {
     LoadPlan {
         addresses: AddressBook::new(addresses),
         deadline: Duration::from_secs(5),
-        duration: options.phase(),
+        duration: options.length,
         rate,
         seed: options.seed + loader as u64,
         warm_up: Duration::from_secs(1),
--- a/crates/bench/src/experiment/overload.rs
+++ b/crates/bench/src/experiment/overload.rs
@@ -8,8 +8,8 @@
 use cv_policy::routing::RoutingPolicy;
 use cv_standin::EngineSettings;
 
-use super::ExperimentOptions;
 use super::ExperimentReport;
+use super::PhaseOptions;
 use super::shared_load::CompletionLoad;
 use super::shared_load::plan_for;
 use crate::deployment::DeploymentSpec;
@@ -33,8 +33,9 @@
 const KEPT_GOODPUT: f64 = 0.95;
 
 /// Runs the experiment.
-pub(super) fn run(options: ExperimentOptions, report: &mut ExperimentReport) {
+pub(super) fn run(options: PhaseOptions, report: &mut ExperimentReport) {
     let admission = AdmissionSettings::builder().slots(SLOTS as u32).build();
+    report.begin_phase("capacity");
     let capacity = {
         let deployment = SmallDeployment::start(spec(admission.clone(), RoutingPolicy::default()));
         measure_capacity(&deployment, options)
@@ -60,11 +61,12 @@
     admission: &AdmissionSettings,
     routing: RoutingPolicy,
     capacity: f64,
-    options: ExperimentOptions,
+    options: PhaseOptions,
     report: &mut ExperimentReport,
 ) -> Vec<f64> {
     let mut goodputs = Vec::new();
     for (name, share) in LOADS {
+        report.begin_phase(&format!("{prefix}{name}x"));
         let deployment = SmallDeployment::start(spec(admission.clone(), routing));
         let load = measure(&deployment, capacity * share, options);
         report.figure(format!("{prefix}goodput_{name}x_rps"), load.goodput());
@@ -91,18 +93,18 @@
 }
 
 /// Measures the requests a second that the engines answer when they are never idle.
-fn measure_capacity(deployment: &SmallDeployment, options: ExperimentOptions) -> f64 {
+fn measure_capacity(deployment: &SmallDeployment, options: PhaseOptions) -> f64 {
     let load = CompletionLoad::short("assist-llm", options.seed, TOKENS);
-    let plan = plan_for(deployment, 0.0, options.phase(), options.seed);
+    let plan = plan_for(deployment, 0.0, options.length, options.seed);
     // Twice as many callers as slots keep every slot in use.
     load.spawn_closed(plan, SLOTS * 4 * 2).join().goodput()
 }
 
 /// Measures a load.
-fn measure(deployment: &SmallDeployment, rate: f64, options: ExperimentOptions) -> LoadReport {
+fn measure(deployment: &SmallDeployment, rate: f64, options: PhaseOptions) -> LoadReport {
     let mut load = CompletionLoad::short("assist-llm", options.seed, TOKENS);
     load.deadline = DEADLINE;
-    let mut plan = plan_for(deployment, rate, options.phase(), options.seed);
+    let mut plan = plan_for(deployment, rate, options.length, options.seed);
     plan.deadline = DEADLINE;
     load.spawn(plan).join()
 }
--- a/crates/bench/src/experiment/shared_batch.rs
+++ b/crates/bench/src/experiment/shared_batch.rs
@@ -9,7 +9,7 @@
 use http::Method;
 use tempfile::TempDir;
 
-use super::ExperimentOptions;
+use super::PhaseOptions;
 use super::shared_load::CompletionLoad;
 use super::shared_load::plan_for;
 use crate::deployment::AdminClient;
@@ -65,13 +65,13 @@
     }
 
     /// Runs online load at a rate.
-    pub fn online(&self, rate: f64, options: ExperimentOptions, duration: Duration) -> LoadReport {
+    pub fn online(&self, rate: f64, options: PhaseOptions, duration: Duration) -> LoadReport {
         let load = CompletionLoad::short("assist-llm", options.seed, ONLINE_TOKENS);
         load.spawn(plan_for(&self.deployment, rate, duration, options.seed)).join()
     }
 
     /// Runs one burst of online load.
-    pub fn burst(&self, rate: f64, options: ExperimentOptions, length: Duration) -> LoadReport {
+    pub fn burst(&self, rate: f64, options: PhaseOptions, length: Duration) -> LoadReport {
         let load = CompletionLoad::short("assist-llm", options.seed, ONLINE_TOKENS);
         let mut plan = plan_for(&self.deployment, rate, length, options.seed);
         plan.warm_up = Duration::ZERO;
@@ -92,10 +92,10 @@
     }
 
     /// Returns the tokens a second that batch alone generates once it has taken all slots.
-    pub fn settled_batch_rate(&self, options: ExperimentOptions) -> f64 {
+    pub fn settled_batch_rate(&self, options: PhaseOptions) -> f64 {
         std::thread::sleep(SETTLING);
         let (before, begin) = (self.generated_tokens(), Instant::now());
-        std::thread::sleep(options.phase());
+        std::thread::sleep(options.length);
         (self.generated_tokens() - before) as f64 / begin.elapsed().as_secs_f64()
     }
 
--- a/crates/cvctl/src/experiment_command.rs
+++ b/crates/cvctl/src/experiment_command.rs
@@ -7,6 +7,7 @@
 use cv_bench::experiment::ExperimentName;
 use cv_bench::experiment::ExperimentOptions;
 use cv_bench::experiment::ExperimentReport;
+use cv_bench::experiment::PhaseStart;
 use cv_bench::experiment::render_report;
 use cv_bench::experiment::run_experiment;
 
@@ -26,8 +27,8 @@
     /// write a page with plots to this file
     #[argh(option)]
     report: Option<PathBuf>,
-    /// length of each measured phase, in seconds
-    #[argh(option, default = "5")]
+    /// length of all measured phases together, in seconds; no phase is shorter than one
+    #[argh(option, default = "30")]
     seconds: u64,
     /// seed of the load
     #[argh(option, default = "1")]
@@ -35,7 +36,7 @@
 }
 
 impl ExperimentCommand {
-    /// Runs the experiment; fails if a promise was broken.
+    /// Runs the experiment; fails if a promise was broken or a fault could not be played.
     pub fn run(&self) -> Result<ExitCode, String> {
         if self.list {
             for name in ExperimentName::ALL {
@@ -46,7 +47,7 @@
         let name = self.name.as_deref().and_then(ExperimentName::from_text);
         let name = name.ok_or("name an experiment; `cvctl experiment --list` describes them")?;
         let options = ExperimentOptions { seconds: self.seconds, seed: self.seed };
-        let report = run_experiment(name, options);
+        let report = run_experiment(name, options, print_phase);
         if self.json {
             println!("{}", serde_json::to_string(&report).unwrap_or_default());
         } else {
@@ -56,11 +57,15 @@
             let page = render_report(&report)?;
             std::fs::write(path, page).map_err(|error| format!("{}: {error}", path.display()))?;
         }
-        let kept = report.broken.is_empty();
-        Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        Ok(if report.has_passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
     }
 }
 
+/// Shows on standard error what is being measured.
+fn print_phase(phase: &PhaseStart<'_>) {
+    eprintln!("[{:5.1} s] {}", phase.elapsed.as_secs_f64(), phase.name);
+}
+
 /// Prints an experiment's figures for people.
 fn print_report(report: &ExperimentReport) {
     for (name, value) in &report.figures {
@@ -72,4 +77,7 @@
     }
     println!("counts {:?}", report.counts);
     println!("broken promises: {:?}", report.broken);
+    if !report.not_played.is_empty() {
+        println!("faults not played: {}", report.not_played.join(", "));
+    }
 }
--- a/crates/entry/src/watch/target_watch.rs
+++ b/crates/entry/src/watch/target_watch.rs
@@ -1,5 +1,6 @@
 //! Asks the sidecars themselves how their targets are.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use cv_control::TargetStatus;
 use cv_control::call_context;
 use cv_policy::TargetId;
-use cv_policy::routing::status_calls_per_second;
+use cv_policy::routing::StatusRound;
 use cv_timeline::EventKind;
 use cv_timer::TimerService;
 use tarpc::client::RpcError;
@@ -20,26 +21,23 @@
 /// Longest time that a sidecar has for its answer.
 const PATIENCE: Duration = Duration::from_millis(450);
 
-/// Targets that are not ready and are asked out of turn.
-const UNREADY_CALLS: usize = 16;
-
-/// Questions in a row without an answer after which a target counts as lost.
-const FAILURES: u32 = 2;
-
 /// Follows all targets for as long as the entry runs.
 pub(crate) async fn watch_targets(state: Rc<EntryState>, timers: TimerService) {
     let ticks = timers.subscribe(PERIOD);
-    let mut round = 0;
-    let asked: Rc<std::cell::RefCell<Vec<(TargetId, u32)>>> = Rc::default();
+    let round: Rc<RefCell<StatusRound>> = Rc::default();
     loop {
-        round += 1;
-        let due = due_targets(&state, round);
-        for (target, address) in due {
-            let (state, asked) = (Rc::clone(&state), Rc::clone(&asked));
+        for (target, address) in due_targets(&state, &mut round.borrow_mut()) {
+            let (state, round) = (Rc::clone(&state), Rc::clone(&round));
             monoio::spawn(async move {
                 let status = ask(&state, address).await;
-                let failures = count_failures(&mut asked.borrow_mut(), target, status.is_some());
-                take(&state, target, status, failures);
+                let is_lost = match &status {
+                    Some(status) => {
+                        round.borrow_mut().answered(target, status.config_revision);
+                        false
+                    }
+                    None => round.borrow_mut().unanswered(target),
+                };
+                take(&state, target, status, is_lost);
             });
         }
         let now = ticks.next().await;
@@ -53,25 +51,15 @@
     }
 }
 
-/// Lists the targets whose turn it is, and a few of those that are not ready.
-///
-/// With many targets each is asked less often; its answers to requests tell the rest.
-fn due_targets(state: &EntryState, round: usize) -> Vec<(TargetId, SocketAddr)> {
+/// Lists the targets to ask in this round, with their addresses.
+fn due_targets(state: &EntryState, round: &mut StatusRound) -> Vec<(TargetId, SocketAddr)> {
     let table = state.table.borrow();
-    let rows = table.rows();
-    let calls = status_calls_per_second(rows.len()) * PERIOD.as_secs_f64();
-    let turns = (rows.len() as f64 / calls).ceil().max(1.0) as usize;
-    let in_turn = rows.iter().skip(round % turns).step_by(turns);
-    let mut due: Vec<(TargetId, SocketAddr)> = in_turn.map(|row| (row.id, row.control)).collect();
-    for row in rows.iter().filter(|row| !row.ready).take(UNREADY_CALLS) {
-        if !due.iter().any(|known| known.0 == row.id) {
-            due.push((row.id, row.control));
-        }
-    }
-    due
+    let due = round.begin(table.rows(), PERIOD, state.config.borrow().revision());
+    let rows = due.into_iter().filter_map(|id| table.get(id));
+    rows.map(|row| (row.id, row.control)).collect()
 }
 
-/// Asks one sidecar; `None` if it does not answer in time.
+/// Asks one sidecar, and offers it the configuration if it has an older one; `None` if it does not answer in time.
 async fn ask(state: &EntryState, address: SocketAddr) -> Option<TargetStatus> {
     let client = state.sidecars.client(address).await.ok()?;
     let document = {
@@ -79,13 +67,16 @@
         config.document().cloned()
     };
     match client.status(call_context(PATIENCE), state.stamp()).await {
-        Ok(Some(status)) => {
+        Ok(Some(mut status)) => {
             state.events.observe(status.clock);
             if let Some(document) = document
                 && status.config_revision < document.revision
             {
+                let context = call_context(PATIENCE);
                 // A lost offer is made again with the next question.
-                let _ = client.offer_config(call_context(PATIENCE), state.stamp(), document).await;
+                if let Ok(revision) = client.offer_config(context, state.stamp(), document).await {
+                    status.config_revision = revision;
+                }
             }
             Some(status)
         }
@@ -99,22 +90,8 @@
     }
 }
 
-/// Counts a target's questions in a row without an answer.
-fn count_failures(asked: &mut Vec<(TargetId, u32)>, target: TargetId, answered: bool) -> u32 {
-    let position = match asked.binary_search_by_key(&target, |row| row.0) {
-        Ok(position) => position,
-        Err(position) => {
-            asked.insert(position, (target, 0));
-            position
-        }
-    };
-    let failures = if answered { 0 } else { asked[position].1 + 1 };
-    asked[position].1 = failures;
-    failures
-}
-
 /// Takes a sidecar's answer, or its silence.
-fn take(state: &EntryState, target: TargetId, status: Option<TargetStatus>, failures: u32) {
+fn take(state: &EntryState, target: TargetId, status: Option<TargetStatus>, is_lost: bool) {
     let now = state.clock.now();
     let mut lost = false;
     {
@@ -131,7 +108,7 @@
                 row.reading = Some((now, status.reading));
                 row.incarnation = status.incarnation;
             }
-            None if failures >= FAILURES => row.ready = false,
+            None if is_lost => row.ready = false,
             None => {}
         }
         if row.ready && !was_ready {
