Keep jobs that are larger than one stored value

An end that arrives meanwhile is remembered by the shelf.

The test sends 100 items of 30,000 bytes, kills all keepers and reads every result; it fails before (the job is refused).

--- a/crates/clementinevale/tests/nodes/batch_jobs.rs
+++ b/crates/clementinevale/tests/nodes/batch_jobs.rs
@@ -15,6 +15,7 @@
 use cv_tests::node_caller::item_text;
 use cv_tests::node_caller::read_results;
 use cv_tests::node_caller::submit_job;
+use cv_tests::node_caller::submit_job_with;
 
 /// Events of each item.
 const EVENTS: u64 = 20;
@@ -105,6 +106,27 @@
     .expect("a runtime");
 }
 
+#[test]
+fn a_job_larger_than_a_stored_value_is_kept_and_run() {
+    let mut fleet = small_fleet();
+    let entries = fleet.entries();
+    // 100 items of 30,000 bytes each.
+    let body = "q83v".repeat(10_000);
+    run_alone(async {
+        let outcome = submit_job_with(entries[0], "large", 100, EVENTS, &body).await;
+        assert_eq!(outcome, CallerOutcome::Whole);
+        let again = submit_job_with(entries[1], "large", 100, EVENTS, &body).await;
+        assert_eq!(again, CallerOutcome::Whole);
+    })
+    .expect("a runtime");
+    // Whoever owns it now has to read it from the store.
+    for node in fleet.nodes.iter_mut().filter(|node| node.name.starts_with("keeper")) {
+        node.kill();
+        node.start();
+    }
+    run_alone(async { read_to_end(&entries, "large", 100).await }).expect("a runtime");
+}
+
 #[test]
 fn a_killed_owner_is_followed_by_another() {
     let mut fleet = small_fleet();
--- a/crates/serving/src/keeper/job_calls.rs
+++ b/crates/serving/src/keeper/job_calls.rs
@@ -19,10 +19,9 @@
 use crate::keeper::job_cell::BookState;
 use crate::keeper::job_cell::JobCell;
 use crate::keeper::job_dispatch::end_job;
+use crate::keeper::job_record::JobRecord;
 use crate::keeper::keeper_state::KeeperState;
-use crate::keeper::stored_keys::decode_job;
 use crate::keeper::stored_keys::decode_results;
-use crate::keeper::stored_keys::encode_job;
 use crate::keeper::stored_keys::end_key;
 use crate::keeper::stored_keys::job_key;
 use crate::keeper::stored_keys::result_prefix;
@@ -60,15 +59,14 @@
             Err(_) => bare(StatusCode::SERVICE_UNAVAILABLE),
         };
     }
-    let (id, key) = (spec.id.clone(), job_key(&spec.id));
-    let value = match encode_job(&spec) {
-        Ok(value) => value,
+    let id = spec.id.clone();
+    let commit = match JobRecord::create(&spec) {
+        Ok(commit) => commit,
         Err(fault) => {
             log::error!("job {id} cannot be encoded: {fault}");
             return bare(StatusCode::SERVICE_UNAVAILABLE);
         }
     };
-    let commit = StoreCommit::create(&key, value);
     let outcome = state.commit_resolved(&commit, WRITE_PATIENCE).await;
     let (status, how) = match outcome {
         Ok(CommitOutcome::Done) => {
@@ -234,8 +232,8 @@
     }
     match state.view.link.observe(state.store.get(&job_key(job)).await)? {
         None => Ok(None),
-        Some(item) => match decode_job(&item.value) {
-            Ok(spec) => Ok(Some(spec)),
+        Some(item) => match JobRecord::decode(&item.value) {
+            Ok(record) => record.read(state, job).await.map(Some),
             Err(fault) => Err(StoreFault::Invalid(fault.to_string())),
         },
     }
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -14,17 +14,19 @@
 use crate::PlatformBorder;
 use crate::StoreChange;
 use crate::StoreCommit;
+use crate::StoreFault;
 use crate::keeper::item_run::ItemRun;
 use crate::keeper::job_cell::BookState;
 use crate::keeper::job_cell::JobCell;
 use crate::keeper::job_commits::load_results;
 use crate::keeper::job_commits::start_commits;
+use crate::keeper::job_record::JobRecord;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::stored_keys::WORK_PREFIX;
 use crate::keeper::stored_keys::WorkKey;
-use crate::keeper::stored_keys::decode_job;
 use crate::keeper::stored_keys::end_key;
 use crate::keeper::stored_keys::job_key;
+use crate::keeper::stored_keys::rest_prefix;
 use crate::keeper::stored_keys::result_prefix;
 
 /// Shortest time between two watches of jobs, in which changes are collected; an entry hands a job
@@ -34,6 +36,9 @@
 /// Time between two looks at all jobs.
 const LOOK_PERIOD: Duration = Duration::from_millis(200);
 
+/// Pause before the parts of a job are read once more.
+const READ_PAUSE: Duration = Duration::from_millis(500);
+
 /// Time for which a job and its results are kept after its submission.
 const RETENTION: Duration = Duration::from_mins(3);
 
@@ -60,7 +65,7 @@
 }
 
 /// Takes news of jobs and their ends.
-pub(crate) fn take_work<P: PlatformBorder>(state: &KeeperState<P>, news: FollowerNews) {
+pub(crate) fn take_work<P: PlatformBorder>(state: &Rc<KeeperState<P>>, news: FollowerNews) {
     let changes = match news {
         FollowerNews::Snapshot(items) => items.into_iter().map(StoreChange::Put).collect(),
         FollowerNews::Changes(changes) => changes,
@@ -68,12 +73,7 @@
     for change in changes {
         match change {
             StoreChange::Put(item) => match WorkKey::parse(&item.key) {
-                Some(WorkKey::Job(_)) => match decode_job(&item.value) {
-                    Ok(spec) => {
-                        state.shelf.add(spec, BookState::Unknown);
-                    }
-                    Err(fault) => log::error!("job at {} cannot be read: {fault}", item.key),
-                },
+                Some(WorkKey::Job(job)) => take_job(state, job, &item.value),
                 Some(WorkKey::End(job)) => end_job(state, job),
                 None => {}
             },
@@ -87,6 +87,43 @@
     state.work.notify_one();
 }
 
+/// Takes a job that has been accepted, here or by another keeper.
+fn take_job<P: PlatformBorder>(state: &Rc<KeeperState<P>>, job: &str, value: &[u8]) {
+    let spec = match JobRecord::decode(value) {
+        Ok(record) if record.is_split() => {
+            if state.shelf.get(job).is_none() {
+                let (state, job) = (Rc::clone(state), job.to_owned());
+                monoio::spawn(async move { take_split_job(&state, &job, record).await });
+            }
+            return;
+        }
+        Ok(record) => record.spec(),
+        Err(fault) => Err(fault),
+    };
+    match spec {
+        Ok(spec) => {
+            state.shelf.add(spec, BookState::Unknown);
+        }
+        Err(fault) => log::error!("job {job} cannot be read: {fault}"),
+    }
+}
+
+/// Takes a job whose record is split; the shelf remembers whether it ends meanwhile.
+async fn take_split_job<P: PlatformBorder>(state: &KeeperState<P>, job: &str, record: JobRecord) {
+    loop {
+        match record.read(state, job).await {
+            Ok(spec) => {
+                state.shelf.add(spec, BookState::Unknown);
+                return state.work.notify_one();
+            }
+            Err(fault @ StoreFault::Invalid(_)) => {
+                return log::error!("job {job} cannot be read: {fault}");
+            }
+            Err(_) => monoio::time::sleep(READ_PAUSE).await,
+        }
+    }
+}
+
 /// Stops the runs of a job that its caller has ended.
 pub(crate) fn end_job<P: PlatformBorder>(state: &KeeperState<P>, job: &str) {
     let Some(cell) = state.shelf.end(job) else {
@@ -185,7 +222,11 @@
         else {
             return;
         };
+        let Ok(parts) = state.view.link.observe(state.store.range(&rest_prefix(&job)).await) else {
+            return;
+        };
         let mut removals: Vec<String> = results.items.into_iter().map(|item| item.key).collect();
+        removals.extend(parts.items.into_iter().map(|item| item.key));
         removals.push(end_key(&job));
         removals.push(job_key(&job));
         for keys in removals.chunks(16) {
--- a/crates/serving/src/keeper/keeper_lease.rs
+++ b/crates/serving/src/keeper/keeper_lease.rs
@@ -113,7 +113,7 @@
 ///
 /// Until a keeper that owned a job knows of a new owner, it would answer reads from a book that no
 /// longer grows. One that cannot be asked has lost its lease after the lease's time.
-async fn become_known<P: PlatformBorder>(state: &KeeperState<P>) {
+async fn become_known<P: PlatformBorder>(state: &Rc<KeeperState<P>>) {
     let began = state.view.clock.now();
     let mut known_by = Vec::new();
     while state.view.clock.now().since(began) < LEASE_TTL {
@@ -151,7 +151,7 @@
 ///
 /// Jobs may have ended while the store turned this keeper away, and its watch may come back later
 /// than its lease.
-async fn read_work<P: PlatformBorder>(state: &KeeperState<P>) {
+async fn read_work<P: PlatformBorder>(state: &Rc<KeeperState<P>>) {
     loop {
         match state.view.link.observe(state.store.range(WORK_PREFIX).await) {
             Ok(snapshot) => return take_work(state, FollowerNews::Snapshot(snapshot.items)),
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -5,6 +5,7 @@
 mod job_cell;
 mod job_commits;
 mod job_dispatch;
+mod job_record;
 mod job_shelf;
 mod keeper_handler;
 mod keeper_lease;
--- a/crates/serving/src/keeper/stored_keys.rs
+++ b/crates/serving/src/keeper/stored_keys.rs
@@ -1,6 +1,5 @@
 //! Where jobs and results lie in the store.
 
-use cv_dispatch::JobSpec;
 use cv_dispatch::ListedResult;
 
 /// Beginning of all keys that tell what there is to do.
@@ -12,6 +11,9 @@
 /// Beginning of the keys that end jobs.
 const END_PREFIX: &str = "cv/work/end/";
 
+/// Beginning of the keys of what jobs' own keys have no room for.
+const REST_PREFIX: &str = "cv/rest/";
+
 /// Beginning of the keys of results.
 const RESULT_PREFIX: &str = "cv/result/";
 
@@ -42,6 +44,16 @@
     format!("{END_PREFIX}{job}")
 }
 
+/// Returns the beginning of the keys of what a job's own key has no room for.
+pub(crate) fn rest_prefix(job: &str) -> String {
+    format!("{REST_PREFIX}{job}/")
+}
+
+/// Returns the key of one such part.
+pub(crate) fn rest_key(job: &str, part: usize) -> String {
+    format!("{REST_PREFIX}{job}/{part:03}")
+}
+
 /// Returns the beginning of the keys of a job's results.
 pub(crate) fn result_prefix(job: &str) -> String {
     format!("{RESULT_PREFIX}{job}/")
@@ -52,16 +64,6 @@
     format!("{RESULT_PREFIX}{job}/{position:06}")
 }
 
-/// Encodes a job's record.
-pub(crate) fn encode_job(spec: &JobSpec) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_stdvec(spec)
-}
-
-/// Decodes a job's record.
-pub(crate) fn decode_job(value: &[u8]) -> Result<JobSpec, postcard::Error> {
-    postcard::from_bytes(value)
-}
-
 /// Encodes results.
 pub(crate) fn encode_results(results: &[ListedResult]) -> Result<Vec<u8>, postcard::Error> {
     postcard::to_stdvec(results)
--- a/tests/support/node_caller.rs
+++ b/tests/support/node_caller.rs
@@ -129,12 +129,26 @@
     NodeCaller::new(address).ask_plain(route, id).await
 }
 
+/// Body of an item that says nothing of it, in base64.
+const SHORT_BODY: &str = "q83v";
+
 /// Submits a job of items with so many events each; the items' ids follow from the job's.
 pub async fn submit_job(address: SocketAddr, job: &str, items: u64, events: u64) -> CallerOutcome {
+    submit_job_with(address, job, items, events, SHORT_BODY).await
+}
+
+/// Submits a job whose items have a body, given in base64.
+pub async fn submit_job_with(
+    address: SocketAddr,
+    job: &str,
+    items: u64,
+    events: u64,
+    body: &str,
+) -> CallerOutcome {
     let rows: Vec<Value> = (0..items)
         .map(|item| {
             json!({
-                "id": item_id(job, item), "path": "/plans/item", "body": "q83v", "tokenCount": 20,
+                "id": item_id(job, item), "path": "/plans/item", "body": body, "tokenCount": 20,
                 "headers": { "Token-Count": format!("10,{events}"), "Model": "m" },
             })
         })
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -237,7 +237,7 @@
                 { "name": "llm", "engine": { "slots": 4 } },
                 { "name": "desk" },
             ],
-            "limits": { "maxBodyBytes": 1_000_000 },
+            "limits": { "maxBodyBytes": 8_000_000 },
         });
         self.store.write("op/config", &config);
     }
