Copy unfinished outputs to the keeper that would own their job next

The log of one item shows why: its keeper was turned away by the store at 16 s, the next owner began the output anew, and when the first came back at 23 s, it ran the item once more from what it had itself. Failed answers were counted anew as well. Ruled out: preemption (the runs say "stopped"), full targets.

Change: each second an owner sends what its items have put out since the last time to the next keeper in the job's order, which also gets it when the owner leaves; a new owner asks the others too. A copy holds bytes, last event and failures, follows the one before or is refused, and goes once the result is listed. What is durable is unchanged: results are listed through the store.

Tests: books (5), and a node test that kills a keeper 2.5 s into outputs of 4 s: every run made again goes on after an event; before, "job1i0 began anew".

--- a/crates/clementinevale/tests/nodes/batch_jobs.rs
+++ b/crates/clementinevale/tests/nodes/batch_jobs.rs
@@ -49,8 +49,18 @@
     }
 }
 
-/// Reads a job's results until all are there, and checks that none changes or comes twice.
+/// Reads the results of a job of usual items to the end.
 async fn read_to_end(entries: &[SocketAddr], job: &str, items: u64) -> Vec<serde_json::Value> {
+    read_outputs(entries, job, items, EVENTS).await
+}
+
+/// Reads a job's results until all are there, and checks that none changes or comes twice.
+async fn read_outputs(
+    entries: &[SocketAddr],
+    job: &str,
+    items: u64,
+    events: u64,
+) -> Vec<serde_json::Value> {
     let mut began = Instant::now();
     let mut known: Vec<serde_json::Value> = Vec::new();
     // What was known for as long as the platform lets results settle.
@@ -83,7 +93,7 @@
     for result in &known {
         let id = result["id"].as_str().expect("an id");
         assert_eq!(result["state"], "completed");
-        assert_eq!(result["text"], item_text(id, EVENTS), "the output of {id}");
+        assert_eq!(result["text"], item_text(id, events), "the output of {id}");
     }
     known
 }
@@ -147,6 +157,43 @@
     .expect("a runtime");
 }
 
+#[test]
+fn unfinished_outputs_survive_their_keeper() {
+    const LONG: u64 = 500;
+    // Copies are made every second; runs begin within another.
+    const STALE: Duration = Duration::from_secs(2);
+    let mut fleet = small_fleet();
+    let entries = fleet.entries();
+    run_alone(async {
+        for job in 0..4 {
+            let outcome = submit_job(entries[0], &format!("job{job}"), 2, LONG).await;
+            assert_eq!(outcome, CallerOutcome::Whole);
+        }
+    })
+    .expect("a runtime");
+    std::thread::sleep(STALE + Duration::from_millis(500));
+    let killed = Instant::now();
+    let node = fleet.nodes.iter_mut().find(|node| node.name.starts_with("keeper"));
+    node.expect("a keeper").kill();
+    run_alone(async {
+        for job in 0..4 {
+            read_outputs(&entries, &format!("job{job}"), 2, LONG).await;
+        }
+    })
+    .expect("a runtime");
+    let runs = fleet.target_log.runs();
+    let mut again = 0;
+    for run in runs.iter().filter(|run| run.began > killed) {
+        let of_item = runs.iter().filter(|other| other.request == run.request);
+        let began = of_item.map(|other| other.began).min().expect("a run");
+        if killed.duration_since(began) > STALE {
+            assert!(run.after > 0, "{} began anew", run.request);
+            again += 1;
+        }
+    }
+    assert!(again > 0, "no run was made again");
+}
+
 #[test]
 fn a_keeper_that_was_cut_off_shows_nothing_older() {
     let fleet = small_fleet();
--- a/crates/dispatch/src/job_book.rs
+++ b/crates/dispatch/src/job_book.rs
@@ -3,6 +3,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::job_copy::ItemCopy;
+use crate::job_copy::ProgressMark;
+
 /// One item of a job.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ItemSpec {
@@ -277,6 +280,51 @@
         self.spec.items.iter().position(|item| item.id == id)
     }
 
+    /// Copies what the items have put out since the marks, which stand by item; an item without a
+    /// mark is copied from its beginning, and a listed one as if it had no output.
+    #[must_use]
+    pub fn copy_since(&self, marks: &[ProgressMark]) -> Vec<ItemCopy> {
+        let rows =
+            self.progress.iter().enumerate().filter(|(_, row)| row.state != ItemState::Ended);
+        let copies = rows.filter_map(|(item, row)| {
+            let until = row.mark();
+            let mark = marks.get(item).copied().unwrap_or_default();
+            let since = if mark.bytes <= until.bytes { mark } else { ProgressMark::default() };
+            let data = row.partial[since.bytes..].to_vec();
+            (until != mark).then_some(ItemCopy { data, item, since, until })
+        });
+        copies.collect()
+    }
+
+    /// Takes another instance's copy of an item; tells whether it follows what is known here.
+    ///
+    /// Items that run here or have ended are ahead of any copy.
+    pub fn take_copy(&mut self, copy: &ItemCopy) -> bool {
+        let Some(row) = self.progress.get_mut(copy.item) else {
+            return false;
+        };
+        if row.state != ItemState::Waiting {
+            return true;
+        }
+        if copy.until == ProgressMark::default() {
+            row.forget();
+            return true;
+        }
+        row.failures = row.failures.max(copy.until.failures);
+        if copy.until.event <= row.last_event {
+            return true;
+        }
+        if (row.partial.len(), row.last_event) == (copy.since.bytes, copy.since.event) {
+            row.partial.extend_from_slice(&copy.data);
+        } else if copy.since.bytes == 0 {
+            row.partial.clone_from(&copy.data);
+        } else {
+            return false;
+        }
+        row.last_event = copy.until.event;
+        true
+    }
+
     /// Notes the end of an item.
     fn conclude(&mut self, item: usize, end: ItemEnd) {
         if matches!(self.progress[item].state, ItemState::Ended | ItemState::Listed) {
@@ -290,14 +338,27 @@
     fn list(&mut self, results: Vec<ListedResult>) {
         for result in results {
             if let Some(item) = self.item_position(&result.id) {
+                self.progress[item].forget();
                 self.progress[item].state = ItemState::Listed;
-                self.progress[item].partial = Vec::new();
             }
             self.listed.push(result);
         }
     }
 }
 
+impl ItemProgress {
+    /// Returns how much is known.
+    fn mark(&self) -> ProgressMark {
+        let (bytes, event) = (self.partial.len(), self.last_event);
+        ProgressMark { bytes, event, failures: self.failures }
+    }
+
+    /// Forgets what is known, which is of no use once the result is durable.
+    fn forget(&mut self) {
+        (self.failures, self.last_event, self.partial) = (0, None, Vec::new());
+    }
+}
+
 impl ListedResult {
     /// Returns about the number of bytes that the result takes.
     #[must_use]
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 mod due_order;
 mod event_splitter;
 mod job_book;
+mod job_copy;
 mod keeper_ring;
 mod patience_policy;
 mod placement;
@@ -28,6 +29,10 @@
 pub use crate::job_book::JobSpec;
 pub use crate::job_book::ListedResult;
 pub use crate::job_book::ResultSegment;
+pub use crate::job_copy::CopyLedger;
+pub use crate::job_copy::ItemCopy;
+pub use crate::job_copy::JobCopy;
+pub use crate::job_copy::ProgressMark;
 pub use crate::keeper_ring::KeeperRecord;
 pub use crate::keeper_ring::KeeperRing;
 pub use crate::patience_policy::PatiencePolicy;
--- a/crates/serving/src/keeper/job_cell.rs
+++ b/crates/serving/src/keeper/job_cell.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 
+use cv_dispatch::CopyLedger;
 use cv_dispatch::JobBook;
 use cv_dispatch::JobSpec;
 use tokio::sync::Notify;
@@ -23,6 +24,8 @@
 pub(crate) struct JobCell {
     /// The job's book.
     pub book: RefCell<JobBook>,
+    /// What the next owner has of the outputs.
+    pub copied: RefCell<CopyLedger>,
     /// Told of new results, the end of the job and changes of its owner.
     pub changed: Notify,
     /// Whether a task is making results durable.
@@ -39,6 +42,7 @@
         Self {
             book: RefCell::new(JobBook::new(spec)),
             changed: Notify::new(),
+            copied: RefCell::default(),
             is_committing: Cell::new(false),
             is_owned: Cell::new(false),
             state: Cell::new(state),
--- a/crates/serving/src/keeper/job_commits.rs
+++ b/crates/serving/src/keeper/job_commits.rs
@@ -14,6 +14,7 @@
 use crate::StoredItem;
 use crate::keeper::job_cell::BookState;
 use crate::keeper::job_cell::JobCell;
+use crate::keeper::job_copies::fetch_copies;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::stored_keys::decode_results;
 use crate::keeper::stored_keys::encode_results;
@@ -133,11 +134,12 @@
     true
 }
 
-/// Reads the results that earlier owners have listed into the book.
+/// Reads what earlier owners have listed, and what their unfinished runs have put out, into the book.
 pub(crate) async fn load_results<P: PlatformBorder>(state: &KeeperState<P>, cell: &JobCell) {
     let job = cell.book.borrow().spec().id.clone();
-    let read = state.view.link.observe(state.store.range(&result_prefix(&job)).await);
-    let Ok(snapshot) = read else {
+    let prefix = result_prefix(&job);
+    let (read, ()) = futures::join!(state.store.range(&prefix), fetch_copies(state, cell));
+    let Ok(snapshot) = state.view.link.observe(read) else {
         cell.state.set(BookState::Unknown);
         return;
     };
--- a/crates/serving/src/keeper/keeper_handler.rs
+++ b/crates/serving/src/keeper/keeper_handler.rs
@@ -21,6 +21,9 @@
 use crate::keeper::job_calls::read_item;
 use crate::keeper::job_calls::read_results;
 use crate::keeper::job_calls::submit_job;
+use crate::keeper::job_copies::COPIES_PATH;
+use crate::keeper::job_copies::show_copies;
+use crate::keeper::job_copies::take_copies;
 use crate::keeper::keeper_lease::RING_PATH;
 use crate::keeper::keeper_lease::STORE_PATH;
 use crate::keeper::keeper_state::KeeperState;
@@ -51,6 +54,14 @@
             return exchange.respond(status, &HeaderMap::new(), &Bytes::new()).await;
         }
         let body = exchange.read_body(BODY_BYTES).await?;
+        if let Some(job) = exchange.head().uri.path().strip_prefix(COPIES_PATH) {
+            let (status, body) = if job.is_empty() {
+                take_copies(&self.state, &body)
+            } else {
+                show_copies(&self.state, job)
+            };
+            return exchange.respond(status, &HeaderMap::new(), &body).await;
+        }
         let (status, body) = match P::classify(exchange.head()) {
             CallerCall::Routed => self.submit(exchange, &body).await,
             CallerCall::Job(JobCall::Read { job, position, patience }) => {
--- a/crates/serving/src/keeper/keeper_lease.rs
+++ b/crates/serving/src/keeper/keeper_lease.rs
@@ -19,6 +19,7 @@
 use crate::PlatformBorder;
 use crate::StoreCommit;
 use crate::fleet_view::KEEPERS_PREFIX;
+use crate::keeper::job_copies::push_copies;
 use crate::keeper::job_dispatch::take_work;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::stored_keys::WORK_PREFIX;
@@ -221,8 +222,9 @@
 }
 
 /// Gives the registration back, so that others take the jobs over at once.
-pub(crate) async fn leave<P: PlatformBorder>(state: &KeeperState<P>) {
+pub(crate) async fn leave<P: PlatformBorder>(state: &Rc<KeeperState<P>>) {
     state.is_leaving.set(true);
+    push_copies(state).await;
     let held = state.lease.take();
     state.disown_jobs();
     if let Some(lease) = held
--- a/crates/serving/src/keeper/keeper_server.rs
+++ b/crates/serving/src/keeper/keeper_server.rs
@@ -30,6 +30,7 @@
 use crate::StoreChange;
 use crate::StoreCommit;
 use crate::drain::drain_server;
+use crate::keeper::job_copies::start_copies;
 use crate::keeper::job_dispatch::start_dispatch;
 use crate::keeper::job_shelf::JobShelf;
 use crate::keeper::keeper_handler::KeeperHandler;
@@ -113,6 +114,7 @@
         monoio::spawn(run_lease(Rc::clone(&state)));
         monoio::spawn(watch_isolation(Rc::clone(&state)));
         start_dispatch(&state, &timers);
+        start_copies(&state, &timers);
         follow_retirement(&state);
         log.record(LineWeight::Essential, EventKind::Started, "keeper", || {
             format!("listen={address}")
@@ -145,7 +147,7 @@
 }
 
 /// Hands the jobs to others and tells the operator.
-async fn retire<P: PlatformBorder>(state: &KeeperState<P>) {
+async fn retire<P: PlatformBorder>(state: &Rc<KeeperState<P>>) {
     leave(state).await;
     let (key, value) = P::retire_status(&state.identity.name, true);
     let commit = StoreCommit::put(&key, value, 0);
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -4,6 +4,7 @@
 mod job_calls;
 mod job_cell;
 mod job_commits;
+mod job_copies;
 mod job_dispatch;
 mod job_record;
 mod job_shelf;
--- /dev/null
+++ b/tests/dispatch/job_copy.rs
@@ -0,0 +1,117 @@
+//! Copies of unfinished outputs follow each other from one book to the next.
+
+use cv_dispatch::CopyLedger;
+use cv_dispatch::ItemCopy;
+use cv_dispatch::ItemSpec;
+use cv_dispatch::JobBook;
+use cv_dispatch::JobSpec;
+
+/// Where the copies are held.
+const HOLDER: &str = "keeper-2";
+
+/// A job of two items.
+fn book() -> JobBook {
+    let items = ["a", "b"].map(|id| ItemSpec {
+        body: Vec::new(),
+        headers: Vec::new(),
+        id: id.to_owned(),
+        path: "/items".to_owned(),
+        tokens: 10,
+    });
+    JobBook::new(JobSpec {
+        host: "example".to_owned(),
+        id: "job".to_owned(),
+        items: items.to_vec(),
+        path: "/batch/".to_owned(),
+        submitted_ms: 0,
+    })
+}
+
+/// Copies what is new to a holder, which takes all of it.
+fn copy(from: &JobBook, ledger: &mut CopyLedger, to: &mut JobBook) -> Vec<ItemCopy> {
+    let copies = from.copy_since(ledger.marks_of(HOLDER));
+    for copy in &copies {
+        assert!(to.take_copy(copy));
+    }
+    ledger.confirm(HOLDER, &copies);
+    copies
+}
+
+#[test]
+fn a_holder_goes_on_where_the_owner_stopped() {
+    let (mut owner, mut holder, mut ledger) = (book(), book(), CopyLedger::default());
+    owner.start(0);
+    owner.record_output(0, b"one", 1);
+    assert_eq!(copy(&owner, &mut ledger, &mut holder).len(), 1);
+    owner.record_output(0, b"two", 2);
+    let news = copy(&owner, &mut ledger, &mut holder);
+    assert_eq!(news[0].data, b"\ntwo", "only what is new is copied");
+    assert_eq!(copy(&owner, &mut ledger, &mut holder), []);
+    assert_eq!(holder.progress(0).last_event, Some(2));
+    holder.start(0);
+    holder.record_output(0, b"three", 3);
+    holder.complete(0);
+    let segment = holder.next_segment(1_000).expect("a result waits");
+    assert_eq!(segment.results[0].size(), "one\ntwo\nthree".len() + "a".len());
+}
+
+#[test]
+fn failed_answers_survive_the_owner() {
+    let (mut owner, mut holder, mut ledger) = (book(), book(), CopyLedger::default());
+    owner.start(1);
+    owner.record_failure(1);
+    owner.record_failure(1);
+    owner.release(1);
+    copy(&owner, &mut ledger, &mut holder);
+    assert_eq!(holder.record_failure(1), 3);
+}
+
+#[test]
+fn a_copy_that_does_not_follow_is_not_taken() {
+    let (mut owner, mut holder, mut ledger) = (book(), book(), CopyLedger::default());
+    owner.start(0);
+    owner.record_output(0, b"one", 1);
+    copy(&owner, &mut ledger, &mut holder);
+    owner.record_output(0, b"two", 2);
+    // A holder that was started anew has lost what it had.
+    let mut empty = book();
+    let news = owner.copy_since(ledger.marks_of(HOLDER));
+    assert!(!empty.take_copy(&news[0]));
+    assert_eq!(empty.progress(0).last_event, None);
+    ledger.reset();
+    copy(&owner, &mut ledger, &mut empty);
+    assert_eq!(empty.progress(0).partial, b"one\ntwo");
+}
+
+#[test]
+fn an_older_copy_changes_nothing() {
+    let (mut owner, mut holder) = (book(), book());
+    owner.start(0);
+    owner.record_output(0, b"one", 1);
+    let old = owner.copy_since(&[]);
+    owner.record_output(0, b"two", 2);
+    for copy in owner.copy_since(&[]).iter().chain(&old) {
+        assert!(holder.take_copy(copy));
+    }
+    assert_eq!(holder.progress(0).last_event, Some(2));
+    // What runs here is ahead of any copy.
+    holder.start(0);
+    holder.record_output(0, b"three", 3);
+    assert!(holder.take_copy(&owner.copy_since(&[])[0]));
+    assert_eq!(holder.progress(0).last_event, Some(3));
+}
+
+#[test]
+fn a_copy_goes_when_the_result_is_listed() {
+    let (mut owner, mut holder, mut ledger) = (book(), book(), CopyLedger::default());
+    owner.start(0);
+    owner.record_output(0, b"one", 1);
+    copy(&owner, &mut ledger, &mut holder);
+    owner.complete(0);
+    assert_eq!(copy(&owner, &mut ledger, &mut holder), [], "the result may still be lost");
+    owner.next_segment(1_000).expect("a result waits");
+    owner.confirm_segment();
+    copy(&owner, &mut ledger, &mut holder);
+    assert_eq!(holder.progress(0).partial, b"");
+    assert_eq!(copy(&owner, &mut ledger, &mut holder), []);
+}
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod event_splitter;
 mod job_book;
+mod job_copy;
 mod keeper_ring;
 mod load_play;
 mod patience;
