Spare a store that refuses all calls

Change: a keeper that knows the store to refuse all calls answers a read that its book cannot answer with 503 at once, and repeats a write only once the store answers other calls. A refused submission is refused at once then, too.

Retirements wait for the store's return as before.

--- a/crates/clementinevale/tests/nodes/batch_jobs.rs
+++ b/crates/clementinevale/tests/nodes/batch_jobs.rs
@@ -194,6 +194,39 @@
     assert!(again > 0, "no run was made again");
 }
 
+#[test]
+fn reads_of_results_spare_a_store_that_refuses_all_calls() {
+    const OUTAGE: Duration = Duration::from_secs(5);
+    // Until the keepers know of the outage they may ask for each job a few times.
+    const MOST_CALLS: usize = 40;
+    let fleet = small_fleet();
+    let entries = fleet.entries();
+    run_alone(async {
+        for job in 0..4 {
+            submit_for_certain(&entries, &format!("job{job}"), 4).await;
+        }
+        for job in 0..4 {
+            read_to_end(&entries, &format!("job{job}"), 4).await;
+        }
+        fleet.store.set_mode(StoreMode::Busy);
+        let (began, before) = (Instant::now(), fleet.store.calls("/kv-range?prefix=cv/result/"));
+        let mut reads = 0;
+        while began.elapsed() < OUTAGE {
+            for entry in &entries {
+                let _ = read_results(*entry, "job0", 0).await;
+                reads += 1;
+            }
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let calls = fleet.store.calls("/kv-range?prefix=cv/result/") - before;
+        assert!(reads > 2 * MOST_CALLS, "{reads} reads");
+        assert!(calls <= MOST_CALLS, "{calls} calls for {reads} reads");
+        fleet.store.set_mode(StoreMode::Up);
+        read_to_end(&entries, "job0", 4).await;
+    })
+    .expect("a runtime");
+}
+
 #[test]
 fn a_keeper_that_was_cut_off_shows_nothing_older() {
     let fleet = small_fleet();
--- a/crates/serving/src/keeper/job_calls.rs
+++ b/crates/serving/src/keeper/job_calls.rs
@@ -114,6 +114,11 @@
             return results_answer::<P>(book.spec().items.len(), position, book.listed());
         }
     }
+    if !state.view.link.is_up() {
+        // Callers read twice a second, and a store in trouble has to answer them all.
+        log_read(state, job, "nowhere", position, 0);
+        return bare(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let spec = match find_job(state, job).await {
         Ok(Some(spec)) => spec,
         Ok(None) => return bare(StatusCode::NOT_FOUND),
--- a/crates/serving/src/keeper/job_cell.rs
+++ b/crates/serving/src/keeper/job_cell.rs
@@ -65,6 +65,17 @@
         }
     }
 
+    /// Resolves when another keeper is to run the job.
+    pub async fn disowned(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if !self.is_owned.get() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Tells whether the book answers reads without the store.
     pub fn is_current(&self) -> bool {
         self.is_owned.get() && self.state.get() == BookState::Current
--- a/crates/serving/src/keeper/job_commits.rs
+++ b/crates/serving/src/keeper/job_commits.rs
@@ -101,7 +101,12 @@
                 cell.book.borrow_mut().abandon_segment();
                 return false;
             }
-            Err(_) if cell.is_owned.get() => {}
+            Err(_) if cell.is_owned.get() => {
+                monoio::select! {
+                    () = state.view.link.until_up() => {}
+                    () = cell.disowned() => return false,
+                }
+            }
             Err(_) => return false,
         }
     }
--- a/crates/serving/src/keeper/keeper_server.rs
+++ b/crates/serving/src/keeper/keeper_server.rs
@@ -29,6 +29,7 @@
 use crate::PlatformBorder;
 use crate::StoreChange;
 use crate::StoreCommit;
+use crate::StoreFault;
 use crate::drain::drain_server;
 use crate::keeper::job_copies::start_copies;
 use crate::keeper::job_dispatch::start_dispatch;
@@ -44,7 +45,8 @@
 /// Shortest time between two watches of the operator's requests.
 const RETIRE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time in which the operator's answer to a retirement is tried.
+/// Longest time in which a retirement's answer to the operator is repeated while its outcome is
+/// unknown.
 const RETIRE_PATIENCE: Duration = Duration::from_secs(30);
 
 /// What a keeper needs to know.
@@ -151,7 +153,12 @@
     leave(state).await;
     let (key, value) = P::retire_status(&state.identity.name, true);
     let commit = StoreCommit::put(&key, value, 0);
-    let outcome = state.commit_resolved(&commit, RETIRE_PATIENCE).await;
+    let outcome = loop {
+        match state.commit_resolved(&commit, RETIRE_PATIENCE).await {
+            Err(StoreFault::Unavailable(_)) => state.view.link.until_up().await,
+            outcome => break outcome,
+        }
+    };
     state.view.log.record(LineWeight::Essential, EventKind::Stopped, "keeper", || {
         format!("retired={outcome:?}")
     });
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -121,7 +121,8 @@
         Duration::from_millis(self.view.clock.wall_millis().saturating_sub(submitted))
     }
 
-    /// Makes a write until its outcome is known or the patience is over.
+    /// Makes a write until its outcome is known, the patience is over, or the store is known to
+    /// refuse every call.
     ///
     /// Repeating is safe for writes whose conditions fail once they have taken effect: the
     /// conflict then shows the caller its own value.
@@ -145,7 +146,9 @@
             if matches!(fault, StoreFault::Ambiguous(_)) {
                 ambiguous = Some(fault.clone());
             }
-            if self.view.clock.now().since(began) + pause > patience {
+            // Others of this process's calls find out when the store is back.
+            let is_hopeless = ambiguous.is_none() && !self.view.link.is_up();
+            if is_hopeless || self.view.clock.now().since(began) + pause > patience {
                 return Err(ambiguous.unwrap_or(fault));
             }
             monoio::time::sleep(pause.mul_f64(0.5 + self.view.fraction())).await;
--- a/crates/serving/src/store_link.rs
+++ b/crates/serving/src/store_link.rs
@@ -8,6 +8,7 @@
 use cv_timeline::LineLog;
 use cv_timeline::LineWeight;
 use cv_timer::ProcessClock;
+use tokio::sync::Notify;
 
 use crate::StoreFault;
 
@@ -22,6 +23,8 @@
     last_failure: Cell<Option<MonotonicTime>>,
     last_success: Cell<Option<MonotonicTime>>,
     log: LineLog,
+    /// Told when the store answers again.
+    regained: Notify,
 }
 
 impl StoreLink {
@@ -29,7 +32,8 @@
     #[must_use]
     pub fn new(clock: ProcessClock, log: LineLog) -> Self {
         let (last_failure, last_success) = (Cell::default(), Cell::default());
-        Self { clock, failures: Cell::new(0), last_failure, last_success, log }
+        let (failures, regained) = (Cell::new(0), Notify::new());
+        Self { clock, failures, last_failure, last_success, log, regained }
     }
 
     /// Takes the result of a call and passes it on.
@@ -51,6 +55,17 @@
         self.failures.get() < FAILURES_TO_LOSE
     }
 
+    /// Resolves when the store answers this process, which others of its calls find out.
+    pub async fn until_up(&self) {
+        loop {
+            let regained = self.regained.notified();
+            if self.is_up() {
+                return;
+            }
+            regained.await;
+        }
+    }
+
     /// Returns the time since the last successful call, if there was one.
     #[must_use]
     pub fn silence(&self) -> Option<Duration> {
@@ -72,6 +87,7 @@
         }
         self.failures.set(0);
         self.last_success.set(Some(self.clock.now()));
+        self.regained.notify_waiters();
     }
 
     /// Notes a call without a useful answer.
