Let peers tell what they know to processes that the store turns away

Cause: an entry that the platform's store turns away, or that starts meanwhile, keeps its old configuration and targets, or has none, although its peers hear of every change.

An older configuration is never taken.

Test: an entry cut from the store serves a route that was added afterwards within 4 s, and again after it was killed and started; before, "the older configuration stays in force".

--- a/crates/clementinevale/src/main.rs
+++ b/crates/clementinevale/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error;
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -217,12 +218,14 @@
 
 /// Serves in the role that a node's settings name.
 async fn serve_node_role(settings: NodeSettings, shutdown: ShutdownSignal) -> std::io::Result<()> {
-    let NodeSettings { grace, inner, name, role, store, zone } = settings;
+    let NodeSettings { grace, inner, name, role, seeds, store, zone } = settings;
     let log = LineLog::to_stdout(&name)?;
     // Processes that start together must not draw the same numbers, nor one that starts again.
     let started = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let seed = stable_hash(&[&name, &started.unwrap_or_default().as_nanos().to_string()]);
-    let identity = NodeIdentity { ip: inner.ip(), inner_port: inner.port(), name, zone };
+    let (ip, inner_port) = (inner.ip(), inner.port());
+    let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), inner_port)).collect();
+    let identity = NodeIdentity { ip, inner_port, name, seeds, zone };
     match role {
         NodeRole::Entry { listen, ready } => {
             let settings = FrontSettings { grace, identity, listen, ready, seed, store };
--- a/crates/clementinevale/tests/nodes/online_requests.rs
+++ b/crates/clementinevale/tests/nodes/online_requests.rs
@@ -50,6 +50,27 @@
     assert!(runs[0].ended.is_some_and(|ended| ended <= runs[1].began), "{runs:?}");
 }
 
+#[test]
+fn an_entry_that_the_store_turns_away_hears_of_changes_from_its_peers() {
+    /// Time within which a configuration has to be in force, with the time to notice the silence.
+    const IN_FORCE: Duration = Duration::from_secs(4);
+    let size = NodeFleetSize { engines: 2, entries: 2, keepers: 1 };
+    let mut fleet = NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size);
+    let entry = fleet.entries()[1];
+    let position = fleet.nodes.iter().position(|node| node.name == "entry-51").expect("an entry");
+    fleet.nodes[position].store_proxy.set_mode(FaultMode::Cut);
+    fleet.write_added_route(2);
+    let serves_added = |_: &NodeFleet| {
+        let asked = run_alone(async { ask_plain(entry, "added", "p1").await });
+        asked.expect("a runtime") == CallerOutcome::Whole
+    };
+    assert!(fleet.wait_for(IN_FORCE, serves_added), "the older configuration stays in force");
+    // One that starts meanwhile gets ready, too.
+    fleet.nodes[position].kill();
+    fleet.nodes[position].start();
+    assert!(fleet.wait_for(IN_FORCE, serves_added), "it knows no configuration");
+}
+
 #[test]
 fn a_frozen_sidecar_is_passed_by() {
     let fleet = small_fleet();
--- a/crates/dispatch/src/keeper_ring.rs
+++ b/crates/dispatch/src/keeper_ring.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 
 use cv_policy::stable_hash;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// An instance that runs batch jobs.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KeeperRecord {
     /// Where its control calls arrive.
     pub address: SocketAddr,
--- a/crates/dispatch/src/target_roster.rs
+++ b/crates/dispatch/src/target_roster.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::QueueReading;
 
@@ -24,7 +26,7 @@
 const FIRST_REPORT_TIME: Duration = Duration::from_millis(2_500);
 
 /// Whether a target takes new requests.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum TargetState {
     /// It takes new requests.
     Ready,
@@ -33,7 +35,7 @@
 }
 
 /// What the directory says of a target.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetRecord {
     /// Where it listens.
     pub address: SocketAddr,
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,6 +27,7 @@
 use crate::StoreChange;
 use crate::StoreLink;
 use crate::StoredItem;
+use crate::view_relay::ViewNews;
 
 /// Beginning of the keys under which keepers register.
 pub const KEEPERS_PREFIX: &str = "cv/keeper/";
@@ -47,6 +49,8 @@
     pub log: LineLog,
     /// What is known of the link to the store.
     pub link: StoreLink,
+    /// The configuration in force, as the operator wrote it.
+    config: RefCell<Option<Vec<u8>>>,
     random: RefCell<SeededRandom>,
     ring: RefCell<KeeperRing>,
     ring_hold: RefCell<RemovalHold>,
@@ -62,6 +66,7 @@
     pub fn new(clock: ProcessClock, log: LineLog, seed: u64) -> Self {
         Self {
             clock,
+            config: RefCell::default(),
             link: StoreLink::new(clock, log.clone()),
             log,
             random: RefCell::new(SeededRandom::new(seed)),
@@ -152,17 +157,58 @@
         self.random.borrow_mut().fraction()
     }
 
-    /// Takes a configuration, unless a newer one is in force.
-    pub fn install_routes(&self, table: RouteTable) {
+    /// Returns what peers are told.
+    pub(crate) fn news(&self) -> ViewNews {
+        let roster = self.roster.borrow();
+        ViewNews {
+            config: self.config.borrow().clone(),
+            keepers: self.ring.borrow().keepers().to_vec(),
+            targets: roster.rows().iter().map(|row| row.record.clone()).collect(),
+        }
+    }
+
+    /// Takes what a peer knows that the store answers.
+    pub(crate) fn take_news<P: PlatformBorder>(&self, news: ViewNews, peer: SocketAddr) {
+        self.log.record(LineWeight::Routine, EventKind::DirectoryChanged, "relay", || {
+            let (keepers, targets) = (news.keepers.len(), news.targets.len());
+            format!("peer={peer} targets={targets} keepers={keepers}")
+        });
+        if let Some(value) = &news.config {
+            self.take_config_value::<P>(value);
+        }
+        let known = self.with_roster(|roster| {
+            roster.rows().iter().map(|row| row.record.id.clone()).collect::<Vec<_>>()
+        });
+        // The peer has held removals back itself as long as need be.
+        for id in known {
+            if !news.targets.iter().any(|target| target.id == id) {
+                self.drop_target(&id);
+            }
+        }
+        for target in news.targets {
+            self.put_record(target);
+        }
+        let mut ring = KeeperRing::default();
+        for keeper in news.keepers {
+            self.ring_hold.borrow_mut().restore(&keeper.name);
+            ring.upsert(keeper);
+        }
+        self.ring.replace(ring);
+        self.seen_keepers.set(true);
+    }
+
+    /// Takes a configuration, unless a newer one is in force; tells whether it did.
+    pub fn install_routes(&self, table: RouteTable) -> bool {
         let current = self.routes.borrow().as_ref().map(|routes| routes.version);
         if current.is_some_and(|version| version >= table.version) {
-            return;
+            return false;
         }
         self.log.record(LineWeight::Essential, EventKind::ConfigInForce, "config", || {
             let routes = table.routes().len();
             format!("version={} before={} routes={routes}", table.version, current.unwrap_or(0))
         });
         self.routes.replace(Some(Rc::new(table)));
+        true
     }
 
     /// Takes news of the configuration.
@@ -171,10 +217,19 @@
             if item.key != P::CONFIG_KEY {
                 continue;
             }
-            match P::decode_routes(&item.value) {
-                Ok(table) => self.install_routes(table),
-                Err(fault) => self.reject_entry(&item.key, &fault.to_string()),
+            self.take_config_value::<P>(&item.value);
+        }
+    }
+
+    /// Takes a configuration as the operator wrote it.
+    fn take_config_value<P: PlatformBorder>(&self, value: &[u8]) {
+        match P::decode_routes(value) {
+            Ok(table) => {
+                if self.install_routes(table) {
+                    self.config.replace(Some(value.to_vec()));
+                }
             }
+            Err(fault) => self.reject_entry(P::CONFIG_KEY, &fault.to_string()),
         }
     }
 
@@ -210,11 +265,7 @@
     /// Takes a target's entry.
     fn put_target<P: PlatformBorder>(&self, id: &str, item: &StoredItem) {
         match P::decode_target(id, &item.value) {
-            Ok(record) => {
-                self.roster_hold.borrow_mut().restore(id);
-                self.log_target(&record);
-                self.roster.borrow_mut().upsert(record, self.clock.now());
-            }
+            Ok(record) => self.put_record(record),
             Err(fault) => {
                 self.roster.borrow_mut().remove(id);
                 self.reject_entry(&item.key, &fault.to_string());
@@ -222,6 +273,13 @@
         }
     }
 
+    /// Takes what the directory says of a target.
+    fn put_record(&self, record: TargetRecord) {
+        self.roster_hold.borrow_mut().restore(&record.id);
+        self.log_target(&record);
+        self.roster.borrow_mut().upsert(record, self.clock.now());
+    }
+
     /// Writes a line if the entry says something new.
     fn log_target(&self, record: &TargetRecord) {
         let roster = self.roster.borrow();
--- a/crates/serving/src/metrics_handler.rs
+++ b/crates/serving/src/inner_handler.rs
@@ -1,4 +1,6 @@
-//! Serves a process's metrics.
+//! Serves an entry's metrics, and its view for its peers.
+
+use std::rc::Rc;
 
 use bytes::Bytes;
 use cv_http::HttpFault;
@@ -10,21 +12,28 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::FleetView;
+use crate::view_relay::VIEW_PATH;
+use crate::view_relay::respond_view;
+
 /// Path at which the metrics are served.
 pub(crate) const METRICS_PATH: &str = "/metrics";
 
-/// Answers requests for metrics.
-pub(crate) struct MetricsHandler {
+/// Answers requests for metrics and views.
+pub(crate) struct InnerHandler {
     /// The metrics.
     pub registry: Registry,
+    /// The view.
+    pub view: Rc<FleetView>,
 }
 
-impl RequestHandler for MetricsHandler {
+impl RequestHandler for InnerHandler {
     async fn handle(&self, exchange: &mut ServerExchange<'_>) -> Result<(), HttpFault> {
-        if exchange.head().uri.path() != METRICS_PATH {
-            return exchange.respond(StatusCode::NOT_FOUND, &HeaderMap::new(), &Bytes::new()).await;
+        match exchange.head().uri.path() {
+            METRICS_PATH => respond_metrics(exchange, &self.registry).await,
+            VIEW_PATH => respond_view(exchange, &self.view).await,
+            _ => exchange.respond(StatusCode::NOT_FOUND, &HeaderMap::new(), &Bytes::new()).await,
         }
-        respond_metrics(exchange, &self.registry).await
     }
 }
 
--- a/crates/serving/src/keeper/keeper_handler.rs
+++ b/crates/serving/src/keeper/keeper_handler.rs
@@ -16,6 +16,8 @@
 use crate::CallerCall;
 use crate::JobCall;
 use crate::PlatformBorder;
+use crate::inner_handler::METRICS_PATH;
+use crate::inner_handler::respond_metrics;
 use crate::keeper::job_calls::CallAnswer;
 use crate::keeper::job_calls::finish_job;
 use crate::keeper::job_calls::read_item;
@@ -27,8 +29,8 @@
 use crate::keeper::keeper_lease::RING_PATH;
 use crate::keeper::keeper_lease::STORE_PATH;
 use crate::keeper::keeper_state::KeeperState;
-use crate::metrics_handler::METRICS_PATH;
-use crate::metrics_handler::respond_metrics;
+use crate::view_relay::VIEW_PATH;
+use crate::view_relay::respond_view;
 
 /// Longest submission, in bytes.
 const BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -44,6 +46,9 @@
         if exchange.head().uri.path() == METRICS_PATH {
             return respond_metrics(exchange, &self.state.metrics.registry).await;
         }
+        if exchange.head().uri.path() == VIEW_PATH {
+            return respond_view(exchange, &self.state.view).await;
+        }
         if exchange.head().uri.path() == RING_PATH {
             let names = self.state.view.ring().encode_names();
             return exchange.respond(StatusCode::OK, &HeaderMap::new(), &Bytes::from(names)).await;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,15 +9,16 @@
 mod drain;
 mod fleet_view;
 mod front;
+mod inner_handler;
 mod keeper;
 mod load_listener;
-mod metrics_handler;
 mod node_identity;
 mod own_headers;
 mod prefix_follower;
 mod side;
 mod store_link;
 mod target_call;
+mod view_relay;
 
 pub use crate::border::AnswerMarks;
 pub use crate::border::AttemptTerms;
--- a/crates/serving/src/node_identity.rs
+++ b/crates/serving/src/node_identity.rs
@@ -12,6 +12,8 @@
     pub name: String,
     /// Port of the calls between the system's own processes, the same on all instances.
     pub inner_port: u16,
+    /// Where instances that were there first take calls from the system's own processes.
+    pub seeds: Vec<SocketAddr>,
     /// Availability zone of the instance.
     pub zone: String,
 }
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -22,6 +22,8 @@
     pub name: String,
     /// What the process is.
     pub role: NodeRole,
+    /// Addresses of instances that were there first; the ports do not matter.
+    pub seeds: Vec<SocketAddr>,
     /// Where the coordination store listens.
     pub store: SocketAddr,
     /// Availability zone of the instance.
@@ -81,6 +83,7 @@
     if port == 0 {
         reader.report("inner_port", "`inner_port` is missing", "name a port that is free");
     }
+    let seeds = reader.addresses("seeds");
     let store = reader.address("store");
     let grace = reader.seconds("grace_s", 0.0..=3_600.0, GRACE_S);
     reader.finish();
@@ -89,6 +92,7 @@
         inner: SocketAddr::new(ip?, u16::try_from(port).ok()?),
         name: name?.to_owned(),
         role: role?,
+        seeds,
         store: store?,
         zone: zone?.to_owned(),
     })
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -349,8 +349,9 @@
         let settings = self.folder.path().join(format!("{name}.yaml"));
         let text = format!(
             "name: {name}\nrole: {role}\nzone: zone-0\nip: \"{}\"\ninner_port: {INNER_PORT}\n\
-             store: \"{}\"\ngrace_s: 4\n{section}",
+             seeds: [\"{}\"]\nstore: \"{}\"\ngrace_s: 4\n{section}",
             address(self.block, host),
+            self.at(50, INNER_PORT),
             store_proxy.address(),
         );
         std::fs::write(&settings, text).expect("the settings can be written");
