Play every fault of keepers and their store at every stage of jobs

11 faults (owner killed, killed and started again, frozen, asked to leave, cut from the store, given no answer by it; all keepers killed; a store that refuses, is silent, loses answers, loses its history) at 3 stages (jobs being accepted, running, being listed): 33 cases of 3 jobs each. Every item is listed once with its whole output, no position changes, a job sent again is the same job, and all results are there within 12 s of the fault's end (the platform's `recoveryS`).

--- a/crates/clementinevale/tests/nodes/batch_jobs.rs
+++ b/crates/clementinevale/tests/nodes/batch_jobs.rs
@@ -1,6 +1,5 @@
 //! Batch jobs over keepers, while parts of the fleet fail.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,100 +11,33 @@
 use cv_tests::node_caller::CallerOutcome;
 use cv_tests::node_caller::ask_stream;
 use cv_tests::node_caller::end_job;
-use cv_tests::node_caller::item_text;
 use cv_tests::node_caller::read_results;
 use cv_tests::node_caller::submit_job;
 use cv_tests::node_caller::submit_job_with;
 
-/// Events of each item.
-const EVENTS: u64 = 20;
-
-/// Time after which a result that was read anywhere is there everywhere.
-const SETTLE_TIME: Duration = Duration::from_secs(1);
+use crate::job_checks::EVENTS;
+use crate::job_checks::PATIENCE;
+use crate::job_checks::read_outputs;
+use crate::job_checks::read_to_end;
+use crate::job_checks::submit_for_certain;
 
 /// Time after which no item of an ended job may start.
 const CANCEL_TIME: Duration = Duration::from_secs(3);
 
-/// Longest time until a job is done.
-const PATIENCE: Duration = Duration::from_secs(20);
-
 /// A fleet of two engines, two entries and two keepers.
 fn small_fleet() -> NodeFleet {
     let size = NodeFleetSize { engines: 2, entries: 2, keepers: 2 };
     NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size)
 }
 
-/// Submits a job until it is accepted.
-async fn submit_for_certain(entries: &[SocketAddr], job: &str, items: u64) {
-    let began = Instant::now();
-    for entry in entries.iter().cycle() {
-        match submit_job(*entry, job, items, EVENTS).await {
-            CallerOutcome::Whole => return,
-            CallerOutcome::False(detail) => panic!("{detail}"),
-            CallerOutcome::NotRun | CallerOutcome::Unknown(_) => {}
-        }
-        assert!(began.elapsed() < PATIENCE, "the job is not accepted");
-        monoio::time::sleep(Duration::from_millis(100)).await;
-    }
-}
-
-/// Reads the results of a job of usual items to the end.
-async fn read_to_end(entries: &[SocketAddr], job: &str, items: u64) -> Vec<serde_json::Value> {
-    read_outputs(entries, job, items, EVENTS).await
-}
-
-/// Reads a job's results until all are there, and checks that none changes or comes twice.
-async fn read_outputs(
-    entries: &[SocketAddr],
-    job: &str,
-    items: u64,
-    events: u64,
-) -> Vec<serde_json::Value> {
-    let mut began = Instant::now();
-    let mut known: Vec<serde_json::Value> = Vec::new();
-    // What was known for as long as the platform lets results settle.
-    let mut settled = 0;
-    for entry in entries.iter().cycle() {
-        let asked = Instant::now();
-        if let Ok(answer) = read_results(*entry, job, 0).await {
-            let results = answer["results"].as_array().cloned().unwrap_or_default();
-            let shared = known.len().min(results.len());
-            assert_eq!(known[..shared], results[..shared], "a position changed");
-            if asked.duration_since(began) > SETTLE_TIME {
-                assert!(results.len() >= settled, "{} of {settled} results", results.len());
-            }
-            if results.len() > known.len() {
-                settled = known.len();
-                known = results;
-                began = Instant::now();
-            }
-        }
-        if known.len() as u64 == items {
-            break;
-        }
-        assert!(began.elapsed() < PATIENCE, "{} of {items} results", known.len());
-        monoio::time::sleep(Duration::from_millis(50)).await;
-    }
-    let mut ids: Vec<&str> = known.iter().filter_map(|result| result["id"].as_str()).collect();
-    ids.sort_unstable();
-    ids.dedup();
-    assert_eq!(ids.len() as u64, items, "an item is listed twice");
-    for result in &known {
-        let id = result["id"].as_str().expect("an id");
-        assert_eq!(result["state"], "completed");
-        assert_eq!(result["text"], item_text(id, events), "the output of {id}");
-    }
-    known
-}
-
 #[test]
 fn a_job_is_run_and_read_at_every_entry() {
     let fleet = small_fleet();
     let entries = fleet.entries();
     run_alone(async {
-        submit_for_certain(&entries, "job1", 10).await;
+        submit_for_certain(&entries, "job1", 10, EVENTS).await;
         // A job that comes again is the same job.
-        submit_for_certain(&entries[1..], "job1", 10).await;
+        submit_for_certain(&entries[1..], "job1", 10, EVENTS).await;
         let results = read_to_end(&entries, "job1", 10).await;
         for entry in &entries {
             let again = read_results(*entry, "job1", 0).await.expect("an answer");
@@ -143,7 +75,7 @@
     let entries = fleet.entries();
     run_alone(async {
         for job in 0..4 {
-            submit_for_certain(&entries, &format!("job{job}"), 8).await;
+            submit_for_certain(&entries, &format!("job{job}"), 8, EVENTS).await;
         }
     })
     .expect("a runtime");
@@ -203,7 +135,7 @@
     let entries = fleet.entries();
     run_alone(async {
         for job in 0..4 {
-            submit_for_certain(&entries, &format!("job{job}"), 4).await;
+            submit_for_certain(&entries, &format!("job{job}"), 4, EVENTS).await;
         }
         for job in 0..4 {
             read_to_end(&entries, &format!("job{job}"), 4).await;
@@ -233,7 +165,7 @@
     let entries = fleet.entries();
     run_alone(async {
         for job in 0..4 {
-            submit_for_certain(&entries, &format!("job{job}"), 30).await;
+            submit_for_certain(&entries, &format!("job{job}"), 30, EVENTS).await;
         }
     })
     .expect("a runtime");
@@ -263,7 +195,7 @@
     let jobs: Vec<String> = (0..4).map(|job| format!("job{job}")).collect();
     run_alone(async {
         for job in &jobs {
-            submit_for_certain(&entries, job, 150).await;
+            submit_for_certain(&entries, job, 150, EVENTS).await;
         }
     })
     .expect("a runtime");
@@ -293,7 +225,7 @@
 fn jobs_survive_the_kill_of_every_process() {
     let mut fleet = small_fleet();
     let entries = fleet.entries();
-    run_alone(submit_for_certain(&entries, "job1", 12)).expect("a runtime");
+    run_alone(submit_for_certain(&entries, "job1", 12, EVENTS)).expect("a runtime");
     for node in &mut fleet.nodes {
         node.kill();
     }
@@ -308,7 +240,7 @@
     let mut fleet = small_fleet();
     let entries = fleet.entries();
     run_alone(async {
-        submit_for_certain(&entries, "job1", 40).await;
+        submit_for_certain(&entries, "job1", 40, EVENTS).await;
         assert!(end_job(entries[0], "job1").await);
     })
     .expect("a runtime");
@@ -334,7 +266,7 @@
     );
     fleet.store.set_mode(StoreMode::Up);
     run_alone(async {
-        submit_for_certain(&entries, "job1", 6).await;
+        submit_for_certain(&entries, "job1", 6, EVENTS).await;
         read_to_end(&entries, "job1", 6).await;
     })
     .expect("a runtime");
@@ -357,7 +289,7 @@
     let fleet = small_fleet();
     let entries = fleet.entries();
     let waits = run_alone(async {
-        submit_for_certain(&entries, "job1", 40).await;
+        submit_for_certain(&entries, "job1", 40, EVENTS).await;
         monoio::time::sleep(Duration::from_millis(300)).await;
         let mut waits = Vec::new();
         for number in 0..10 {
@@ -379,7 +311,7 @@
 fn a_retired_keeper_hands_its_jobs_over() {
     let fleet = small_fleet();
     let entries = fleet.entries();
-    run_alone(submit_for_certain(&entries, "job1", 20)).expect("a runtime");
+    run_alone(submit_for_certain(&entries, "job1", 20, EVENTS)).expect("a runtime");
     fleet.store.write("op/retire/keeper-70", &serde_json::json!({ "finishByS": 10 }));
     let is_told = |fleet: &NodeFleet| !fleet.store.keys("status/retire/keeper-70").is_empty();
     assert!(fleet.wait_for(Duration::from_secs(5), is_told));
--- /dev/null
+++ b/crates/clementinevale/tests/nodes/keeper_matrix.rs
@@ -0,0 +1,212 @@
+//! Every fault of keepers and of their store at every stage of jobs: nothing is lost or doubled, and
+//! results come again soon.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use cv_adapter_standin::StoreMode;
+use cv_dispatch::KeeperRecord;
+use cv_dispatch::KeeperRing;
+use cv_runtime::run_alone;
+use cv_standin::FaultMode;
+use cv_tests::NodeFleet;
+use cv_tests::NodeFleetSize;
+use cv_tests::Signal;
+use cv_tests::node_caller::read_results;
+use rstest::rstest;
+
+use crate::job_checks::read_outputs;
+use crate::job_checks::submit_for_certain;
+
+/// Jobs of each case.
+const JOBS: u64 = 3;
+
+/// Items of each job.
+const ITEMS: u64 = 8;
+
+/// Events of each item, of 8 ms each.
+const LONG_EVENTS: u64 = 60;
+
+/// Time for which a fault lasts; longer than it takes to find out.
+const FAULT_TIME: Duration = Duration::from_secs(3);
+
+/// Time within which results come again after a fault, by the platform's bound.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// What happens to a keeper, or to its store.
+#[derive(Clone, Copy, Debug)]
+enum KeeperFault {
+    /// All keepers are killed at once and started again.
+    AllKilled,
+    /// The store ends the owner's connections and takes none.
+    Cut,
+    /// The owner stands still for a while.
+    Frozen,
+    /// The store drops its history and cuts all watches.
+    HistoryLost,
+    /// The owner is killed and not started again.
+    Killed,
+    /// The owner is asked to leave.
+    Leaving,
+    /// The store does what it is asked and does not say so.
+    LosesAnswers,
+    /// The store refuses all calls.
+    Refusing,
+    /// The owner is killed and started again at once.
+    Restarted,
+    /// The store gives the owner no answer.
+    Silent,
+    /// The store gives nobody an answer.
+    StoreSilent,
+}
+
+/// When it happens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum JobStage {
+    /// While jobs are being accepted.
+    Accepting,
+    /// While results are being listed.
+    Listing,
+    /// While items run for the first time.
+    Running,
+}
+
+/// Returns the position of the keeper that owns a job.
+fn owner_of(fleet: &NodeFleet, job: &str) -> usize {
+    let mut ring = KeeperRing::default();
+    for node in fleet.nodes.iter().filter(|node| node.name.starts_with("keeper")) {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+        ring.upsert(KeeperRecord { address, name: node.name.clone(), zone: String::new() });
+    }
+    let owner = ring.order_for(job).first().map(|keeper| keeper.name.clone());
+    let position = fleet.nodes.iter().position(|node| Some(&node.name) == owner.as_ref());
+    position.expect("a keeper owns the job")
+}
+
+/// Brings a fault about, and its end unless it has none.
+fn play(fault: KeeperFault, fleet: &mut NodeFleet) {
+    let owner = owner_of(fleet, "job0");
+    match fault {
+        KeeperFault::AllKilled => {
+            let keepers = fleet.nodes.iter_mut().filter(|node| node.name.starts_with("keeper"));
+            let mut keepers: Vec<_> = keepers.collect();
+            for keeper in &mut keepers {
+                keeper.kill();
+            }
+            for keeper in keepers {
+                keeper.start();
+            }
+        }
+        KeeperFault::Cut | KeeperFault::Silent => {
+            let is_cut = matches!(fault, KeeperFault::Cut);
+            let mode = if is_cut { FaultMode::Cut } else { FaultMode::HalfOpen };
+            fleet.nodes[owner].store_proxy.set_mode(mode);
+            std::thread::sleep(FAULT_TIME);
+            fleet.nodes[owner].store_proxy.set_mode(FaultMode::Pass);
+        }
+        KeeperFault::Frozen => {
+            fleet.nodes[owner].signal(Signal::STOP);
+            std::thread::sleep(FAULT_TIME);
+            fleet.nodes[owner].signal(Signal::CONT);
+        }
+        KeeperFault::HistoryLost => fleet.store.lose_history(),
+        KeeperFault::Killed => fleet.nodes[owner].kill(),
+        KeeperFault::Leaving => {
+            let left = fleet.nodes[owner].terminate(FAULT_TIME * 2);
+            assert_eq!(left, Ok(()));
+        }
+        KeeperFault::LosesAnswers | KeeperFault::Refusing | KeeperFault::StoreSilent => {
+            fleet.store.set_mode(match fault {
+                KeeperFault::LosesAnswers => StoreMode::LosesAnswers,
+                KeeperFault::Refusing => StoreMode::Busy,
+                _ => StoreMode::Silent,
+            });
+            std::thread::sleep(FAULT_TIME);
+            fleet.store.set_mode(StoreMode::Up);
+        }
+        KeeperFault::Restarted => {
+            fleet.nodes[owner].kill();
+            fleet.nodes[owner].start();
+        }
+    }
+}
+
+/// Waits until any result of the first job is listed.
+async fn wait_for_listing(entries: &[SocketAddr]) {
+    for entry in entries.iter().cycle() {
+        let read = read_results(*entry, "job0", 0).await;
+        if read.is_ok_and(|answer| answer["next"].as_u64().unwrap_or(0) > 0) {
+            return;
+        }
+        monoio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[rstest]
+fn no_item_is_lost_or_listed_twice(
+    #[values(
+        KeeperFault::AllKilled,
+        KeeperFault::Cut,
+        KeeperFault::Frozen,
+        KeeperFault::HistoryLost,
+        KeeperFault::Killed,
+        KeeperFault::Leaving,
+        KeeperFault::LosesAnswers,
+        KeeperFault::Refusing,
+        KeeperFault::Restarted,
+        KeeperFault::Silent,
+        KeeperFault::StoreSilent
+    )]
+    fault: KeeperFault,
+    #[values(JobStage::Accepting, JobStage::Listing, JobStage::Running)] stage: JobStage,
+) {
+    let size = NodeFleetSize { engines: 2, entries: 2, keepers: 3 };
+    let mut fleet = NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size);
+    let entries = fleet.entries();
+    let callers = entries.clone();
+    let submitting = std::thread::spawn(move || {
+        run_alone(async {
+            for job in 0..JOBS {
+                submit_for_certain(&callers, &format!("job{job}"), ITEMS, LONG_EVENTS).await;
+            }
+            if stage == JobStage::Listing {
+                wait_for_listing(&callers).await;
+            }
+        })
+        .expect("a runtime");
+    });
+    let submitting = if stage == JobStage::Accepting {
+        Some(submitting)
+    } else {
+        submitting.join().expect("all jobs are accepted");
+        std::thread::sleep(Duration::from_millis(150));
+        None
+    };
+    play(fault, &mut fleet);
+    let over = Instant::now();
+    if let Some(submitting) = submitting {
+        submitting.join().expect("all jobs are accepted");
+    }
+    run_alone(async {
+        for job in 0..JOBS {
+            read_outputs(&entries, &format!("job{job}"), ITEMS, LONG_EVENTS).await;
+        }
+    })
+    .expect("a runtime");
+    // All items together run for less than two seconds.
+    let taken = over.elapsed();
+    assert!(taken < RECOVERY, "{fault:?} while {stage:?}: {taken:?}");
+    println!("{fault:?} while {stage:?}: all results after {} ms", taken.as_millis());
+    run_alone(async {
+        for job in 0..JOBS {
+            let job = format!("job{job}");
+            let before = read_results(entries[0], &job, 0).await;
+            // A job that comes again is the same job, and none of its results changes.
+            submit_for_certain(&entries, &job, ITEMS, LONG_EVENTS).await;
+            assert_eq!(read_results(entries[0], &job, 0).await, before);
+        }
+    })
+    .expect("a runtime");
+}
