--- a/crates/entry/src/batch/batch_coordinator.rs
+++ b/crates/entry/src/batch/batch_coordinator.rs
@@ -28,6 +28,8 @@
 use cv_timer::TimerService;
 
 use super::instance_lease::InstanceLease;
+use super::job_claim::JobClaims;
+use super::job_claim::RecoveredJob;
 use super::job_runtime::JobRuntime;
 use super::job_view::JobView;
 use super::job_view::OpenJob;
@@ -48,6 +50,7 @@
 
 /// The jobs of an entry.
 pub(crate) struct BatchCoordinator {
+    claims: JobClaims,
     /// The lease under which jobs are owned.
     pub lease: Rc<InstanceLease>,
     /// Journals here and at peers.
@@ -67,8 +70,17 @@
 impl BatchCoordinator {
     /// Creates the coordinator of an entry.
     pub fn new(state: Rc<EntryState>, link: JournalLink) -> Self {
+        let lease = Rc::new(InstanceLease::new(Rc::clone(&state)));
+        let view: Rc<JobView> = Rc::default();
+        let claims = JobClaims {
+            lease: Rc::clone(&lease),
+            link: link.clone(),
+            state: Rc::clone(&state),
+            view: Rc::clone(&view),
+        };
         Self {
-            lease: Rc::new(InstanceLease::new(Rc::clone(&state))),
+            claims,
+            lease,
             link,
             next_job: Cell::new(1),
             organisations: RefCell::default(),
@@ -76,7 +88,7 @@
             state,
             stopped: RefCell::default(),
             table: RefCell::default(),
-            view: Rc::default(),
+            view,
         }
     }
 
@@ -312,7 +324,7 @@
                 continue;
             }
             for job in self.view.jobs() {
-                if self.should_claim(&job) && !self.runs(&job.record.id) {
+                if self.claims.should_claim(&job) && !self.runs(&job.record.id) {
                     self.take_over(&job).await;
                 }
             }
@@ -337,7 +349,7 @@
             let _ = self.end_job(&job.record, job.revision, JobState::Cancelled, None).await;
             return;
         }
-        let claimed = match self.claim(client, job, epoch).await {
+        let claimed = match self.claims.claim(client, job, epoch).await {
             Ok(Some(claimed)) => claimed,
             Ok(None) => return,
             Err(fault) => return log::warn!("claim of job {}: {fault}", job.record.id),
@@ -348,7 +360,7 @@
             &claimed.record.id,
             format!("epoch={epoch}"),
         );
-        match self.recover(client, &claimed.record).await {
+        match self.claims.recover(client, &claimed.record).await {
             Ok(Some(recovered)) => self.start_job(claimed, epoch, recovered).await,
             Ok(None) => log::error!("job {}: too few journals to recover", claimed.record.id),
             Err(fault) => log::warn!("recovery of job {}: {fault}", claimed.record.id),
@@ -356,12 +368,7 @@
     }
 
     /// Starts a job that was claimed and recovered.
-    async fn start_job(
-        self: &Rc<Self>,
-        claimed: OpenJob,
-        epoch: u64,
-        recovered: super::job_claim::RecoveredJob,
-    ) {
+    async fn start_job(self: &Rc<Self>, claimed: OpenJob, epoch: u64, recovered: RecoveredJob) {
         let id = JobId(self.next_job.replace(self.next_job.get() + 1));
         let OpenJob { record, revision } = claimed;
         let (attempts, weight) = {
@@ -380,7 +387,7 @@
             .repeatable(record.repeatable)
             .weight(weight)
             .build();
-        let super::job_claim::RecoveredJob { chunk_pages, recovery, results } = recovered;
+        let RecoveredJob { chunk_pages, recovery, results } = recovered;
         let open_attempts = recovery.open_attempts();
         let job = JobRuntime::new(id, record, revision, epoch, weight, chunk_pages, results);
         let job = Rc::new(job);
--- a/crates/entry/src/batch/job_claim.rs
+++ b/crates/entry/src/batch/job_claim.rs
@@ -1,5 +1,6 @@
 //! Takes over jobs that nobody owns and finds out how far they had got.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use cv_key_value::CallPurpose;
@@ -16,9 +17,12 @@
 use cv_policy::batch::JournalRecord;
 use cv_policy::stable_hash;
 
-use super::batch_coordinator::BatchCoordinator;
+use super::instance_lease::InstanceLease;
+use super::job_view::JobView;
 use super::job_view::OpenJob;
+use super::journal_link::JournalLink;
 use super::journal_link::decode_record;
+use crate::entry_state::EntryState;
 
 /// Longest time to settle a claim.
 const CLAIM_PATIENCE: Duration = Duration::from_secs(3);
@@ -39,7 +43,19 @@
     pub results: Vec<ItemResult>,
 }
 
-impl BatchCoordinator {
+/// Claims jobs for an instance.
+pub(crate) struct JobClaims {
+    /// The lease under which jobs are owned.
+    pub lease: Rc<InstanceLease>,
+    /// Journals here and at peers.
+    pub link: JournalLink,
+    /// The entry.
+    pub state: Rc<EntryState>,
+    /// Unfinished jobs and live instances.
+    pub view: Rc<JobView>,
+}
+
+impl JobClaims {
     /// Tells whether this instance should take a job over now.
     pub(super) fn should_claim(&self, job: &OpenJob) -> bool {
         let own = &self.state.settings.name;
@@ -105,7 +121,8 @@
         }
         self.restore_own_journals(record).await;
         // A record counts as kept on `min_replicas` disks, so one of this many must have it.
-        let needed = (record.replicas.len() + 1).saturating_sub(self.min_replicas()).max(1);
+        let needed =
+            (record.replicas.len() + 1).saturating_sub(self.state.section.min_replicas).max(1);
         let mut read: Vec<&String> = Vec::new();
         for _ in 0..RECOVERY_TRIES {
             for replica in &record.replicas {
@@ -178,30 +195,13 @@
                 continue;
             }
             for replica in record.replicas.iter().filter(|name| *name != own) {
-                if self.copy_journal(replica, own, journal).await {
+                if self.link.copy(replica, own, journal).await {
                     log::warn!("journal {journal} restored from {replica}");
                     break;
                 }
             }
         }
     }
-
-    /// Copies a journal from one replica to another; tells whether it is whole.
-    pub(super) async fn copy_journal(&self, from: &str, to: &str, journal: &str) -> bool {
-        let mut position = 0;
-        loop {
-            let Some(page) = self.link.read_at(from, journal, position).await else {
-                return false;
-            };
-            if page.records.is_empty() {
-                return position > 0;
-            }
-            if !self.link.append_at(to, journal, page.records).await {
-                return false;
-            }
-            position = page.next;
-        }
-    }
 }
 
 /// Lists the recovered results in the order of their items.
--- a/crates/entry/src/batch/journal_link.rs
+++ b/crates/entry/src/batch/journal_link.rs
@@ -165,6 +165,23 @@
         let instances = self.state.instances.borrow();
         instances.iter().find(|record| record.name == name).map(|record| record.control)
     }
+
+    /// Copies a journal from one replica to another; tells whether it is whole.
+    pub async fn copy(&self, from: &str, to: &str, journal: &str) -> bool {
+        let mut position = 0;
+        loop {
+            let Some(page) = self.read_at(from, journal, position).await else {
+                return false;
+            };
+            if page.records.is_empty() {
+                return position > 0;
+            }
+            if !self.append_at(to, journal, page.records).await {
+                return false;
+            }
+            position = page.next;
+        }
+    }
 }
 
 /// Reads a page of a journal on this instance's disk.
--- a/crates/entry/src/batch/replica_repair.rs
+++ b/crates/entry/src/batch/replica_repair.rs
@@ -130,7 +130,7 @@
         let needed = (replicas.len() + 1).saturating_sub(self.min_replicas()).max(1);
         let mut copied = 0;
         for replica in &replicas {
-            if self.copy_journal(replica, candidate, journal).await {
+            if self.link.copy(replica, candidate, journal).await {
                 copied += 1;
             }
         }
--- a/crates/sidecar/src/request_handler.rs
+++ b/crates/sidecar/src/request_handler.rs
@@ -25,6 +25,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::message_labels::MessageLabels;
+use crate::sidecar_answers::SidecarAnswers;
 use crate::sidecar_answers::put;
 use crate::sidecar_state::SidecarState;
 use crate::sidecar_state::TicketSignal;
@@ -46,9 +47,10 @@
 
 /// Answers the requests that entries send to the sidecar.
 pub(crate) struct SidecarHandler {
+    answers: SidecarAnswers,
     link: TargetLink,
     max_body: usize,
-    pub(super) state: Rc<SidecarState>,
+    state: Rc<SidecarState>,
 }
 
 /// How the target's part of a request ended.
@@ -71,7 +73,8 @@
     /// Creates the handler of a sidecar.
     pub fn new(state: Rc<SidecarState>, max_body: usize) -> Self {
         let link = TargetLink::new(state.section.target);
-        Self { link, max_body, state }
+        let answers = SidecarAnswers::new(Rc::clone(&state));
+        Self { answers, link, max_body, state }
     }
 
     /// Queues a request, runs it when its turn comes and answers it.
@@ -88,10 +91,11 @@
                 labels.attempt,
             );
             if let AdmitDecision::Duplicate(state) = decision {
-                return self.answer_duplicate(exchange, labels, state).await;
+                return self.answers.answer_duplicate(exchange, labels, state).await;
             }
         }
-        self.record(EventKind::AttemptQueued, labels, || format!("attempt={}", labels.attempt));
+        self.answers
+            .record(EventKind::AttemptQueued, labels, || format!("attempt={}", labels.attempt));
         let queued = Instant::now();
         let cost = 1 + (body.len() / BYTES_PER_COST) as u32;
         let (ticket, mut signals) =
@@ -110,10 +114,10 @@
                 self.run(exchange, labels, body, ticket, &mut signals).await
             }
             Some(TicketSignal::Refuse(reason, after)) => {
-                self.refuse(exchange, labels, reason, after).await
+                self.answers.refuse(exchange, labels, reason, after).await
             }
             _ => {
-                self.refuse_silently(labels);
+                self.answers.refuse_silently(labels);
                 Err(HttpFault::Closed)
             }
         };
@@ -140,28 +144,30 @@
             TargetEnd::NotReached | TargetEnd::Voided => "not_run",
             TargetEnd::Lost(_) => "lost",
         };
-        self.count(labels, outcome);
+        self.answers.count(labels, outcome);
         match end {
             TargetEnd::Answered => {
-                self.finish(labels, true);
+                self.answers.finish(labels, true);
                 Ok(())
             }
             TargetEnd::Preempted => {
-                self.record(EventKind::Preempted, labels, String::new);
+                self.answers.record(EventKind::Preempted, labels, String::new);
                 Ok(())
             }
             TargetEnd::Cancelled => {
-                self.finish(labels, false);
+                self.answers.finish(labels, false);
                 Err(HttpFault::Closed)
             }
             TargetEnd::NotReached | TargetEnd::Voided => {
-                self.refuse(exchange, labels, RefusalReason::TargetDown, None).await
+                self.answers.refuse(exchange, labels, RefusalReason::TargetDown, None).await
             }
             // A part of the answer has gone out: only a cut connection says that the rest is lost.
             TargetEnd::Lost(fault) if exchange.has_responded() => Err(fault),
             TargetEnd::Lost(fault) => {
-                let headers = self.answer_headers(labels, "unknown", fault.reason());
-                self.answer_error(exchange, StatusCode::BAD_GATEWAY, &headers, "unknown").await
+                let headers = self.answers.answer_headers(labels, "unknown", fault.reason());
+                self.answers
+                    .answer_error(exchange, StatusCode::BAD_GATEWAY, &headers, "unknown")
+                    .await
             }
         }
     }
@@ -181,7 +187,7 @@
         if !labels.repeatable && !self.state.log.borrow_mut().hand_over(labels.key) {
             return TargetEnd::Voided;
         }
-        self.record(EventKind::HandedOver, labels, String::new);
+        self.answers.record(EventKind::HandedOver, labels, String::new);
         let patience = labels.deadline + DEADLINE_GRACE;
         let answer = async {
             target.send(request).await?;
@@ -229,7 +235,7 @@
             }
         }
         self.state.handle(AdmissionEvent::Responded(ticket));
-        let headers = self.pass_headers(labels, &head);
+        let headers = self.answers.pass_headers(labels, &head);
         match exchange.respond(head.status, &headers, &body.freeze()).await {
             Ok(()) => TargetEnd::Answered,
             Err(_) => TargetEnd::Cancelled,
@@ -246,7 +252,7 @@
         ticket: TicketId,
         signals: &mut UnboundedReceiver<TicketSignal>,
     ) -> TargetEnd {
-        let headers = self.pass_headers(labels, &head);
+        let headers = self.answers.pass_headers(labels, &head);
         if exchange.start_stream(head.status, &headers).await.is_err() {
             return TargetEnd::Cancelled;
         }
@@ -292,9 +298,10 @@
             return TargetEnd::Cancelled;
         }
         if !exchange.has_responded() {
-            let headers = self.answer_headers(labels, "not_run", RefusalReason::NoSlack.as_str());
+            let headers =
+                self.answers.answer_headers(labels, "not_run", RefusalReason::NoSlack.as_str());
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            return match self.answer_error(exchange, status, &headers, "not_run").await {
+            return match self.answers.answer_error(exchange, status, &headers, "not_run").await {
                 Ok(()) => TargetEnd::Preempted,
                 Err(_) => TargetEnd::Cancelled,
             };
@@ -307,24 +314,6 @@
         }
     }
 
-    /// Counts a request's outcome.
-    pub(super) fn count(&self, labels: &MessageLabels, outcome: &str) {
-        let class = if labels.class == WorkClass::Batch { "batch" } else { "online" };
-        self.state.metrics.outcomes.with_label_values(&[class, outcome]).inc();
-    }
-
-    /// Records an event about a request.
-    pub(super) fn record(
-        &self,
-        kind: EventKind,
-        labels: &MessageLabels,
-        detail: impl FnOnce() -> String,
-    ) {
-        if self.state.events.is_enabled() {
-            self.state.events.record(kind, &labels.request_id, detail());
-        }
-    }
-
     /// Answers the paths that are about the sidecar itself.
     async fn serve_own(
         &self,
@@ -363,15 +352,18 @@
         let known = exchange.header(headers::SECRET).unwrap_or_default() == self.state.secret;
         let body = exchange.read_body(self.max_body).await?;
         if !known {
-            let headers = self.answer_headers(&labels, "not_run", "not_authorised");
-            return self.answer_error(exchange, StatusCode::FORBIDDEN, &headers, "not_run").await;
+            let headers = self.answers.answer_headers(&labels, "not_run", "not_authorised");
+            return self
+                .answers
+                .answer_error(exchange, StatusCode::FORBIDDEN, &headers, "not_run")
+                .await;
         }
         if !self.state.target_up.get() {
-            return self.refuse(exchange, &labels, RefusalReason::TargetDown, None).await;
+            return self.answers.refuse(exchange, &labels, RefusalReason::TargetDown, None).await;
         }
         // An owner that was paused past its lease may wake in the middle of a hand-over.
         if labels.not_after_ms.is_some_and(|limit| self.state.clock.wall_millis() > limit) {
-            return self.refuse(exchange, &labels, RefusalReason::LeaseOver, None).await;
+            return self.answers.refuse(exchange, &labels, RefusalReason::LeaseOver, None).await;
         }
         self.state.enter(labels.key);
         let result = self.serve(exchange, &labels, body).await;
--- a/crates/sidecar/src/sidecar_answers.rs
+++ b/crates/sidecar/src/sidecar_answers.rs
@@ -1,5 +1,6 @@
 //! The sidecar's own answers, and the headers that every answer carries.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,6 +8,7 @@
 use cv_http::ServerExchange;
 use cv_policy::ExecutionState;
 use cv_policy::RefusalReason;
+use cv_policy::WorkClass;
 use cv_policy::headers;
 use cv_timeline::EventKind;
 use http::HeaderMap;
@@ -18,12 +20,22 @@
 use serde_json::json;
 
 use crate::message_labels::MessageLabels;
-use crate::request_handler::SidecarHandler;
+use crate::sidecar_state::SidecarState;
 use crate::target_exchange::end_to_end_headers;
 
-impl SidecarHandler {
+/// Answers for the sidecar and notes what it answered.
+pub(crate) struct SidecarAnswers {
+    state: Rc<SidecarState>,
+}
+
+impl SidecarAnswers {
+    /// Creates the answers of a sidecar.
+    pub fn new(state: Rc<SidecarState>) -> Self {
+        Self { state }
+    }
+
     /// Tells what became of the first request with this key.
-    pub(super) async fn answer_duplicate(
+    pub async fn answer_duplicate(
         &self,
         exchange: &mut ServerExchange<'_>,
         labels: &MessageLabels,
@@ -44,7 +56,7 @@
     }
 
     /// Refuses a request that was not handed over.
-    pub(super) async fn refuse(
+    pub async fn refuse(
         &self,
         exchange: &mut ServerExchange<'_>,
         labels: &MessageLabels,
@@ -62,21 +74,34 @@
     }
 
     /// Notes in the log that a request was not handed over.
-    pub(super) fn refuse_silently(&self, labels: &MessageLabels) {
+    pub fn refuse_silently(&self, labels: &MessageLabels) {
         if !labels.repeatable {
             self.state.log.borrow_mut().refuse(labels.key);
         }
     }
 
     /// Notes in the log how a request that was handed over ended.
-    pub(super) fn finish(&self, labels: &MessageLabels, completed: bool) {
+    pub fn finish(&self, labels: &MessageLabels, completed: bool) {
         if !labels.repeatable {
             self.state.log.borrow_mut().finish(labels.key, completed);
         }
     }
 
+    /// Counts a request's outcome.
+    pub fn count(&self, labels: &MessageLabels, outcome: &str) {
+        let class = if labels.class == WorkClass::Batch { "batch" } else { "online" };
+        self.state.metrics.outcomes.with_label_values(&[class, outcome]).inc();
+    }
+
+    /// Records an event about a request.
+    pub fn record(&self, kind: EventKind, labels: &MessageLabels, detail: impl FnOnce() -> String) {
+        if self.state.events.is_enabled() {
+            self.state.events.record(kind, &labels.request_id, detail());
+        }
+    }
+
     /// Answers with an error in JSON.
-    pub(super) async fn answer_error(
+    pub async fn answer_error(
         &self,
         exchange: &mut ServerExchange<'_>,
         status: StatusCode,
@@ -89,19 +114,14 @@
     }
 
     /// Returns the headers of an answer that comes from the target.
-    pub(super) fn pass_headers(&self, labels: &MessageLabels, head: &ResponseHead) -> HeaderMap {
+    pub fn pass_headers(&self, labels: &MessageLabels, head: &ResponseHead) -> HeaderMap {
         let mut headers = end_to_end_headers(&head.headers);
         self.put_own_headers(&mut headers, labels, "completed");
         headers
     }
 
     /// Returns the headers of an answer that comes from the sidecar.
-    pub(super) fn answer_headers(
-        &self,
-        labels: &MessageLabels,
-        run: &str,
-        reason: &str,
-    ) -> HeaderMap {
+    pub fn answer_headers(&self, labels: &MessageLabels, run: &str, reason: &str) -> HeaderMap {
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         self.put_own_headers(&mut headers, labels, run);
@@ -110,12 +130,7 @@
     }
 
     /// Adds what every answer of the sidecar carries.
-    pub(super) fn put_own_headers(
-        &self,
-        headers: &mut HeaderMap,
-        labels: &MessageLabels,
-        run: &str,
-    ) {
+    fn put_own_headers(&self, headers: &mut HeaderMap, labels: &MessageLabels, run: &str) {
         put(headers, headers::RUN, run);
         put(headers, headers::LOAD, &self.state.reading().encode());
         put(headers, headers::CLOCK, &self.state.events.stamp().encode());
