--- a/crates/policy/src/key_register.rs
+++ b/crates/policy/src/key_register.rs
@@ -4,15 +4,7 @@
 
 use crate::MonotonicTime;
 use crate::RequestKey;
-use crate::key_ages::KeyAges;
-
-/// One remembered key.
-#[derive(Clone, Copy, Debug)]
-struct KeyRow {
-    /// Number of the claim; the same request of the same caller has the same one.
-    claim: u64,
-    key: RequestKey,
-}
+use crate::keyed_rows::KeyedRows;
 
 /// Remembers which keys were claimed, for longer than a resend can come.
 ///
@@ -20,63 +12,48 @@
 /// by a few other entries, so that a resend is recognised after either has died.
 #[derive(Clone, Debug)]
 pub struct KeyRegister {
-    ages: KeyAges,
-    rows: Vec<KeyRow>,
+    /// Numbers of the claims; the same request of the same caller has the same one.
+    claims: KeyedRows<u64>,
 }
 
 impl KeyRegister {
     /// Creates an empty register that remembers each key for `retention`.
     #[must_use]
     pub fn new(retention: Duration) -> Self {
-        Self { ages: KeyAges::new(retention), rows: Vec::new() }
+        Self { claims: KeyedRows::new(retention) }
     }
 
     /// Claims a key; tells whether nobody else has claimed it before.
     #[must_use]
     pub fn claim(&mut self, now: MonotonicTime, key: RequestKey, claim: u64) -> bool {
-        match self.position(key) {
-            Ok(position) => self.rows[position].claim == claim,
-            Err(position) => {
-                self.rows.insert(position, KeyRow { claim, key });
-                self.ages.push(now, key);
-                true
-            }
+        if let Some(known) = self.claims.get(key) {
+            return *known == claim;
         }
+        self.claims.insert(now, key, claim);
+        true
     }
 
     /// Gives a key back whose request was proved not to have run.
     pub fn release(&mut self, key: RequestKey, claim: u64) {
-        if let Ok(position) = self.position(key)
-            && self.rows[position].claim == claim
-        {
-            self.rows.remove(position);
-            self.ages.remove(key);
+        if self.claims.get(key) == Some(&claim) {
+            self.claims.remove(key);
         }
     }
 
     /// Forgets keys that are older than the retention.
     pub fn expire(&mut self, now: MonotonicTime) {
-        while let Some(key) = self.ages.pop_expired(now) {
-            if let Ok(position) = self.position(key) {
-                self.rows.remove(position);
-            }
-        }
+        self.claims.expire(now);
     }
 
     /// Returns the number of remembered keys.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.rows.len()
+        self.claims.len()
     }
 
     /// Tells whether no key is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
-    }
-
-    /// Finds a key's row, or the place where it belongs.
-    fn position(&self, key: RequestKey) -> Result<usize, usize> {
-        self.rows.binary_search_by_key(&key, |row| row.key)
+        self.len() == 0
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod identity;
 mod key_ages;
 mod key_register;
+mod keyed_rows;
 mod load_reading;
 mod monotonic_time;
 mod organisation_table;
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,4 +3,5 @@
 mod admission;
 mod experiment_report;
 mod membership;
+mod sample_targets;
 mod status_round;
--- a/tests/decisions/membership.rs
+++ b/tests/decisions/membership.rs
@@ -1,35 +1,20 @@
 //! Subsets cover every target and change little; leases end in time; configurations never go back.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
 use cv_policy::config::ConfigDocument;
 use cv_policy::config::ConfigRegister;
 use cv_policy::lease::LeaseClock;
-use cv_policy::routing::TargetListing;
 use cv_policy::routing::pick_subset;
 use cv_policy::routing::subset_size;
 
+use crate::sample_targets::listings;
+
 /// Entries and targets of one model at the size of the users' letter.
 const ENTRIES: usize = 510;
 const TARGETS: usize = 1_725;
 
-/// Lists the targets of one model over 13 zones.
-fn listings(count: usize) -> Vec<TargetListing> {
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    (0..count)
-        .map(|index| TargetListing {
-            control: address,
-            data: address,
-            leaving: false,
-            name: format!("replica-{index}"),
-            service: "assist-llm".to_owned(),
-            zone: format!("zone-{}", index % 13),
-        })
-        .collect()
-}
-
 #[test]
 fn subsets_reach_every_target_and_stay_small() {
     let listings = listings(TARGETS);
--- a/tests/decisions/status_round.rs
+++ b/tests/decisions/status_round.rs
@@ -1,15 +1,15 @@
 //! Which targets an entry asks for their status: few at a time, but a change soon reaches all.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
 use cv_policy::TargetId;
 use cv_policy::routing::StatusRound;
-use cv_policy::routing::TargetListing;
 use cv_policy::routing::TargetTable;
 use cv_policy::routing::status_calls_per_second;
 
+use crate::sample_targets::listings;
+
 /// Time between two rounds.
 const PERIOD: Duration = Duration::from_millis(300);
 
@@ -21,19 +21,8 @@
 
 /// Returns a table of ready targets.
 fn table() -> TargetTable {
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    let listings: Vec<TargetListing> = (0..TARGETS)
-        .map(|index| TargetListing {
-            control: address,
-            data: address,
-            leaving: false,
-            name: format!("replica-{index}"),
-            service: "assist-llm".to_owned(),
-            zone: "zone-1".to_owned(),
-        })
-        .collect();
     let mut table = TargetTable::default();
-    table.apply(MonotonicTime::default(), &listings);
+    table.apply(MonotonicTime::default(), &listings(TARGETS));
     for row in table.rows_mut() {
         row.ready = true;
     }
--- a/tests/dispatch/job_book.rs
+++ b/tests/dispatch/job_book.rs
@@ -1,28 +1,15 @@
 //! The book of one job.
 
 use cv_dispatch::ItemEnd;
-use cv_dispatch::ItemSpec;
 use cv_dispatch::ItemState;
 use cv_dispatch::JobBook;
-use cv_dispatch::JobSpec;
 use cv_dispatch::ListedResult;
 
+use crate::sample_job::book_of;
+
 /// A job of items `a`, `b` and `c`, of ten tokens each.
 fn job_of_three() -> JobBook {
-    let items = ["a", "b", "c"].map(|id| ItemSpec {
-        body: Vec::new(),
-        headers: Vec::new(),
-        id: id.to_owned(),
-        path: "/items".to_owned(),
-        tokens: 10,
-    });
-    JobBook::new(JobSpec {
-        host: "example".to_owned(),
-        id: "job".to_owned(),
-        items: items.to_vec(),
-        path: "/batch/".to_owned(),
-        submitted_ms: 0,
-    })
+    book_of(&["a", "b", "c"])
 }
 
 /// Runs an item to its end with the given output.
--- a/tests/dispatch/job_copy.rs
+++ b/tests/dispatch/job_copy.rs
@@ -2,29 +2,16 @@
 
 use cv_dispatch::CopyLedger;
 use cv_dispatch::ItemCopy;
-use cv_dispatch::ItemSpec;
 use cv_dispatch::JobBook;
-use cv_dispatch::JobSpec;
+
+use crate::sample_job::book_of;
 
 /// Where the copies are held.
 const HOLDER: &str = "keeper-2";
 
 /// A job of two items.
 fn book() -> JobBook {
-    let items = ["a", "b"].map(|id| ItemSpec {
-        body: Vec::new(),
-        headers: Vec::new(),
-        id: id.to_owned(),
-        path: "/items".to_owned(),
-        tokens: 10,
-    });
-    JobBook::new(JobSpec {
-        host: "example".to_owned(),
-        id: "job".to_owned(),
-        items: items.to_vec(),
-        path: "/batch/".to_owned(),
-        submitted_ms: 0,
-    })
+    book_of(&["a", "b"])
 }
 
 /// Copies what is new to a holder, which takes all of it.
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -10,4 +10,5 @@
 mod removal_hold;
 mod route_table;
 mod run_estimate;
+mod sample_job;
 mod slot_queue;
--- /dev/null
+++ b/tests/dispatch/sample_job.rs
@@ -0,0 +1,23 @@
+//! A small job for tests of books.
+
+use cv_dispatch::ItemSpec;
+use cv_dispatch::JobBook;
+use cv_dispatch::JobSpec;
+
+/// Opens the book of a job with the named items, of ten tokens each.
+pub(crate) fn book_of(ids: &[&str]) -> JobBook {
+    let items = ids.iter().map(|id| ItemSpec {
+        body: Vec::new(),
+        headers: Vec::new(),
+        id: (*id).to_owned(),
+        path: "/items".to_owned(),
+        tokens: 10,
+    });
+    JobBook::new(JobSpec {
+        host: "example".to_owned(),
+        id: "job".to_owned(),
+        items: items.collect(),
+        path: "/batch/".to_owned(),
+        submitted_ms: 0,
+    })
+}
--- a/tests/fault_matrix/batch_matrix.rs
+++ b/tests/fault_matrix/batch_matrix.rs
@@ -7,11 +7,11 @@
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
 
+use crate::batch_cases::BatchBug;
+use crate::batch_cases::BatchFault;
+use crate::batch_cases::BatchHistory;
+use crate::batch_cases::BatchStep;
 use crate::batch_world::ATTEMPTS;
-use crate::batch_world::BatchBug;
-use crate::batch_world::BatchFault;
-use crate::batch_world::BatchHistory;
-use crate::batch_world::BatchStep;
 use crate::batch_world::BatchWorld;
 use crate::batch_world::ITEMS;
 use crate::fault_seed;
--- a/tests/fault_matrix/main.rs
+++ b/tests/fault_matrix/main.rs
@@ -4,6 +4,7 @@
 //! the decisions: they compare what callers were told with what targets and the service did. Planted
 //! bugs show that they can fail. `FAULT_SEED` changes the seed of the schedules.
 
+mod batch_cases;
 mod batch_matrix;
 mod batch_world;
 mod online_matrix;
