Let a leaving sidecar hand its batch items back

A sidecar that is asked to leave waited for its batch runs, up to 5 s each, so that with one restart every 0.8 s nearly all sidecars were leaving at once and requests went to the targets directly, where batch runs do not give way.

Change: after the time in which others notice, a leaving sidecar turns all batch requests away, those that run included; their keepers go on elsewhere with what they have. Online requests are served to the end as before.

--- a/crates/clementinevale/tests/nodes/batch_jobs.rs
+++ b/crates/clementinevale/tests/nodes/batch_jobs.rs
@@ -126,6 +126,27 @@
     assert!(again > 0, "no run was made again");
 }
 
+#[test]
+fn a_leaving_sidecar_hands_its_items_back() {
+    const LONG: u64 = 600;
+    // Half of the grace of 4 s, in which it serves on, and some time to end.
+    const LEAVE_TIME: Duration = Duration::from_millis(2_800);
+    let mut fleet = small_fleet();
+    let entries = fleet.entries();
+    run_alone(submit_for_certain(&entries, "job0", 8, LONG)).expect("a runtime");
+    std::thread::sleep(Duration::from_millis(500));
+    let began = Instant::now();
+    let left = fleet.nodes[0].terminate(PATIENCE);
+    assert_eq!(left, Ok(()));
+    assert!(began.elapsed() < LEAVE_TIME, "it left after {:?}", began.elapsed());
+    fleet.nodes[0].start();
+    run_alone(async { read_outputs(&entries, "job0", 8, LONG).await }).expect("a runtime");
+    let runs = fleet.target_log.runs();
+    let again = runs.iter().filter(|run| run.began > began + LEAVE_TIME / 2);
+    assert!(again.clone().count() > 0, "no item was handed back");
+    assert!(again.clone().all(|run| run.after > 0), "{again:?}");
+}
+
 #[test]
 fn reads_of_results_spare_a_store_that_refuses_all_calls() {
     const OUTAGE: Duration = Duration::from_secs(5);
--- a/crates/dispatch/src/slot_queue.rs
+++ b/crates/dispatch/src/slot_queue.rs
@@ -55,7 +55,8 @@
     Start(TicketId),
     /// End a batch run; the request waits in the queue again.
     Preempt(TicketId),
-    /// Turn a request away: it has stayed for long enough, or its engine is leaving.
+    /// Turn a request away: it has stayed for long enough, or its engine or this process is leaving.
+    /// A batch run under way ends with it.
     Expire(TicketId),
 }
 
@@ -101,6 +102,8 @@
     batch_running: Vec<RunningRow>,
     /// Sorted by due time.
     batch_waiting: Vec<WaitingRow>,
+    /// Whether batch requests are turned away, since this process is leaving.
+    hands_back: bool,
     /// Whether the engine is leaving and gets no new runs.
     is_leaving: bool,
     /// Mean length of an online run, in seconds.
@@ -119,6 +122,7 @@
         Self {
             batch_running: Vec::new(),
             batch_waiting: Vec::new(),
+            hands_back: false,
             is_leaving: false,
             mean_run: FIRST_RUN.as_secs_f64(),
             online_running: Vec::new(),
@@ -148,6 +152,15 @@
         self.is_leaving
     }
 
+    /// Turns all batch requests away, those that run included, for good: they go on elsewhere
+    /// sooner than their runs here would end.
+    pub fn hand_back_batch(&mut self, commands: &mut Vec<QueueCommand>) {
+        self.hands_back = true;
+        let running = self.batch_running.drain(..).map(|row| row.ticket);
+        let waiting = self.batch_waiting.drain(..).map(|row| row.ticket);
+        commands.extend(running.chain(waiting).map(QueueCommand::Expire));
+    }
+
     /// Takes an arrival; commands make room for it.
     pub fn arrive(
         &mut self,
@@ -161,6 +174,7 @@
         }
         match terms.class {
             WorkClass::Online => self.arrive_online(now, ticket, terms, commands),
+            WorkClass::Batch if self.hands_back => QueueVerdict::Refuse(Duration::ZERO),
             WorkClass::Batch => self.arrive_batch(now, ticket, terms),
         }
     }
--- a/crates/serving/src/drain.rs
+++ b/crates/serving/src/drain.rs
@@ -17,6 +17,11 @@
 /// Time in which the last lines of the log are written.
 const LOG_TIME: Duration = Duration::from_millis(20);
 
+/// Returns the part of the grace in which a process serves on for those who have not noticed yet.
+pub(crate) fn notice_time(grace: Duration) -> Duration {
+    NOTICE_TIME.min(grace / 2)
+}
+
 /// Serves on while others notice, then until what runs has ended or the grace is nearly over.
 pub(crate) async fn drain_server(gate: &DrainGate, log: &LineLog, grace: Duration) {
     let active = gate.active();
@@ -24,7 +29,7 @@
         format!("active={active}")
     });
     gate.start_closing();
-    let notice = NOTICE_TIME.min(grace / 2);
+    let notice = notice_time(grace);
     monoio::time::sleep(notice).await;
     gate.start_drain();
     let rest = grace.saturating_sub(notice + EXIT_MARGIN);
--- a/crates/serving/src/side/side_server.rs
+++ b/crates/serving/src/side/side_server.rs
@@ -22,6 +22,7 @@
 use crate::NodeIdentity;
 use crate::PlatformBorder;
 use crate::drain::drain_server;
+use crate::drain::notice_time;
 use crate::side::load_beacon::LoadBeacon;
 use crate::side::side_handler::SideHandler;
 use crate::side::side_metrics::SideMetrics;
@@ -75,7 +76,7 @@
             border: PhantomData,
             clock,
             engine: self.settings.engine,
-            gate,
+            gate: Rc::clone(&gate),
             log: self.log.clone(),
             metrics: SideMetrics::new().map_err(io::Error::other)?,
             pool: ConnectionPool::new(HttpLimits::default()),
@@ -95,7 +96,12 @@
             format!("engine={} listen={address}", self.settings.engine)
         });
         shutdown.given().await;
-        drain_server(&drain, &self.log, self.settings.grace).await;
+        let grace = self.settings.grace;
+        let hand_back = async {
+            monoio::time::sleep(notice_time(grace)).await;
+            gate.hand_back_batch();
+        };
+        futures::join!(drain_server(&drain, &self.log, grace), hand_back);
         Ok(())
     }
 }
--- a/crates/serving/src/side/slot_gate.rs
+++ b/crates/serving/src/side/slot_gate.rs
@@ -22,7 +22,7 @@
     Started,
     /// Its run has to end; it waits again already.
     Preempted,
-    /// Its patience is over.
+    /// It is turned away.
     Expired,
 }
 
@@ -72,6 +72,13 @@
         true
     }
 
+    /// Turns all batch requests away, for good.
+    pub fn hand_back_batch(&self) {
+        let mut commands = Vec::new();
+        self.queue.borrow_mut().hand_back_batch(&mut commands);
+        self.carry_out(&commands);
+    }
+
     /// Returns the queue's counts.
     pub fn reading(&self) -> QueueReading {
         self.queue.borrow().reading()
--- a/tests/dispatch/slot_queue.rs
+++ b/tests/dispatch/slot_queue.rs
@@ -187,6 +187,21 @@
     assert_eq!(commands, [QueueCommand::Start(TicketId(1))]);
 }
 
+#[test]
+fn a_leaving_process_turns_batch_away_and_serves_online() {
+    let mut queue = SlotQueue::new(1);
+    let mut commands = Vec::new();
+    queue.arrive(at(0), TicketId(1), &batch(8_000), &mut commands);
+    queue.arrive(at(0), TicketId(2), &batch(9_000), &mut commands);
+    commands.clear();
+    queue.hand_back_batch(&mut commands);
+    assert_eq!(commands, [TicketId(1), TicketId(2)].map(QueueCommand::Expire));
+    let verdict = queue.arrive(at(10), TicketId(3), &batch(9_000), &mut commands);
+    assert!(matches!(verdict, QueueVerdict::Refuse(_)));
+    let verdict = queue.arrive(at(10), TicketId(4), &online(0), &mut commands);
+    assert_eq!(verdict, QueueVerdict::Start);
+}
+
 #[test]
 fn of_those_in_time_the_begun_go_first_and_then_the_newest() {
     let mut queue = SlotQueue::new(1);
