Send a target without a sidecar its share only, and no items while it may come back

Cause: an entry knows only its own requests at a target whose sidecar is silent, so the target looked empty, and every entry sent it as much as it would bear: half of all requests to one of six targets in the test. Batch items sent there cannot give way to online requests, also after the sidecar is back.

Change: the load of such a target is taken to be the mean of those that report; keepers send it no items for 5 s after its last report and one each afterwards.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -62,17 +62,18 @@
         now: MonotonicTime,
         request: &PlacementRequest<'_>,
     ) -> Option<TargetChoice> {
-        let usable = roster.rows().iter().filter(|row| {
-            row.record.service == request.service
-                && row.is_usable(now)
-                && !request.tried.contains(&row.record.id)
-        });
-        let usable: Vec<&TargetRow> = usable.collect();
+        let usable = roster
+            .rows()
+            .iter()
+            .filter(|row| row.record.service == request.service && row.is_usable(now));
+        let mut usable: Vec<&TargetRow> = usable.collect();
+        let usual = usual_load(&usable, now);
+        usable.retain(|row| !request.tried.contains(&row.record.id));
         let mut random = SeededRandom::new(request.draw ^ request.tried.len() as u64);
         let mut best: Option<(f64, &TargetRow)> = None;
         for index in sample_indices(usable.len(), &mut random) {
             let row = usable[index];
-            let cost = cost_of(row, now, request);
+            let cost = cost_of(row, now, usual, request);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, row));
             }
@@ -80,16 +81,37 @@
         best.map(|(_, row)| TargetChoice {
             address: row.record.address,
             id: row.record.id.clone(),
-            is_full: row.online_load(now, READING_AGE) >= row.record.slots.max(1),
+            is_full: load_of(row, now, usual) >= f64::from(row.record.slots.max(1)),
             slots: row.record.slots,
             through_sidecar: row.has_sidecar(now),
         })
     }
 }
 
-/// Returns the load of a target in slots, worse for one of another availability zone.
-fn cost_of(row: &TargetRow, now: MonotonicTime, request: &PlacementRequest<'_>) -> f64 {
+/// Returns the mean online load of the targets that report theirs.
+fn usual_load(rows: &[&TargetRow], now: MonotonicTime) -> f64 {
+    let reporting = rows.iter().filter(|row| row.fresh_reading(now, READING_AGE).is_some());
+    let (mut count, mut total) = (0, 0);
+    for row in reporting {
+        count += 1;
+        total += row.online_load(now, READING_AGE);
+    }
+    f64::from(total) / f64::from(count.max(1))
+}
+
+/// Estimates the online load of a target, in requests.
+///
+/// Of one without a sidecar, each entry sees only its own requests; the others send it as many as
+/// they send elsewhere.
+fn load_of(row: &TargetRow, now: MonotonicTime, usual: f64) -> f64 {
     let load = f64::from(row.online_load(now, READING_AGE));
+    let is_known = row.fresh_reading(now, READING_AGE).is_some() || row.has_sidecar(now);
+    if is_known { load } else { load.max(usual) }
+}
+
+/// Returns the load of a target in slots, worse for one of another availability zone.
+fn cost_of(row: &TargetRow, now: MonotonicTime, usual: f64, request: &PlacementRequest<'_>) -> f64 {
+    let load = load_of(row, now, usual);
     let share = load / f64::from(row.record.slots.max(1)) * 8.0;
     if row.record.zone == request.zone { share } else { share + ZONE_PENALTY }
 }
--- a/crates/dispatch/src/run_schedule.rs
+++ b/crates/dispatch/src/run_schedule.rs
@@ -21,6 +21,12 @@
 /// ones send output twice as often.
 const WAITING_SILENCE: Duration = Duration::from_millis(550);
 
+/// Silence of a sidecar up to which it is taken to come back, as one that is started again does.
+const RETURN_TIME: Duration = Duration::from_secs(5);
+
+/// Items of one keeper at a target without a sidecar, where they cannot give way to online requests.
+const DIRECT_ITEMS: u32 = 1;
+
 /// Identifies a run within one keeper; grows with each.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RunId(pub u64);
@@ -48,7 +54,8 @@
     /// Chooses the target with the most room for one more item.
     ///
     /// A target gets at most as many items of this keeper as it has slots: more would only wait
-    /// there while another target falls idle.
+    /// there while another target falls idle. One whose sidecar is silent gets few, and none while
+    /// the sidecar may come back, since online requests would have to wait for their ends.
     #[must_use]
     pub fn choose(
         &self,
@@ -60,7 +67,7 @@
         let usable = roster.rows().iter().filter(|row| {
             row.record.service == service
                 && row.is_usable(now)
-                && self.count(&row.record.id) < row.record.slots.max(1)
+                && self.count(&row.record.id) < item_limit(row, now)
         });
         let costs = usable.map(|row| (self.cost_of(row, now, zone), row));
         let (_, row) = costs.min_by(|left, right| left.0.total_cmp(&right.0))?;
@@ -156,6 +163,15 @@
     }
 }
 
+/// Returns the number of items that one keeper may have at a target.
+fn item_limit(row: &TargetRow, now: MonotonicTime) -> u32 {
+    if row.has_sidecar(now) {
+        return row.record.slots.max(1);
+    }
+    let returns = row.sidecar_silence(now).is_some_and(|silence| silence < RETURN_TIME);
+    if returns { 0 } else { DIRECT_ITEMS }
+}
+
 /// Returns the slots of a target that nothing runs in or waits for.
 fn free_slots(row: &TargetRow, now: MonotonicTime) -> u32 {
     if !row.is_usable(now) || !row.has_sidecar(now) {
--- a/crates/dispatch/src/target_roster.rs
+++ b/crates/dispatch/src/target_roster.rs
@@ -112,6 +112,12 @@
         self.sidecar_down_until <= now && !is_silent
     }
 
+    /// Returns the time since the target's sidecar last reported, if it ever has.
+    #[must_use]
+    pub fn sidecar_silence(&self, now: MonotonicTime) -> Option<Duration> {
+        self.reading.map(|(_, taken)| now.since(taken))
+    }
+
     /// Estimates the online requests that run or wait at the target.
     #[must_use]
     pub fn online_load(&self, now: MonotonicTime, reading_age: Duration) -> u32 {
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -165,3 +165,51 @@
     assert_eq!(row.online_load(at(100), Duration::from_secs(1)), 8);
     assert_eq!(row.online_load(at(5_000), Duration::from_secs(1)), 0);
 }
+
+/// A roster of six targets in one zone, of which the last has fallen silent and the others report
+/// so many online requests at `now`.
+fn roster_with_a_silent_one(online_running: u32, now: MonotonicTime) -> TargetRoster {
+    let mut roster = TargetRoster::default();
+    for target in 1..=6 {
+        roster.upsert(record(&format!("t{target}"), "a", target), at(0));
+        let taken = if target == 6 { at(0) } else { now };
+        let reading = QueueReading { online_running, slots: 8, ..QueueReading::default() };
+        let address = format!("10.0.0.{target}").parse().expect("an address");
+        roster.observe_at(address, &reading, taken);
+    }
+    roster
+}
+
+#[test]
+fn a_target_without_a_sidecar_is_taken_to_be_as_loaded_as_the_others() {
+    let now = at(3_000);
+    let roster = roster_with_a_silent_one(5, now);
+    let choices = (0..600).map(|draw| {
+        let request = PlacementRequest { draw, ..request(&[]) };
+        PlacementPolicy.choose(&roster, now, &request).expect("a choice")
+    });
+    let direct = choices.filter(|choice| !choice.through_sidecar).count();
+    // A sixth is its share; each of several entries would otherwise send it half of all.
+    assert!((50..=200).contains(&direct), "{direct} of 600 requests");
+    let full = roster_with_a_silent_one(8, now);
+    let tried: Vec<String> = (1..=5).map(|target| format!("t{target}")).collect();
+    let choice = PlacementPolicy.choose(&full, now, &request(&tried)).expect("a choice");
+    assert!(choice.is_full, "all others are");
+}
+
+#[test]
+fn items_wait_for_a_sidecar_that_may_come_back() {
+    let schedule = RunSchedule::default();
+    let mut roster = TargetRoster::default();
+    roster.upsert(record("only", "a", 1), at(0));
+    let reading = QueueReading { slots: 8, ..QueueReading::default() };
+    roster.observe_at("10.0.0.1".parse().expect("an address"), &reading, at(0));
+    assert!(schedule.choose(&roster, at(100), "llm", "a").is_some());
+    assert_eq!(schedule.choose(&roster, at(2_000), "llm", "a"), None);
+    // It does not come back: an item at a time goes to the target itself.
+    let mut schedule = schedule;
+    let choice = schedule.choose(&roster, at(6_000), "llm", "a").expect("a choice");
+    assert!(!choice.through_sidecar);
+    schedule.begin("only", 0, at(6_000));
+    assert_eq!(schedule.choose(&roster, at(6_000), "llm", "a"), None);
+}
