--- a/crates/serving/src/keeper/job_copies.rs
+++ b/crates/serving/src/keeper/job_copies.rs
@@ -92,11 +92,15 @@
     };
     let request = ClientRequest::new(Method::POST, COPIES_PATH, body);
     let asked = state.pool.exchange(holder.address, &request, COPY_PATIENCE, COPY_BYTES).await;
-    let Ok(answer) = asked else {
+    let answer = match asked {
+        Ok(answer) => answer,
         // What was not confirmed is copied again.
-        return;
+        Err(fault) => return log::debug!("{} takes no copies: {fault}", holder.name),
+    };
+    let taken: Vec<bool> = match postcard::from_bytes(&answer.body) {
+        Ok(taken) => taken,
+        Err(fault) => return log::error!("what {} says of copies: {fault}", holder.name),
     };
-    let taken: Vec<bool> = postcard::from_bytes(&answer.body).unwrap_or_default();
     for ((copy, cell), taken) in news.iter().zip(sources).zip(taken) {
         if taken {
             cell.copied.borrow_mut().confirm(&holder.name, &copy.items);
@@ -158,7 +162,8 @@
     job: &str,
 ) -> Option<JobCopy> {
     let request = ClientRequest::new(Method::GET, format!("{COPIES_PATH}{job}"), "");
-    let answer = state.pool.exchange(address, &request, COPY_PATIENCE, COPY_BYTES).await.ok()?;
+    let asked = state.pool.exchange(address, &request, COPY_PATIENCE, COPY_BYTES).await;
+    let answer = asked.inspect_err(|fault| log::debug!("copies from {address}: {fault}")).ok()?;
     match postcard::from_bytes(&answer.body) {
         Ok(copy) => Some(copy),
         Err(fault) => {
--- a/crates/serving/src/view_relay.rs
+++ b/crates/serving/src/view_relay.rs
@@ -86,7 +86,8 @@
 /// Asks a peer; `None` if it gives no answer or knows no more than this process.
 async fn ask(pool: &ConnectionPool, peer: SocketAddr) -> Option<ViewNews> {
     let request = ClientRequest::new(Method::GET, VIEW_PATH, "");
-    let answer = pool.exchange(peer, &request, ASK_PATIENCE, VIEW_BYTES).await.ok()?;
+    let asked = pool.exchange(peer, &request, ASK_PATIENCE, VIEW_BYTES).await;
+    let answer = asked.inspect_err(|fault| log::debug!("the view of {peer}: {fault}")).ok()?;
     if answer.status != StatusCode::OK {
         return None;
     }
