Part the batch world by job, wait for a job's state in one way, and make two tests see what they name

Found on reading the change. Three loops that waited for a change of a job are `JobCell::until`; two tests of the link's age are `StoreLink::has_answered_within`.

`a_keeper_that_was_cut_off_runs_nothing_of_a_job_that_ended_meanwhile` passed without its mend, since the follower mostly heard of the ends first. `unfinished_outputs_survive_their_keeper` covers a kill, a departure and a restart; without the question to the other keepers the restart fails ("job1i0 began anew"). The patience of the store's client has a test, which fails with one patience for all calls.

--- a/crates/clementinevale/tests/nodes/batch_jobs.rs
+++ b/crates/clementinevale/tests/nodes/batch_jobs.rs
@@ -14,6 +14,7 @@
 use cv_tests::node_caller::read_results;
 use cv_tests::node_caller::submit_job;
 use cv_tests::node_caller::submit_job_with;
+use rstest::rstest;
 
 use crate::job_checks::EVENTS;
 use crate::job_checks::PATIENCE;
@@ -89,8 +90,22 @@
     .expect("a runtime");
 }
 
-#[test]
-fn unfinished_outputs_survive_their_keeper() {
+/// How a keeper goes.
+#[derive(Clone, Copy, Debug)]
+enum KeeperEnd {
+    /// It is killed, and the next owner has only the copies that it was sent.
+    Killed,
+    /// It is asked to leave.
+    Leaving,
+    /// It is killed and started at once: it owns its jobs again and has to ask for the copies.
+    Restarted,
+}
+
+#[rstest]
+#[case(KeeperEnd::Killed)]
+#[case(KeeperEnd::Leaving)]
+#[case(KeeperEnd::Restarted)]
+fn unfinished_outputs_survive_their_keeper(#[case] end: KeeperEnd) {
     const LONG: u64 = 500;
     // Copies are made every second; runs begin within another.
     const STALE: Duration = Duration::from_secs(2);
@@ -98,15 +113,22 @@
     let entries = fleet.entries();
     run_alone(async {
         for job in 0..4 {
-            let outcome = submit_job(entries[0], &format!("job{job}"), 2, LONG).await;
-            assert_eq!(outcome, CallerOutcome::Whole);
+            submit_for_certain(&entries, &format!("job{job}"), 2, LONG).await;
         }
     })
     .expect("a runtime");
     std::thread::sleep(STALE + Duration::from_millis(500));
-    let killed = Instant::now();
-    let node = fleet.nodes.iter_mut().find(|node| node.name.starts_with("keeper"));
-    node.expect("a keeper").kill();
+    let ended = Instant::now();
+    let keeper = fleet.nodes.iter_mut().find(|node| node.name.starts_with("keeper"));
+    let keeper = keeper.expect("a keeper");
+    match end {
+        KeeperEnd::Killed => keeper.kill(),
+        KeeperEnd::Leaving => assert_eq!(keeper.terminate(PATIENCE), Ok(())),
+        KeeperEnd::Restarted => {
+            keeper.kill();
+            keeper.start();
+        }
+    }
     run_alone(async {
         for job in 0..4 {
             read_outputs(&entries, &format!("job{job}"), 2, LONG).await;
@@ -115,10 +137,10 @@
     .expect("a runtime");
     let runs = fleet.target_log.runs();
     let mut again = 0;
-    for run in runs.iter().filter(|run| run.began > killed) {
+    for run in runs.iter().filter(|run| run.began > ended) {
         let of_item = runs.iter().filter(|other| other.request == run.request);
         let began = of_item.map(|other| other.began).min().expect("a run");
-        if killed.duration_since(began) > STALE {
+        if ended.duration_since(began) > STALE {
             assert!(run.after > 0, "{} began anew", run.request);
             again += 1;
         }
@@ -211,6 +233,8 @@
 
 #[test]
 fn a_keeper_that_was_cut_off_runs_nothing_of_a_job_that_ended_meanwhile() {
+    /// Time for which reads of what there is to do get no answer that anybody waits for.
+    const DEAF_TIME: Duration = Duration::from_secs(4);
     let fleet = small_fleet();
     let entries = fleet.entries();
     let jobs: Vec<String> = (0..4).map(|job| format!("job{job}")).collect();
@@ -235,8 +259,12 @@
     .expect("a runtime");
     let acknowledged = Instant::now();
     std::thread::sleep(Duration::from_secs(4));
+    // The keeper registers at once and hears of the ends late.
+    fleet.store.slow_reads("cv/work/", DEAF_TIME * 4);
     proxy.set_mode(FaultMode::Pass);
-    std::thread::sleep(Duration::from_secs(3));
+    std::thread::sleep(DEAF_TIME);
+    fleet.store.slow_reads("cv/work/", Duration::ZERO);
+    std::thread::sleep(Duration::from_secs(2));
     let late =
         fleet.target_log.runs().into_iter().filter(|run| run.began > acknowledged + CANCEL_TIME);
     assert_eq!(late.count(), 0, "items of ended jobs run");
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -110,7 +110,7 @@
         });
         let end = monoio::select! {
             end = self.run_once() => end,
-            () = self.cell.stopped() => RunEnd::Broken("stopped".to_owned()),
+            () = self.cell.until(|cell| !cell.is_running()) => RunEnd::Broken("stopped".to_owned()),
             () = self.withdrawn.notified() => RunEnd::Withdrawn,
         };
         self.state.schedule.borrow_mut().end(self.id);
--- a/crates/serving/src/keeper/job_calls.rs
+++ b/crates/serving/src/keeper/job_calls.rs
@@ -198,17 +198,12 @@
 
 /// Waits until there is a result at a position or no more will come.
 async fn wait_for_result(cell: &JobCell, position: usize) {
-    loop {
-        let changed = cell.changed.notified();
-        let is_over = {
-            let book = cell.book.borrow();
-            book.listed().len() > position || book.is_complete() || book.is_ended()
-        };
-        if is_over || !cell.is_current() {
-            return;
-        }
-        changed.await;
-    }
+    cell.until(|cell| {
+        let book = cell.book.borrow();
+        let is_over = book.listed().len() > position || book.is_complete() || book.is_ended();
+        is_over || !cell.is_current()
+    })
+    .await;
 }
 
 /// Makes the answer to a read.
--- a/crates/serving/src/keeper/job_cell.rs
+++ b/crates/serving/src/keeper/job_cell.rs
@@ -54,22 +54,11 @@
         self.is_owned.get() && !self.book.borrow().is_ended()
     }
 
-    /// Resolves when the job's runs have to stop.
-    pub async fn stopped(&self) {
+    /// Resolves when something holds of the job.
+    pub async fn until(&self, holds: impl Fn(&Self) -> bool) {
         loop {
             let changed = self.changed.notified();
-            if !self.is_running() {
-                return;
-            }
-            changed.await;
-        }
-    }
-
-    /// Resolves when another keeper is to run the job.
-    pub async fn disowned(&self) {
-        loop {
-            let changed = self.changed.notified();
-            if !self.is_owned.get() {
+            if holds(self) {
                 return;
             }
             changed.await;
--- a/crates/serving/src/keeper/job_commits.rs
+++ b/crates/serving/src/keeper/job_commits.rs
@@ -104,7 +104,7 @@
             Err(_) if cell.is_owned.get() => {
                 monoio::select! {
                     () = state.view.link.until_up() => {}
-                    () = cell.disowned() => return false,
+                    () = cell.until(|cell| !cell.is_owned.get()) => return false,
                 }
             }
             Err(_) => return false,
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -75,8 +75,7 @@
 
     /// Tells whether the store has answered lately.
     pub fn hears_store(&self) -> bool {
-        let link = &self.view.link;
-        link.is_up() && link.silence().is_some_and(|silence| silence < SURE_SILENCE)
+        self.view.link.has_answered_within(SURE_SILENCE)
     }
 
     /// Tells whether this keeper owns a job, by the keepers that it knows.
--- a/crates/serving/src/store_link.rs
+++ b/crates/serving/src/store_link.rs
@@ -55,6 +55,12 @@
         self.failures.get() < FAILURES_TO_LOSE
     }
 
+    /// Tells whether the store answers this process and has done so within a time.
+    #[must_use]
+    pub fn has_answered_within(&self, time: Duration) -> bool {
+        self.is_up() && self.silence().is_some_and(|silence| silence < time)
+    }
+
     /// Resolves when the store answers this process, which others of its calls find out.
     pub async fn until_up(&self) {
         loop {
--- a/crates/serving/src/view_relay.rs
+++ b/crates/serving/src/view_relay.rs
@@ -119,5 +119,5 @@
 
 /// Tells whether the store answers this process.
 fn is_fresh(view: &FleetView) -> bool {
-    view.link.is_up() && view.link.silence().is_some_and(|silence| silence < FRESH_SILENCE)
+    view.link.has_answered_within(FRESH_SILENCE)
 }
--- a/tests/adapter/main.rs
+++ b/tests/adapter/main.rs
@@ -4,3 +4,4 @@
 mod directory;
 mod headers;
 mod jobs;
+mod store_client;
--- a/tests/fault_matrix/batch_world.rs
+++ b/tests/fault_matrix/batch_world.rs
@@ -1,18 +1,14 @@
 //! One job among owners, three journals, the key-value service and a target, in virtual time.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
 use cv_policy::OrganisationId;
 use cv_policy::SeededRandom;
-use cv_policy::batch::ChunkCommit;
 use cv_policy::batch::ItemEnd;
 use cv_policy::batch::ItemResult;
 use cv_policy::batch::JobCommand;
-use cv_policy::batch::JobCounts;
 use cv_policy::batch::JobEvent;
 use cv_policy::batch::JobPlan;
 use cv_policy::batch::JobRecovery;
@@ -25,6 +21,12 @@
 use crate::batch_cases::BatchHistory;
 use crate::batch_cases::BatchStep;
 use crate::batch_cases::JOB;
+use crate::fault_plan::FaultPlan;
+use crate::world_agenda::WorldAction;
+use crate::world_agenda::WorldAgenda;
+use crate::world_disks::QUORUM;
+use crate::world_disks::WorldDisks;
+use crate::world_service::WorldService;
 
 /// Items of the job.
 pub const ITEMS: u32 = 10;
@@ -35,36 +37,12 @@
 /// Runs of an item before it ends as failed.
 pub const ATTEMPTS: u8 = 3;
 
-/// Number of journals, and how many of them have to hold a record.
-const JOURNALS: usize = 3;
-const QUORUM: usize = 2;
-
 /// Time to live of a lease, in milliseconds.
 const LEASE_MS: u64 = 1_000;
 
-/// Time after which a bad disk is replaced, in milliseconds.
-const REPAIR_MS: u64 = 20;
-
 /// Time after which the world ends, in milliseconds.
 const END_MS: u64 = 30_000;
 
-/// What is to happen at some time.
-#[derive(Clone, Debug)]
-enum WorldAction {
-    /// An owner hears an event.
-    Event(usize, JobEvent),
-    /// A command of an owner takes effect.
-    Effect(usize, JobCommand, bool),
-    /// An owner ticks.
-    Tick(usize),
-    /// Somebody takes the job over if nobody holds it.
-    Claim,
-    /// A run of an item has ended.
-    RunEnded(usize, u32, ItemEnd),
-    /// The caller's cancellation goes on.
-    Cancel,
-}
-
 /// One owner.
 #[derive(Clone, Debug)]
 struct WorldOwner {
@@ -80,26 +58,16 @@
 
 /// The world of one job.
 pub struct BatchWorld {
-    /// Since when each disk has been bad, in milliseconds; 0 if it is sound.
-    bad_since: Vec<u64>,
+    agenda: WorldAgenda,
     bug: Option<BatchBug>,
-    cancel_revision: Option<u64>,
-    commits: BTreeMap<u32, (u64, Vec<ItemResult>)>,
-    counted: Vec<(BatchStep, u32)>,
-    faults: Vec<(BatchStep, u32, BatchFault)>,
-    full: Vec<bool>,
+    disks: WorldDisks,
+    faults: FaultPlan,
     history: BatchHistory,
-    journals: Vec<Vec<JournalRecord>>,
-    lost: Vec<bool>,
     now: u64,
     owners: Vec<WorldOwner>,
-    queue: BinaryHeap<Reverse<(u64, u64)>>,
-    actions: BTreeMap<u64, WorldAction>,
     random: SeededRandom,
     repeatable: bool,
-    revision: u64,
-    sequence: u64,
-    service_down_until: u64,
+    service: WorldService,
 }
 
 impl BatchWorld {
@@ -111,25 +79,16 @@
         seed: u64,
     ) -> Self {
         let mut world = Self {
-            actions: BTreeMap::new(),
-            bad_since: vec![0; JOURNALS],
+            agenda: WorldAgenda::default(),
             bug,
-            cancel_revision: None,
-            commits: BTreeMap::new(),
-            counted: Vec::new(),
-            faults,
-            full: vec![false; JOURNALS],
+            disks: WorldDisks::new(bug),
+            faults: FaultPlan::new(faults),
             history: BatchHistory::default(),
-            journals: vec![Vec::new(); JOURNALS],
-            lost: vec![false; JOURNALS],
             now: 0,
             owners: Vec::new(),
-            queue: BinaryHeap::new(),
             random: SeededRandom::new(seed),
             repeatable,
-            revision: 1,
-            sequence: 0,
-            service_down_until: 0,
+            service: WorldService::new(bug),
         };
         world.at(0, WorldAction::Claim);
         world
@@ -137,20 +96,17 @@
 
     /// Runs the world to its end and returns what happened.
     pub fn run(mut self) -> BatchHistory {
-        while let Some(Reverse((time, id))) = self.queue.pop() {
+        while let Some((time, action)) = self.agenda.next() {
             if time > END_MS || self.history.ended {
                 break;
             }
             self.now = time;
-            if let Some(action) = self.actions.remove(&id) {
-                self.act(action);
-            }
+            self.act(action);
         }
         // What was sent before the end may still arrive after it.
-        let sent: Vec<Reverse<(u64, u64)>> = self.queue.drain().collect();
-        for Reverse((time, id)) in sent {
+        for (time, action) in self.agenda.drain() {
             self.now = self.now.max(time);
-            if let Some(WorldAction::Effect(owner, command, held)) = self.actions.remove(&id) {
+            if let WorldAction::Effect(owner, command, held) = action {
                 self.take_effect(owner, &command, held);
             }
         }
@@ -160,9 +116,7 @@
 
     /// Plans an action.
     fn at(&mut self, time: u64, action: WorldAction) {
-        self.sequence += 1;
-        self.actions.insert(self.sequence, action);
-        self.queue.push(Reverse((time, self.sequence)));
+        self.agenda.plan(time, action);
     }
 
     /// Carries out an action.
@@ -182,12 +136,12 @@
     /// Takes the job over if its last owner's lease is over.
     fn claim(&mut self) {
         let held = self.owners.iter().any(|owner| owner.lease_until > self.now);
-        let down = self.now < self.service_down_until;
+        let down = self.service.is_down(self.now);
         if held || down {
             self.at(self.now + 50, WorldAction::Claim);
             return;
         }
-        if self.cancel_revision.is_some() {
+        if self.service.is_cancelled() {
             self.confirm_cancel();
             return;
         }
@@ -195,7 +149,7 @@
             self.at(self.now + 50, WorldAction::Claim);
             return;
         };
-        self.revision += 1;
+        self.service.revision += 1;
         let index = self.owners.len();
         let mut results = BTreeMap::new();
         for item in 0..ITEMS {
@@ -205,17 +159,17 @@
         }
         self.owners.push(WorldOwner {
             dead: false,
-            epoch: self.revision,
+            epoch: self.service.revision,
             lease_until: self.now + LEASE_MS,
             paused_until: 0,
             results,
-            revision: self.revision,
+            revision: self.service.revision,
             stopped: false,
             table: JobTable::default(),
         });
         let attempts = recovery.open_attempts();
-        let epoch = self.revision;
-        self.append(&JournalRecord::Intent { epoch, items: attempts });
+        let epoch = self.service.revision;
+        self.disks.append(&JournalRecord::Intent { epoch, items: attempts }, &mut self.random);
         let plan = JobPlan::builder()
             .attempts(ATTEMPTS)
             .chunk_items(CHUNK_ITEMS)
@@ -231,32 +185,11 @@
     /// Reads commits and enough journals; `None` if too few of them can be read.
     fn recover(&mut self) -> Option<JobRecovery> {
         let mut recovery = JobRecovery::new(CHUNK_ITEMS);
-        for (chunk, (epoch, _)) in &self.commits {
-            let commit = ChunkCommit {
-                counts: JobCounts::default(),
-                epoch: *epoch,
-                write_id: String::new(),
-            };
-            recovery.take_commit(*chunk, &commit);
+        for (chunk, commit) in self.service.commits() {
+            recovery.take_commit(chunk, &commit);
         }
-        let needed = if self.bug == Some(BatchBug::RecoveryWithoutQuorum) {
-            1
-        } else {
-            JOURNALS - QUORUM + 1
-        };
-        let mut readable: Vec<usize> = (0..JOURNALS).filter(|disk| !self.lost[*disk]).collect();
-        if readable.len() < needed {
-            return None;
-        }
-        // Any of the journals may be the ones that answer.
-        while readable.len() > needed {
-            let position = self.random.below(readable.len());
-            readable.remove(position);
-        }
-        for disk in readable {
-            for record in self.journals[disk].clone() {
-                recovery.take_record(record);
-            }
+        for record in self.disks.read(&mut self.random)? {
+            recovery.take_record(record);
         }
         Some(recovery)
     }
@@ -279,31 +212,14 @@
             self.at(self.now, WorldAction::Claim);
             return;
         }
-        if self.now >= self.service_down_until {
+        if !self.service.is_down(self.now) {
             row.lease_until = self.now + LEASE_MS;
-            self.repair();
+            self.disks.repair(self.now);
         }
         self.hear(owner, JobEvent::Ticked(4));
         self.at(self.now + 10, WorldAction::Tick(owner));
     }
 
-    /// Replaces one disk that has been bad for a while with a copy of all others together.
-    fn repair(&mut self) {
-        let due = |since: u64| since > 0 && self.now >= since + REPAIR_MS;
-        let Some(disk) = (0..JOURNALS).find(|disk| due(self.bad_since[*disk])) else { return };
-        let sources: Vec<usize> = (0..JOURNALS).filter(|source| !self.lost[*source]).collect();
-        if sources.len() < JOURNALS - QUORUM + 1 {
-            return;
-        }
-        let taken =
-            if self.bug == Some(BatchBug::RepairFromOne) { &sources[..1] } else { &sources[..] };
-        let copies = taken.iter().flat_map(|source| self.journals[*source].clone()).collect();
-        self.journals[disk] = copies;
-        self.full[disk] = false;
-        self.lost[disk] = false;
-        self.bad_since[disk] = 0;
-    }
-
     /// Gives an owner's table an event and plans what its commands do.
     fn hear(&mut self, owner: usize, event: JobEvent) {
         if self.owners[owner].dead || self.owners[owner].stopped {
@@ -330,7 +246,7 @@
         }
         let held = self.now < self.owners[owner].lease_until;
         let mut time = self.now + 1 + self.random.below(8) as u64;
-        for fault in self.strikes(step) {
+        for fault in self.faults.strikes(step) {
             match fault {
                 BatchFault::OwnerDies => {
                     // What it had just sent may or may not be on its way.
@@ -345,16 +261,9 @@
                     self.owners[owner].paused_until = time;
                     self.at(self.now + LEASE_MS, WorldAction::Claim);
                 }
-                BatchFault::ServiceDown => self.service_down_until = self.now + LEASE_MS * 3,
-                BatchFault::DiskFull => {
-                    self.full[0] = true;
-                    self.bad_since[0] = self.now.max(1);
-                }
-                BatchFault::DiskLost => {
-                    self.journals[1].clear();
-                    self.lost[1] = true;
-                    self.bad_since[1] = self.now.max(1);
-                }
+                BatchFault::ServiceDown => self.service.fail_until(self.now + LEASE_MS * 3),
+                BatchFault::DiskFull => self.disks.fill(0, self.now),
+                BatchFault::DiskLost => self.disks.lose(1, self.now),
                 BatchFault::Cancelled => self.at(self.now, WorldAction::Cancel),
                 BatchFault::AnswerLost | BatchFault::WorkerDies => {
                     self.lose_answer(owner, &command, time);
@@ -370,7 +279,10 @@
         match command {
             JobCommand::RecordIntents(_, items) => {
                 let epoch = self.owners[owner].epoch;
-                self.append(&JournalRecord::Intent { epoch, items: items.clone() });
+                self.disks.append(
+                    &JournalRecord::Intent { epoch, items: items.clone() },
+                    &mut self.random,
+                );
                 let failed = items.iter().map(|(item, _)| *item).collect();
                 self.at(time, WorldAction::Event(owner, JobEvent::IntentsFailed(JOB, failed)));
             }
@@ -419,7 +331,8 @@
         let plain: Vec<u32> = items.iter().map(|(item, _)| *item).collect();
         let epoch = self.owners[owner].epoch;
         let record = JournalRecord::Intent { epoch, items: items.to_vec() };
-        let kept = self.bug == Some(BatchBug::IntentNotDurable) || self.append(&record) >= QUORUM;
+        let kept = self.bug == Some(BatchBug::IntentNotDurable)
+            || self.disks.append(&record, &mut self.random) >= QUORUM;
         let event = if kept {
             JobEvent::IntentsDurable(JOB, plain)
         } else {
@@ -472,7 +385,7 @@
         let body = format!("{item} by {epoch} at {}", self.now);
         let result = ItemResult { body, item, state, status: 200 };
         let record = JournalRecord::Results { epoch, results: vec![result.clone()] };
-        let kept = self.append(&record);
+        let kept = self.disks.append(&record, &mut self.random);
         if kept >= QUORUM {
             self.owners[owner].results.entry(item).or_insert(result);
             self.hear(owner, JobEvent::ResultsDurable(JOB, vec![item]));
@@ -488,7 +401,7 @@
 
     /// Commits a chunk, if the owner still owns the job; tells whether it is committed by it.
     fn commit(&mut self, owner: usize, chunk: u32) -> bool {
-        if self.now < self.service_down_until {
+        if self.service.is_down(self.now) {
             return false;
         }
         let row = &self.owners[owner];
@@ -501,44 +414,39 @@
             return false;
         }
         let record = JournalRecord::Chunk { chunk, epoch, results: results.clone() };
-        let kept = self.append(&record);
+        let kept = self.disks.append(&record, &mut self.random);
         if kept < QUORUM {
             return false;
         }
-        if let Some((known, _)) = self.commits.get(&chunk)
-            && self.bug != Some(BatchBug::CommitNotFenced)
-        {
-            return *known == epoch;
+        if let Some(known) = self.service.committed_by(chunk) {
+            return known == epoch;
         }
-        let fenced = revision != self.revision || self.now >= self.owners[owner].lease_until;
-        if fenced && self.bug != Some(BatchBug::CommitNotFenced) {
+        let is_fenced =
+            revision != self.service.revision || self.now >= self.owners[owner].lease_until;
+        if !self.service.commit(chunk, epoch, results.clone(), is_fenced) {
             return false;
         }
-        self.commits.insert(chunk, (epoch, results.clone()));
         self.history.commits.entry(chunk).or_default().push(results);
         true
     }
 
     /// Ends the job, if the owner still owns it.
     fn finish(&mut self, owner: usize) {
-        if self.now < self.service_down_until {
+        if self.service.is_down(self.now) {
             let again = WorldAction::Effect(owner, JobCommand::FinishJob(JOB), true);
             self.at(self.now + 100, again);
-        } else if self.owners[owner].revision == self.revision {
+        } else if self.owners[owner].revision == self.service.revision {
             self.history.ended = true;
         }
     }
 
     /// Takes the next step of a cancellation.
     fn cancel(&mut self) {
-        if self.now < self.service_down_until {
+        if self.service.is_down(self.now) {
             self.at(self.now + 50, WorldAction::Cancel);
             return;
         }
-        if self.cancel_revision.is_none() {
-            self.revision += 1;
-            self.cancel_revision = Some(self.revision);
-        }
+        self.service.cancel();
         if self.bug == Some(BatchBug::CancelNotWaited) {
             self.confirm_cancel();
             return;
@@ -559,59 +467,14 @@
         }
     }
 
-    /// Appends a record on every disk that takes it; returns on how many it is.
-    fn append(&mut self, record: &JournalRecord) -> usize {
-        if self.bug == Some(BatchBug::ResultNotKept) {
-            let disk = self.random.below(JOURNALS);
-            self.journals[disk].push(record.clone());
-            return QUORUM;
-        }
-        let mut kept = 0;
-        for disk in 0..JOURNALS {
-            if !self.full[disk] && !self.lost[disk] {
-                self.journals[disk].push(record.clone());
-                kept += 1;
-            }
-        }
-        // One disk may be slow to answer, so that its record is there and does not count, or is
-        // not there and was not waited for.
-        if kept == JOURNALS && self.random.below(3) == 0 {
-            let disk = self.random.below(JOURNALS);
-            self.journals[disk].pop();
-            kept -= 1;
-        }
-        kept
-    }
-
     /// Reads every committed chunk as a caller would, from any journals that hold it.
     fn read_all(&mut self) {
-        for (chunk, (epoch, _)) in &self.commits {
-            let found = self.journals.iter().flatten().find_map(|record| match record {
-                JournalRecord::Chunk { chunk: known, epoch: by, results }
-                    if known == chunk && by == epoch =>
-                {
-                    Some(results.clone())
-                }
-                _ => None,
-            });
+        for (chunk, epoch) in self.service.chunks() {
+            let found = self.disks.find_chunk(chunk, epoch);
             match found {
-                Some(results) => self.history.commits.entry(*chunk).or_default().push(results),
-                None => self.history.unreadable.push(*chunk),
+                Some(results) => self.history.commits.entry(chunk).or_default().push(results),
+                None => self.history.unreadable.push(chunk),
             }
         }
     }
-
-    /// Returns the faults that strike at this occurrence of a step.
-    fn strikes(&mut self, step: BatchStep) -> Vec<BatchFault> {
-        let position = self.counted.iter().position(|row| row.0 == step);
-        let occurrence = if let Some(position) = position {
-            self.counted[position].1 += 1;
-            self.counted[position].1
-        } else {
-            self.counted.push((step, 0));
-            0
-        };
-        let due = |fault: &&(BatchStep, u32, BatchFault)| fault.0 == step && fault.1 == occurrence;
-        self.faults.iter().filter(due).map(|fault| fault.2).collect()
-    }
 }
--- a/tests/fault_matrix/main.rs
+++ b/tests/fault_matrix/main.rs
@@ -7,8 +7,12 @@
 mod batch_cases;
 mod batch_matrix;
 mod batch_world;
+mod fault_plan;
 mod online_matrix;
 mod online_world;
+mod world_agenda;
+mod world_disks;
+mod world_service;
 
 /// Seed of the schedules where the environment names none.
 const DEFAULT_SEED: u64 = 20_261_204;
--- /dev/null
+++ b/tests/fault_matrix/world_agenda.rs
@@ -0,0 +1,60 @@
+//! What is to happen in the batch world, in the order of its time.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+
+use cv_policy::batch::ItemEnd;
+use cv_policy::batch::JobCommand;
+use cv_policy::batch::JobEvent;
+
+/// What is to happen at some time.
+#[derive(Clone, Debug)]
+pub enum WorldAction {
+    /// An owner hears an event.
+    Event(usize, JobEvent),
+    /// A command of an owner takes effect.
+    Effect(usize, JobCommand, bool),
+    /// An owner ticks.
+    Tick(usize),
+    /// Somebody takes the job over if nobody holds it.
+    Claim,
+    /// A run of an item has ended.
+    RunEnded(usize, u32, ItemEnd),
+    /// The caller's cancellation goes on.
+    Cancel,
+}
+
+/// All actions to come; those of one time stay in the order in which they were planned.
+#[derive(Debug, Default)]
+pub struct WorldAgenda {
+    actions: BTreeMap<u64, WorldAction>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    sequence: u64,
+}
+
+impl WorldAgenda {
+    /// Plans an action.
+    pub fn plan(&mut self, time: u64, action: WorldAction) {
+        self.sequence += 1;
+        self.actions.insert(self.sequence, action);
+        self.queue.push(Reverse((time, self.sequence)));
+    }
+
+    /// Takes the next action, with its time.
+    pub fn next(&mut self) -> Option<(u64, WorldAction)> {
+        let Reverse((time, id)) = self.queue.pop()?;
+        Some((time, self.take(id)))
+    }
+
+    /// Takes all actions to come, in no order.
+    pub fn drain(&mut self) -> Vec<(u64, WorldAction)> {
+        let rows: Vec<Reverse<(u64, u64)>> = self.queue.drain().collect();
+        rows.into_iter().map(|Reverse((time, id))| (time, self.take(id))).collect()
+    }
+
+    /// Takes an action out.
+    fn take(&mut self, id: u64) -> WorldAction {
+        self.actions.remove(&id).expect("every planned action is there")
+    }
+}
--- /dev/null
+++ b/tests/fault_matrix/world_disks.rs
@@ -0,0 +1,126 @@
+//! The journals of the batch world, on disks that fill up, fail and are replaced.
+
+use cv_policy::SeededRandom;
+use cv_policy::batch::ItemResult;
+use cv_policy::batch::JournalRecord;
+
+use crate::batch_cases::BatchBug;
+
+/// Number of journals, and how many of them have to hold a record.
+const JOURNALS: usize = 3;
+pub const QUORUM: usize = 2;
+
+/// Time after which a bad disk is replaced, in milliseconds.
+const REPAIR_MS: u64 = 20;
+
+/// One journal and its disk.
+#[derive(Clone, Debug, Default)]
+struct WorldDisk {
+    /// Since when it has been bad, in milliseconds; 0 if it is sound.
+    bad_since: u64,
+    full: bool,
+    journal: Vec<JournalRecord>,
+    lost: bool,
+}
+
+/// All journals of a job.
+#[derive(Clone, Debug)]
+pub struct WorldDisks {
+    bug: Option<BatchBug>,
+    disks: Vec<WorldDisk>,
+}
+
+impl WorldDisks {
+    /// Creates empty journals on sound disks.
+    pub fn new(bug: Option<BatchBug>) -> Self {
+        Self { bug, disks: vec![WorldDisk::default(); JOURNALS] }
+    }
+
+    /// Fills a disk up: its journal takes no more records.
+    pub fn fill(&mut self, disk: usize, now: u64) {
+        self.disks[disk].full = true;
+        self.disks[disk].bad_since = now.max(1);
+    }
+
+    /// Loses a disk with its journal.
+    pub fn lose(&mut self, disk: usize, now: u64) {
+        self.disks[disk] =
+            WorldDisk { bad_since: now.max(1), lost: true, ..self.disks[disk].clone() };
+        self.disks[disk].journal.clear();
+    }
+
+    /// Appends a record on every disk that takes it; returns on how many it is.
+    pub fn append(&mut self, record: &JournalRecord, random: &mut SeededRandom) -> usize {
+        if self.bug == Some(BatchBug::ResultNotKept) {
+            let disk = random.below(JOURNALS);
+            self.disks[disk].journal.push(record.clone());
+            return QUORUM;
+        }
+        let mut kept = 0;
+        for disk in self.disks.iter_mut().filter(|disk| !disk.full && !disk.lost) {
+            disk.journal.push(record.clone());
+            kept += 1;
+        }
+        // One disk may be slow to answer, so that its record is there and does not count, or is
+        // not there and was not waited for.
+        if kept == JOURNALS && random.below(3) == 0 {
+            let disk = random.below(JOURNALS);
+            self.disks[disk].journal.pop();
+            kept -= 1;
+        }
+        kept
+    }
+
+    /// Reads as many journals as recovery needs, any of those that can be read; `None` if too few
+    /// can.
+    pub fn read(&self, random: &mut SeededRandom) -> Option<Vec<JournalRecord>> {
+        let needed = if self.bug == Some(BatchBug::RecoveryWithoutQuorum) {
+            1
+        } else {
+            JOURNALS - QUORUM + 1
+        };
+        let mut readable = self.readable();
+        if readable.len() < needed {
+            return None;
+        }
+        // Any of the journals may be the ones that answer.
+        while readable.len() > needed {
+            let position = random.below(readable.len());
+            readable.remove(position);
+        }
+        Some(readable.into_iter().flat_map(|disk| self.disks[disk].journal.clone()).collect())
+    }
+
+    /// Finds the results of a committed chunk in any journal.
+    pub fn find_chunk(&self, chunk: u32, epoch: u64) -> Option<Vec<ItemResult>> {
+        let records = self.disks.iter().flat_map(|disk| &disk.journal);
+        records.into_iter().find_map(|record| match record {
+            JournalRecord::Chunk { chunk: known, epoch: by, results }
+                if *known == chunk && *by == epoch =>
+            {
+                Some(results.clone())
+            }
+            _ => None,
+        })
+    }
+
+    /// Replaces one disk that has been bad for a while with a copy of all others together.
+    pub fn repair(&mut self, now: u64) {
+        let is_due = |disk: &WorldDisk| disk.bad_since > 0 && now >= disk.bad_since + REPAIR_MS;
+        let Some(bad) = self.disks.iter().position(is_due) else { return };
+        let sources = self.readable();
+        if sources.len() < JOURNALS - QUORUM + 1 {
+            return;
+        }
+        let taken =
+            if self.bug == Some(BatchBug::RepairFromOne) { &sources[..1] } else { &sources[..] };
+        let records = taken.iter().flat_map(|source| self.disks[*source].journal.clone());
+        let journal = records.collect();
+        self.disks[bad] = WorldDisk { journal, ..WorldDisk::default() };
+    }
+
+    /// Returns the disks whose journals can be read.
+    fn readable(&self) -> Vec<usize> {
+        (0..JOURNALS).filter(|disk| !self.disks[*disk].lost).collect()
+    }
+}
