Hold requests while a starting entry loads its view

Cause: after a power failure an entry refused everything that had queued up at its port with no_configuration, 18 ms before it had its configuration and directory; callers with one retry left lost their request for it. Ruled out: not listening until loaded (the caller gets a refused connection and spends its retry in the same way); waiting without a bound (a store that is away would hold callers). Change: an entry holds requests until its view is loaded, for at most 0.5 s after its start. A peer's view is only served once it is loaded, since a view that misses targets would remove them at the peer. Test: two of real processes; the first fails without the wait.

--- a/crates/clementinevale/tests/nodes/online_requests.rs
+++ b/crates/clementinevale/tests/nodes/online_requests.rs
@@ -217,3 +217,41 @@
     assert_eq!(node.expect("the fleet has this entry").terminate(Duration::from_secs(5)), Ok(()));
     assert_eq!(caller.join().expect("the caller's thread finishes"), CallerOutcome::Completed);
 }
+
+#[test]
+fn a_starting_entry_holds_requests_until_its_view_is_loaded() {
+    let mut fleet = small_fleet();
+    let entry = fleet.entry_addresses()[0];
+    let node = fleet.nodes.iter_mut().find(|node| node.name.starts_with("entry"));
+    let node = node.expect("the fleet has this entry");
+    node.kill();
+    // Loading takes several reads, each of which the proxy delays.
+    node.store_proxy.set_mode(FaultMode::Delay(Duration::from_millis(40)));
+    node.start();
+    let is_listening = |_: &NodeFleet| std::net::TcpStream::connect(entry).is_ok();
+    assert!(fleet.wait_for(Duration::from_secs(5), is_listening));
+    let outcomes = block_on(async {
+        let requests = (0..4).map(|number| async move {
+            let id = format!("p{number}");
+            request_plain(entry, "status", &id).await
+        });
+        futures::future::join_all(requests).await
+    });
+    assert_eq!(outcomes.expect("the runtime starts"), vec![CallerOutcome::Completed; 4]);
+}
+
+#[test]
+fn an_entry_that_cannot_load_its_view_refuses_at_once_after_its_start() {
+    let mut fleet = small_fleet();
+    let entry = fleet.entry_addresses()[0];
+    let node = fleet.nodes.iter_mut().find(|node| node.name.starts_with("entry"));
+    let node = node.expect("the fleet has this entry");
+    node.kill();
+    node.store_proxy.set_mode(FaultMode::HalfOpen);
+    node.start();
+    std::thread::sleep(Duration::from_secs(1));
+    let started_at = std::time::Instant::now();
+    let outcome = block_on(async { request_plain(entry, "status", "p1").await });
+    assert_eq!(outcome.expect("the runtime starts"), CallerOutcome::NotRun);
+    assert!(started_at.elapsed() < Duration::from_millis(200), "{:?}", started_at.elapsed());
+}
--- a/crates/serving/src/entry/entry_handler.rs
+++ b/crates/serving/src/entry/entry_handler.rs
@@ -34,6 +34,12 @@
 /// Retry delay that callers receive while the entry has no configuration.
 const NO_CONFIG_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Time after its start for which an entry holds requests until its view is loaded.
+///
+/// Loading takes a few round trips to the store. A caller that is refused meanwhile spends one of
+/// its few attempts on a request that the entry could have served milliseconds later.
+const VIEW_LOAD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Handles the requests of callers.
 pub(crate) struct EntryHandler<P> {
     /// Decides when refused callers should retry.
@@ -50,6 +56,8 @@
     pub pool: ConnectionPool,
     /// Detects callers that retry after a refusal.
     pub retry_detector: RefCell<RetryDetector>,
+    /// When the entry started to accept requests.
+    pub started_at: Instant,
     /// The entry's view.
     pub view: Rc<FleetView>,
 }
@@ -57,6 +65,7 @@
 impl<P: PlatformAdapter> RequestHandler for EntryHandler<P> {
     async fn handle(&self, exchange: &mut ServerExchange<'_>) -> Result<(), HttpFault> {
         let received_at = Instant::now();
+        self.wait_for_view(exchange).await?;
         if let CallerRequest::Job(request) = P::classify(exchange.head()) {
             return self.jobs.relay(exchange, request.job(), Bytes::new(), false).await;
         }
@@ -83,6 +92,22 @@
 }
 
 impl<P: PlatformAdapter> EntryHandler<P> {
+    /// Waits until the view is loaded, or the entry has been running for [`VIEW_LOAD_TIMEOUT`].
+    ///
+    /// # Errors
+    /// `Closed` if the caller goes away.
+    async fn wait_for_view(&self, exchange: &mut ServerExchange<'_>) -> Result<(), HttpFault> {
+        let left = VIEW_LOAD_TIMEOUT.saturating_sub(self.started_at.elapsed());
+        if self.view.is_loaded() || left.is_zero() {
+            return Ok(());
+        }
+        monoio::select! {
+            // After the timeout the request is handled with what has been loaded.
+            _ = monoio::time::timeout(left, self.view.wait_until_loaded()) => Ok(()),
+            () = exchange.closed() => Err(HttpFault::Closed),
+        }
+    }
+
     /// Responds with status 503 and a `Retry-After` header in seconds; the request has not run.
     /// `details` is added to the log line.
     pub async fn refuse(
--- a/crates/serving/src/entry/entry_node.rs
+++ b/crates/serving/src/entry/entry_node.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use cv_dispatch::RetryAdvice;
 use cv_http::ConnectionPool;
@@ -94,6 +95,7 @@
             metrics,
             pool: ConnectionPool::new(limits),
             retry_detector: RefCell::default(),
+            started_at: Instant::now(),
             view: Rc::clone(&view),
         };
         let ready = ReadyHandler { gate: drain.clone(), view };
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -20,6 +20,7 @@
 use cv_timeline::LinePriority;
 use cv_timer::ProcessClock;
 use cv_timer::TimerService;
+use tokio::sync::Notify;
 
 use crate::PlatformAdapter;
 use crate::PrefixWatcher;
@@ -58,6 +59,9 @@
     target_removals: RefCell<DeferredRemovals>,
     routes: RefCell<Option<Rc<RouteTable>>>,
     keepers_loaded: Cell<bool>,
+    targets_loaded: Cell<bool>,
+    /// Notified when configuration, targets or keepers have been loaded for the first time.
+    loaded: Notify,
 }
 
 impl FleetView {
@@ -76,6 +80,8 @@
             target_removals: RefCell::default(),
             routes: RefCell::default(),
             keepers_loaded: Cell::new(false),
+            targets_loaded: Cell::new(false),
+            loaded: Notify::new(),
         }
     }
 
@@ -145,6 +151,24 @@
         self.keepers_loaded.get()
     }
 
+    /// Returns whether configuration, targets and keepers have all been loaded at least once.
+    ///
+    /// Until then, a target or keeper that is missing says nothing.
+    #[must_use]
+    pub fn is_loaded(&self) -> bool {
+        let has_routes = self.routes.borrow().is_some();
+        has_routes && self.targets_loaded.get() && self.keepers_loaded.get()
+    }
+
+    /// Waits until the view is loaded.
+    pub async fn wait_until_loaded(&self) {
+        while !self.is_loaded() {
+            self.loaded.notified().await;
+        }
+        // Passes the notification on to the next waiting request.
+        self.loaded.notify_one();
+    }
+
     /// Returns whether requests can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -205,7 +229,9 @@
             keepers.upsert(keeper);
         }
         self.keepers.replace(keepers);
+        self.targets_loaded.set(true);
         self.keepers_loaded.set(true);
+        self.loaded.notify_one();
     }
 
     /// Activates a configuration unless the active one is as new; returns whether it did.
@@ -219,6 +245,7 @@
             format!("version={} before={} routes={routes}", table.version, current.unwrap_or(0))
         });
         self.routes.replace(Some(Rc::new(table)));
+        self.loaded.notify_one();
         true
     }
 
@@ -261,6 +288,8 @@
                 for item in &items {
                     self.apply_target::<P>(&id_of(&item.key), item);
                 }
+                self.targets_loaded.set(true);
+                self.loaded.notify_one();
             }
             StoreUpdate::Changes(changes) => {
                 for change in changes {
@@ -339,6 +368,7 @@
                 for item in &items {
                     self.apply_keeper(item);
                 }
+                self.loaded.notify_one();
             }
             StoreUpdate::Changes(changes) => {
                 for change in changes {
--- a/crates/serving/src/peer_sync.rs
+++ b/crates/serving/src/peer_sync.rs
@@ -105,12 +105,14 @@
     }
 }
 
-/// Sends this process's view to a peer, unless the store does not respond to this process either.
+/// Sends this process's view to a peer, unless the store does not respond to this process either
+/// or the view is not loaded yet: an incomplete view would remove the peer's targets and keepers.
 pub(crate) async fn respond_view(
     exchange: &mut ServerExchange<'_>,
     view: &FleetView,
 ) -> Result<(), HttpFault> {
-    let encoded = is_fresh(view).then(|| postcard::to_stdvec(&view.snapshot()));
+    let is_complete = is_fresh(view) && view.is_loaded();
+    let encoded = is_complete.then(|| postcard::to_stdvec(&view.snapshot()));
     let (status, body) = match encoded {
         Some(Ok(body)) => (StatusCode::OK, Bytes::from(body)),
         Some(Err(fault)) => {
