Place batch items by all that was sent since a report, and move them by need

A keeper divided the free slots by the number of keepers, of which most had nothing to move; it counted own items only beyond the reported ones, so a burst of a job went to one target; keepers with the same reports chose the same target. Ruled out: too few reports (an unchanged queue reports three times a second, a changed one ten). Change: own starts since the report count; equal targets are chosen by lot; free slots are shared by each keeper's part of the waiting runs; moves are planned as often as reports come.

--- a/crates/dispatch/src/run_schedule.rs
+++ b/crates/dispatch/src/run_schedule.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
+use cv_policy::SeededRandom;
 
+use crate::PlacementRequest;
 use crate::TargetChoice;
 use crate::TargetRow;
 use crate::TargetTable;
@@ -58,6 +60,8 @@
     /// Chooses the least loaded target for one more item, or returns `None` if all are at their
     /// limits.
     ///
+    /// Equally loaded targets are chosen by lot, since other keepers compare the same reports.
+    ///
     /// A target gets at most as many items of this keeper as it has slots: more would only wait
     /// there while another target may become idle. A target whose sidecar is silent gets one item
     /// at most, and none while the sidecar may be restarting, since without a sidecar online
@@ -67,16 +71,18 @@
         &self,
         targets: &TargetTable,
         now: MonotonicTime,
-        service: &str,
-        zone: &str,
+        request: &PlacementRequest<'_>,
     ) -> Option<TargetChoice> {
+        let mut random = SeededRandom::new(request.seed);
         let usable = targets.rows().iter().filter(|row| {
-            row.record.service == service
+            row.record.service == request.service
                 && row.is_usable(now)
                 && self.run_count(&row.record.id) < item_limit(row, now)
         });
-        let costs = usable.map(|row| (self.placement_cost(row, now, zone), row));
-        let (_, row) = costs.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        let costs =
+            usable.map(|row| (self.placement_cost(row, now, request.zone), random.number(), row));
+        let (.., row) =
+            costs.min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)))?;
         Some(TargetChoice {
             address: row.record.address,
             id: row.record.id.clone(),
@@ -129,36 +135,28 @@
     /// Returns the runs to move: those that wait in a sidecar's queue while other targets have free
     /// slots, earliest due time first.
     ///
-    /// The free slots are divided among `keepers`, since each keeper moves its own runs.
+    /// Each keeper moves its own runs, so it takes a share of the free slots: that of its waiting
+    /// runs in all that wait according to the load reports.
     #[must_use]
-    pub fn plan_moves(
-        &self,
-        targets: &TargetTable,
-        now: MonotonicTime,
-        keepers: usize,
-    ) -> Vec<RunId> {
-        let free: u32 = targets.rows().iter().map(|row| free_slots(row, now)).sum();
-        let share = (free as usize).div_ceil(keepers.max(1));
+    pub fn plan_moves(&self, targets: &TargetTable, now: MonotonicTime) -> Vec<RunId> {
         let mut waiting: Vec<&ActiveRun> = self
             .runs
             .iter()
             .filter(|run| now.since(run.last_output) >= QUEUED_OUTPUT_GAP)
-            .filter(|run| targets.get(&run.target).is_some_and(|row| has_queue(row, now)))
+            .filter(|run| targets.get(&run.target).is_some_and(|row| queued_items(row, now) > 0))
             .collect();
         waiting.sort_by_key(|run| (run.due_ms, run.id));
+        let rows = targets.rows();
+        let free: usize = rows.iter().map(|row| free_slots(row, now) as usize).sum();
+        let queued: usize = rows.iter().map(|row| queued_items(row, now) as usize).sum();
+        let share = (free * waiting.len()).div_ceil(queued.max(waiting.len()).max(1));
         waiting.into_iter().take(share).map(|run| run.id).collect()
     }
 
     /// Returns the load of a target in requests, plus the penalty for another zone.
     fn placement_cost(&self, row: &TargetRow, now: MonotonicTime, zone: &str) -> f64 {
         let own = self.run_count(&row.record.id);
-        let load = match row.fresh_report(now, MAX_REPORT_AGE) {
-            Some(report) => {
-                let batch = (report.batch_running + report.batch_waiting).max(own);
-                batch + report.online_running + report.online_waiting
-            }
-            None => own,
-        };
+        let load = row.total_load(now, MAX_REPORT_AGE).unwrap_or_default().max(own);
         let penalty = if row.record.zone == zone { 0.0 } else { ZONE_PENALTY };
         f64::from(load) + penalty
     }
@@ -184,15 +182,11 @@
     if !row.is_usable(now) || !row.has_sidecar(now) {
         return 0;
     }
-    row.fresh_report(now, MAX_MOVE_REPORT_AGE).map_or(0, |report| {
-        let online = report.online_running + report.online_waiting;
-        let batch = report.batch_running + report.batch_waiting;
-        report.slots.saturating_sub(online + batch)
-    })
+    let load = row.total_load(now, MAX_MOVE_REPORT_AGE);
+    load.map_or(0, |load| row.record.slots.saturating_sub(load))
 }
 
-/// Returns whether batch requests wait in the queue of a target's sidecar.
-fn has_queue(row: &TargetRow, now: MonotonicTime) -> bool {
-    let report = row.fresh_report(now, MAX_MOVE_REPORT_AGE);
-    report.is_some_and(|report| report.batch_waiting > 0)
+/// Returns the number of batch requests that wait in the queue of a target's sidecar.
+fn queued_items(row: &TargetRow, now: MonotonicTime) -> u32 {
+    row.fresh_report(now, MAX_MOVE_REPORT_AGE).map_or(0, |report| report.batch_waiting)
 }
--- a/crates/dispatch/src/target_table.rs
+++ b/crates/dispatch/src/target_table.rs
@@ -58,6 +58,8 @@
     failures: u32,
     /// Online requests of this process in progress at the target.
     pub in_flight: u32,
+    /// Batch items of this process started since the last load report, less those ended.
+    item_change: i32,
     /// Online requests of this process started since the last load report, less those ended.
     load_change: i32,
     /// When it became known.
@@ -84,6 +86,7 @@
         Self {
             failures: 0,
             in_flight: 0,
+            item_change: 0,
             load_change: 0,
             known_since: now,
             ejected_until: MonotonicTime::ZERO,
@@ -133,6 +136,16 @@
         }
     }
 
+    /// Estimates the number of requests of both classes that run or wait at the target, or returns
+    /// `None` without a load report that is at most `max_report_age` old.
+    #[must_use]
+    pub fn total_load(&self, now: MonotonicTime, max_report_age: Duration) -> Option<u32> {
+        let report = self.fresh_report(now, max_report_age)?;
+        let batch = report.batch_running + report.batch_waiting;
+        let online = report.online_running + report.online_waiting;
+        Some(batch.saturating_add_signed(self.item_change) + online)
+    }
+
     /// Returns the last load report, unless it is older than `max_age`.
     #[must_use]
     pub fn fresh_report(&self, now: MonotonicTime, max_age: Duration) -> Option<&LoadReport> {
@@ -143,6 +156,7 @@
     /// Records a load report of the target's sidecar.
     pub fn record_report(&mut self, report: LoadReport, now: MonotonicTime) {
         self.report = Some((report, now));
+        self.item_change = 0;
         self.load_change = 0;
     }
 
@@ -238,6 +252,20 @@
         }
     }
 
+    /// Counts a batch item that is sent to a target.
+    pub fn begin_item(&mut self, id: &str) {
+        if let Some(row) = self.get_mut(id) {
+            row.item_change += 1;
+        }
+    }
+
+    /// Counts the end of a batch item's run at a target.
+    pub fn end_item(&mut self, id: &str) {
+        if let Some(row) = self.get_mut(id) {
+            row.item_change -= 1;
+        }
+    }
+
     /// Returns the index of a target, or the index at which to insert it.
     fn position(&self, id: &str) -> Result<usize, usize> {
         self.rows.binary_search_by(|row| row.record.id.as_str().cmp(id))
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cv_dispatch::EventParser;
+use cv_dispatch::PlacementRequest;
 use cv_dispatch::RunId;
 use cv_dispatch::TargetChoice;
 use cv_dispatch::TargetRow;
@@ -89,8 +90,12 @@
         };
         let now = state.view.clock.now();
         let zone = &state.identity.zone;
+        let seed = state.view.random_number();
+        let request = PlacementRequest { seed, service: &service, tried: &[], zone };
         let target = state.view.with_targets(|targets| {
-            state.schedule.borrow().choose_target(targets, now, &service, zone)
+            let choice = state.schedule.borrow().choose_target(targets, now, &request)?;
+            targets.begin_item(&choice.id);
+            Some(choice)
         });
         let Some(target) = target else {
             return false;
@@ -124,6 +129,7 @@
             () = self.withdrawn.notified() => RunOutcome::Withdrawn,
         };
         self.state.schedule.borrow_mut().end_run(self.id);
+        self.state.view.with_targets(|targets| targets.end_item(&self.target.id));
         self.state.withdrawals.borrow_mut().retain(|(id, _)| *id != self.id);
         self.apply_outcome(&outcome);
         self.state.work_available.notify_one();
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -34,6 +34,10 @@
 /// reach it.
 const WATCH_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Time between two checks for waiting runs that could restart on a target with a free slot; as
+/// often as sidecars report their load.
+const MOVE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Time between two reviews of all jobs.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -52,15 +56,14 @@
     state.view.watch_prefix(&state.store, WORK_PREFIX, WATCH_INTERVAL, move |update| {
         apply_work_update(&watching_state, update);
     });
-    let ticks = timers.subscribe(REVIEW_INTERVAL);
+    let reviews = timers.subscribe(REVIEW_INTERVAL);
+    let moves = timers.subscribe(MOVE_INTERVAL);
     let state = Rc::clone(state);
     monoio::spawn(async move {
         loop {
             monoio::select! {
-                _ = ticks.next() => {
-                    review_jobs(&state);
-                    withdraw_runs(&state);
-                }
+                _ = reviews.next() => review_jobs(&state),
+                _ = moves.next() => withdraw_runs(&state),
                 () = state.work_available.notified() => {}
             }
             dispatch_items(&state);
@@ -185,11 +188,9 @@
 
 /// Withdraws runs that wait at their target while another has room; their items restart there.
 fn withdraw_runs<P: PlatformAdapter>(state: &KeeperState<P>) {
-    let keepers = state.view.keepers().keepers().len();
     let now = state.view.clock.now();
-    let withdrawn = state
-        .view
-        .with_targets(|targets| state.schedule.borrow().plan_moves(targets, now, keepers));
+    let withdrawn =
+        state.view.with_targets(|targets| state.schedule.borrow().plan_moves(targets, now));
     let withdrawals = state.withdrawals.borrow();
     for run in withdrawn {
         if let Ok(position) = withdrawals.binary_search_by_key(&run, |(id, _)| *id) {
