--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -72,20 +72,54 @@
         usable.retain(|row| !request.tried.contains(&row.record.id));
         let mut random = SeededRandom::new(request.seed ^ request.tried.len() as u64);
         let mut best: Option<(f64, &TargetRow)> = None;
-        for index in candidate_indices(usable.len(), &mut random) {
+        for index in candidate_indices(usable.len(), CANDIDATES, &mut random) {
             let row = usable[index];
             let cost = placement_cost(row, now, mean_load, request);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, row));
             }
         }
-        best.map(|(_, row)| TargetChoice {
-            address: row.record.address,
-            id: row.record.id.clone(),
-            is_full: estimated_load(row, now, mean_load) >= f64::from(row.record.slots.max(1)),
-            slots: row.record.slots,
-            through_sidecar: row.has_sidecar(now),
-        })
+        best.map(|(_, row)| target_choice(row, now, mean_load))
+    }
+
+    /// Chooses up to `count` targets with sidecars at which the request places reservations: the
+    /// least loaded of twice as many random ones, so that the other entries choose others.
+    #[must_use]
+    pub fn choose_for_reservations(
+        self,
+        targets: &TargetTable,
+        now: MonotonicTime,
+        request: &PlacementRequest<'_>,
+        count: usize,
+    ) -> Vec<TargetChoice> {
+        let usable = targets.rows().iter().filter(|row| {
+            row.record.service == request.service
+                && row.is_usable(now)
+                && row.has_sidecar(now)
+                && !request.tried.contains(&row.record.id)
+        });
+        let usable: Vec<&TargetRow> = usable.collect();
+        let mean_load = mean_reported_load(&usable, now);
+        let mut random = SeededRandom::new(request.seed ^ request.tried.len() as u64);
+        let indices = candidate_indices(usable.len(), 2 * count, &mut random);
+        let mut candidates: Vec<(f64, &TargetRow)> = indices
+            .into_iter()
+            .map(|index| (placement_cost(usable[index], now, mean_load, request), usable[index]))
+            .collect();
+        candidates.sort_by(|left, right| left.0.total_cmp(&right.0));
+        candidates.truncate(count);
+        candidates.into_iter().map(|(_, row)| target_choice(row, now, mean_load)).collect()
+    }
+}
+
+/// Describes a target as the choice for a request.
+fn target_choice(row: &TargetRow, now: MonotonicTime, mean_load: f64) -> TargetChoice {
+    TargetChoice {
+        address: row.record.address,
+        id: row.record.id.clone(),
+        is_full: estimated_load(row, now, mean_load) >= f64::from(row.record.slots.max(1)),
+        slots: row.record.slots,
+        through_sidecar: row.has_sidecar(now),
     }
 }
 
@@ -122,10 +156,10 @@
     if row.record.zone == request.zone { cost } else { cost + ZONE_PENALTY }
 }
 
-/// Draws distinct random indices below `count` by a partial Fisher-Yates shuffle.
-fn candidate_indices(count: usize, random: &mut SeededRandom) -> Vec<usize> {
+/// Draws up to `wanted` distinct random indices below `count` by a partial Fisher-Yates shuffle.
+fn candidate_indices(count: usize, wanted: usize, random: &mut SeededRandom) -> Vec<usize> {
     let mut indices: Vec<usize> = (0..count).collect();
-    let chosen = count.min(CANDIDATES);
+    let chosen = count.min(wanted);
     for index in 0..chosen {
         indices.swap(index, index + random.below(count - index));
     }
--- a/crates/dispatch/src/slot_queue.rs
+++ b/crates/dispatch/src/slot_queue.rs
@@ -12,6 +12,12 @@
 /// in quick succession.
 const REFILL_DELAY: Duration = Duration::from_millis(60);
 
+/// Time before the end of its queue timeout in which an online request goes first.
+const LAST_CHANCE_TIME: Duration = Duration::from_millis(300);
+
+/// Time between two attempts to use a slot that runs of others seem to occupy.
+const PROBE_INTERVAL: Duration = Duration::from_millis(60);
+
 /// Assumed run time of online requests until one has ended.
 const INITIAL_RUN_TIME: Duration = Duration::from_millis(800);
 
@@ -32,8 +38,12 @@
     pub due: MonotonicTime,
     /// Longest expected wait with which an online request is admitted.
     pub max_expected_wait: Duration,
+    /// Time in which an online request has to start to meet its latency objective.
+    pub objective_left: Duration,
     /// Expected run time of a batch request.
     pub expected_run: Duration,
+    /// Number of queues in which an online request waits at once; it takes a slot in only one.
+    pub queues: u32,
     /// Time after which an admitted online request leaves the queue without a slot.
     pub queue_timeout: Duration,
 }
@@ -85,18 +95,19 @@
     latest_start: MonotonicTime,
     /// Batch: when it is due. Online: when its queue timeout ends.
     deadline: MonotonicTime,
+    /// Online: time until which it has to start to meet its latency objective.
+    meets_objective_until: MonotonicTime,
+    /// Probability that it takes a slot of this engine: below 1 if it waits in other queues, too.
+    share: f64,
     ticket: TicketId,
 }
 
 /// A request that the engine runs.
 #[derive(Clone, Copy, Debug)]
 struct RunningRequest {
-    /// Batch: when it is due.
-    due: MonotonicTime,
-    /// Batch: time after which it would probably have been late if it had started.
-    latest_start: MonotonicTime,
+    /// The request as it waited before it started.
+    request: WaitingRequest,
     started: MonotonicTime,
-    ticket: TicketId,
 }
 
 /// Decides which requests an engine runs.
@@ -111,6 +122,11 @@
     is_draining: bool,
     /// Mean run time of online requests, in seconds.
     mean_run_seconds: f64,
+    /// When the next slot that runs of others seem to occupy is tried.
+    next_probe: MonotonicTime,
+    /// Slots that runs of others seem to occupy, since the engine refuses requests although this
+    /// queue has sent it fewer than it can run: runs that an earlier process has started.
+    occupied_by_others: u32,
     online_running: Vec<RunningRequest>,
     /// In order of arrival.
     online_waiting: Vec<WaitingRequest>,
@@ -129,6 +145,8 @@
             refuses_batch: false,
             is_draining: false,
             mean_run_seconds: INITIAL_RUN_TIME.as_secs_f64(),
+            next_probe: MonotonicTime::ZERO,
+            occupied_by_others: 0,
             online_running: Vec::new(),
             online_waiting: Vec::new(),
             preempted_at: None,
@@ -161,7 +179,7 @@
     /// They continue at another target sooner than their runs here would end.
     pub fn evict_batch(&mut self, commands: &mut Vec<QueueCommand>) {
         self.refuses_batch = true;
-        let running = self.batch_running.drain(..).map(|request| request.ticket);
+        let running = self.batch_running.drain(..).map(|run| run.request.ticket);
         let waiting = self.batch_waiting.drain(..).map(|request| request.ticket);
         commands.extend(running.chain(waiting).map(QueueCommand::Evict));
     }
@@ -184,48 +202,82 @@
         }
     }
 
-    /// Returns a batch request that the engine has refused to the queue, or evicts it if the engine
-    /// is draining.
-    pub fn requeue(&mut self, ticket: TicketId, commands: &mut Vec<QueueCommand>) {
-        let Some(position) = self.batch_running.iter().position(|request| request.ticket == ticket)
-        else {
-            return;
-        };
-        let RunningRequest { due, latest_start, .. } = self.batch_running.swap_remove(position);
-        if self.is_draining {
-            commands.push(QueueCommand::Evict(ticket));
-        } else {
-            self.enqueue_batch(WaitingRequest {
-                has_begun: false,
-                latest_start,
-                deadline: due,
-                ticket,
-            });
+    /// Returns a request that the engine has refused to the queue, or evicts it if the engine is
+    /// draining or, for an online request, the expected wait is longer than `max_expected_wait`.
+    pub fn requeue(
+        &mut self,
+        now: MonotonicTime,
+        ticket: TicketId,
+        max_expected_wait: Duration,
+        commands: &mut Vec<QueueCommand>,
+    ) {
+        if let Some(run) = take_run(&mut self.batch_running, ticket) {
+            self.record_engine_full(now);
+            if self.is_draining {
+                commands.push(QueueCommand::Evict(ticket));
+            } else {
+                self.enqueue_batch(run.request);
+            }
+        } else if let Some(run) = take_run(&mut self.online_running, ticket) {
+            self.record_engine_full(now);
+            if self.is_draining || self.expected_wait(now) > max_expected_wait {
+                commands.push(QueueCommand::Evict(ticket));
+            } else {
+                self.online_waiting.insert(0, run.request);
+            }
         }
     }
 
-    /// Records the end of a running or waiting request and fills free slots.
+    /// Records that the engine has refused a request which this queue no longer counts as running.
+    fn record_engine_full(&mut self, now: MonotonicTime) {
+        let own = self.online_running.len() + self.batch_running.len();
+        self.occupied_by_others = self.slots.saturating_sub(own as u32);
+        self.next_probe = now + PROBE_INTERVAL;
+    }
+
+    /// Returns the number of slots that this queue can use.
+    fn usable_slots(&self) -> usize {
+        self.slots.saturating_sub(self.occupied_by_others) as usize
+    }
+
+    /// Records the complete response to a running request and fills free slots.
     pub fn finish(
         &mut self,
         now: MonotonicTime,
         ticket: TicketId,
         commands: &mut Vec<QueueCommand>,
     ) {
-        self.online_waiting.retain(|request| request.ticket != ticket);
-        self.batch_waiting.retain(|request| request.ticket != ticket);
-        self.batch_running.retain(|request| request.ticket != ticket);
-        if let Some(position) =
-            self.online_running.iter().position(|request| request.ticket == ticket)
-        {
-            let request = self.online_running.swap_remove(position);
-            let lasted = now.since(request.started).as_secs_f64();
+        let run = self.online_running.iter().find(|run| run.request.ticket == ticket);
+        if let Some(run) = run {
+            let lasted = now.since(run.started).as_secs_f64();
             self.mean_run_seconds += SAMPLE_WEIGHT * (lasted - self.mean_run_seconds);
         }
+        self.remove(now, ticket, commands);
+    }
+
+    /// Removes a running or waiting request that ended early and fills free slots.
+    ///
+    /// Its time on the engine says nothing about how long complete runs last.
+    pub fn remove(
+        &mut self,
+        now: MonotonicTime,
+        ticket: TicketId,
+        commands: &mut Vec<QueueCommand>,
+    ) {
+        self.online_waiting.retain(|request| request.ticket != ticket);
+        self.batch_waiting.retain(|request| request.ticket != ticket);
+        self.batch_running.retain(|run| run.request.ticket != ticket);
+        self.online_running.retain(|run| run.request.ticket != ticket);
         self.fill_slots(now, commands);
     }
 
-    /// Evicts online requests whose queue timeout has passed and fills free slots.
+    /// Evicts online requests whose queue timeout has passed, tries occupied slots again and fills
+    /// free ones.
     pub fn tick(&mut self, now: MonotonicTime, commands: &mut Vec<QueueCommand>) {
+        if self.occupied_by_others > 0 && self.next_probe <= now {
+            self.occupied_by_others -= 1;
+            self.next_probe = now + PROBE_INTERVAL;
+        }
         self.online_waiting.retain(|request| {
             let keeps_waiting = request.deadline > now;
             if !keeps_waiting {
@@ -242,29 +294,35 @@
         let timeout = self.online_waiting.iter().map(|request| request.deadline).min();
         let refill = self.preempted_at.map(|time| time + REFILL_DELAY);
         let refill = refill.filter(|time| !self.batch_waiting.is_empty() && *time > now);
-        timeout.into_iter().chain(refill).min()
+        let probe = (self.occupied_by_others > 0).then_some(self.next_probe);
+        timeout.into_iter().chain(refill).chain(probe).min()
     }
 
-    /// Returns the request counts.
+    /// Returns the request counts; runs of others count as online ones, which keep their slots.
     #[must_use]
     pub fn load_report(&self) -> LoadReport {
         LoadReport {
             batch_running: self.batch_running.len() as u32,
             batch_waiting: self.batch_waiting.len() as u32,
-            online_running: self.online_running.len() as u32,
+            online_running: self.online_running.len() as u32 + self.occupied_by_others,
             online_waiting: self.online_waiting.len() as u32,
             slots: self.slots,
         }
     }
 
-    /// Estimates how long an online request that arrived now would wait.
+    /// Estimates how long an online request that arrived now would wait, if it can still meet its
+    /// latency objective.
     #[must_use]
-    pub fn expected_wait(&self) -> Duration {
-        let ahead = self.online_running.len() + self.online_waiting.len();
-        if ahead < self.slots as usize {
+    pub fn expected_wait(&self, now: MonotonicTime) -> Duration {
+        if self.online_running.len() + self.online_waiting.len() < self.usable_slots() {
             return Duration::ZERO;
         }
-        let ends_needed = (ahead + 1 - self.slots as usize) as f64;
+        // Requests that have missed their objective let it pass.
+        let ahead =
+            self.online_waiting.iter().filter(|request| request.meets_objective_until >= now);
+        let waiting: f64 = ahead.map(|request| request.share).sum();
+        let ahead = self.online_running.len() as f64 + waiting;
+        let ends_needed = (ahead + 1.0 - self.usable_slots() as f64).max(0.0);
         Duration::from_secs_f64(ends_needed * self.mean_run_seconds / f64::from(self.slots))
     }
 
@@ -276,21 +334,24 @@
         options: &AdmissionOptions,
         commands: &mut Vec<QueueCommand>,
     ) -> AdmissionDecision {
-        let wait = self.expected_wait();
+        let wait = self.expected_wait(now);
         if wait > options.max_expected_wait {
             return AdmissionDecision::Refuse(wait);
         }
+        let deadline = now + options.queue_timeout;
+        let request = WaitingRequest {
+            has_begun: false,
+            latest_start: deadline,
+            deadline,
+            meets_objective_until: now + options.objective_left,
+            share: 1.0 / f64::from(options.queues.max(1)),
+            ticket,
+        };
         if !wait.is_zero() {
-            let deadline = now + options.queue_timeout;
-            self.online_waiting.push(WaitingRequest {
-                has_begun: false,
-                latest_start: deadline,
-                deadline,
-                ticket,
-            });
+            self.online_waiting.push(request);
             return AdmissionDecision::Wait;
         }
-        self.start_online(now, ticket);
+        self.online_running.push(RunningRequest { request, started: now });
         self.preempt_batch(now, commands);
         AdmissionDecision::Start
     }
@@ -307,9 +368,17 @@
         }
         let latest_start = BatchOrder.latest_start(options.due, options.expected_run);
         let has_begun = options.has_begun;
-        let request = WaitingRequest { has_begun, latest_start, deadline: options.due, ticket };
+        let deadline = options.due;
+        let request = WaitingRequest {
+            has_begun,
+            latest_start,
+            deadline,
+            meets_objective_until: deadline,
+            share: 1.0,
+            ticket,
+        };
         if self.batch_waiting.is_empty() && self.may_start_batch(now) {
-            self.start_batch(now, &request);
+            self.batch_running.push(RunningRequest { request, started: now });
             return AdmissionDecision::Start;
         }
         self.enqueue_batch(request);
@@ -339,18 +408,32 @@
         Some(self.batch_waiting.remove(next))
     }
 
+    /// Removes and returns the online request that is to run next; there is at least one.
+    ///
+    /// At a load peak a queue in order of arrival makes every request slightly late. Those that can
+    /// still meet their objective go first; the others have lost it anyway and wait for the end of
+    /// the peak. One that would soon be evicted goes before all: late is better than refused.
+    fn dequeue_online(&mut self, now: MonotonicTime) -> WaitingRequest {
+        let requests = &self.online_waiting;
+        let evicted_soon =
+            requests.iter().position(|request| request.deadline <= now + LAST_CHANCE_TIME);
+        let in_time = || requests.iter().position(|request| request.meets_objective_until >= now);
+        let next = evicted_soon.or_else(in_time).unwrap_or(0);
+        self.online_waiting.remove(next)
+    }
+
     /// Starts waiting requests in free slots, online requests first.
     fn fill_slots(&mut self, now: MonotonicTime, commands: &mut Vec<QueueCommand>) {
-        while self.online_running.len() < self.slots as usize && !self.online_waiting.is_empty() {
-            let request = self.online_waiting.remove(0);
-            self.start_online(now, request.ticket);
+        while self.online_running.len() < self.usable_slots() && !self.online_waiting.is_empty() {
+            let request = self.dequeue_online(now);
+            self.online_running.push(RunningRequest { request, started: now });
             commands.push(QueueCommand::Start(request.ticket));
         }
         self.preempt_batch(now, commands);
         while self.may_start_batch(now)
             && let Some(request) = self.dequeue_batch(now)
         {
-            self.start_batch(now, &request);
+            self.batch_running.push(RunningRequest { request, started: now });
             commands.push(QueueCommand::Start(request.ticket));
         }
     }
@@ -358,28 +441,23 @@
     /// Preempts batch runs while more requests run than there are slots: first those that are
     /// already late, then those due last.
     fn preempt_batch(&mut self, now: MonotonicTime, commands: &mut Vec<QueueCommand>) {
-        while self.online_running.len() + self.batch_running.len() > self.slots as usize {
-            let requests = self.batch_running.iter().enumerate();
-            let victim = requests.max_by_key(|(_, request)| (request.due < now, request.due));
+        while self.online_running.len() + self.batch_running.len() > self.usable_slots() {
+            let runs = self.batch_running.iter().enumerate();
+            let victim =
+                runs.max_by_key(|(_, run)| (run.request.deadline < now, run.request.deadline));
             let Some((position, _)) = victim else {
                 return;
             };
-            let request = self.batch_running.swap_remove(position);
+            let RunningRequest { request, started } = self.batch_running.swap_remove(position);
             self.preempted_at = Some(now);
             if self.is_draining {
                 commands.push(QueueCommand::Evict(request.ticket));
             } else {
                 // It counts as waiting from now on, although its run may not have stopped yet.
-                let ran = now.since(request.started);
+                let ran = now.since(started);
                 let latest_start = BatchOrder.latest_start_after(request.latest_start, ran);
-                let RunningRequest { due, ticket, .. } = request;
-                self.enqueue_batch(WaitingRequest {
-                    has_begun: true,
-                    latest_start,
-                    deadline: due,
-                    ticket,
-                });
                 commands.push(QueueCommand::Preempt(request.ticket));
+                self.enqueue_batch(WaitingRequest { has_begun: true, latest_start, ..request });
             }
         }
     }
@@ -388,27 +466,12 @@
     fn may_start_batch(&self, now: MonotonicTime) -> bool {
         let running = self.online_running.len() + self.batch_running.len();
         let is_refill_due = self.preempted_at.is_none_or(|time| now.since(time) >= REFILL_DELAY);
-        running < self.slots as usize && is_refill_due
-    }
-
-    /// Adds an online request to the running ones.
-    fn start_online(&mut self, now: MonotonicTime, ticket: TicketId) {
-        self.online_running.push(RunningRequest {
-            due: now,
-            latest_start: now,
-            started: now,
-            ticket,
-        });
+        running < self.usable_slots() && is_refill_due
     }
+}
 
-    /// Adds a batch request to the running ones.
-    fn start_batch(&mut self, now: MonotonicTime, request: &WaitingRequest) {
-        let WaitingRequest { latest_start, deadline, ticket, .. } = *request;
-        self.batch_running.push(RunningRequest {
-            due: deadline,
-            latest_start,
-            started: now,
-            ticket,
-        });
-    }
+/// Removes and returns the run of a ticket.
+fn take_run(runs: &mut Vec<RunningRequest>, ticket: TicketId) -> Option<RunningRequest> {
+    let position = runs.iter().position(|run| run.request.ticket == ticket)?;
+    Some(runs.swap_remove(position))
 }
--- a/crates/dispatch/src/wait_policy.rs
+++ b/crates/dispatch/src/wait_policy.rs
@@ -2,9 +2,14 @@
 
 use std::time::Duration;
 
+use cv_policy::MonotonicTime;
+
 /// Share of the latency objective that a first attempt may spend in a queue.
 const QUEUE_SHARE: f64 = 0.6;
 
+/// Share of the latency objective that remains for the first event once a request has started.
+const FIRST_EVENT_SHARE: f64 = 0.25;
+
 /// Time reserved for the run itself when a request waits in a queue.
 const RUN_RESERVE: Duration = Duration::from_millis(1_500);
 
@@ -36,6 +41,13 @@
         }
     }
 
+    /// Returns the time in which a request that arrived `elapsed` ago has to start to meet its
+    /// objective.
+    #[must_use]
+    pub fn objective_left(self, objective: Duration, elapsed: Duration) -> Duration {
+        objective.mul_f64(1.0 - FIRST_EVENT_SHARE).saturating_sub(elapsed)
+    }
+
     /// Returns the time after which an admitted request leaves the queue without a slot.
     ///
     /// It does not leave earlier: once its objective is missed, it gets a slot sooner in this queue
@@ -46,25 +58,41 @@
     }
 }
 
+/// Time in which the deadlines of a route's callers are learned.
+const LEARNING_TIME: Duration = Duration::from_secs(2);
+
 /// Detects callers that retry after a refusal by the time left until their deadline.
 #[derive(Clone, Debug, Default)]
 pub struct RetryDetector {
-    /// Longest deadline seen on each route, sorted by the route's name.
-    longest_deadlines: Vec<(String, Duration)>,
+    /// Sorted by the route's name.
+    routes: Vec<RouteDeadlines>,
+}
+
+/// The deadlines that the callers of one route have sent.
+#[derive(Clone, Debug)]
+struct RouteDeadlines {
+    first_seen: MonotonicTime,
+    longest: Duration,
+    route: String,
 }
 
 impl RetryDetector {
     /// Records a request's deadline and returns whether its caller was probably refused before.
-    pub fn is_retry(&mut self, route: &str, deadline: Duration) -> bool {
-        match self.longest_deadlines.binary_search_by(|(name, _)| name.as_str().cmp(route)) {
+    ///
+    /// Until a route's deadlines are known, every caller counts as one that has no further attempt:
+    /// after a failure of the whole fleet, most callers return from a refused connection.
+    pub fn is_retry(&mut self, now: MonotonicTime, route: &str, deadline: Duration) -> bool {
+        match self.routes.binary_search_by(|row| row.route.as_str().cmp(route)) {
             Ok(position) => {
-                let longest = &mut self.longest_deadlines[position].1;
-                *longest = (*longest).max(deadline);
-                deadline < longest.mul_f64(RETRY_DEADLINE_SHARE)
+                let row = &mut self.routes[position];
+                row.longest = row.longest.max(deadline);
+                let is_learning = now.since(row.first_seen) < LEARNING_TIME;
+                is_learning || deadline < row.longest.mul_f64(RETRY_DEADLINE_SHARE)
             }
             Err(position) => {
-                self.longest_deadlines.insert(position, (route.to_owned(), deadline));
-                false
+                let (first_seen, longest, route) = (now, deadline, route.to_owned());
+                self.routes.insert(position, RouteDeadlines { first_seen, longest, route });
+                true
             }
         }
     }
--- a/crates/serving/src/entry/entry_handler.rs
+++ b/crates/serving/src/entry/entry_handler.rs
@@ -30,6 +30,7 @@
 use crate::entry::entry_metrics::EntryMetrics;
 use crate::entry::job_relay::JobRelay;
 use crate::entry::online_request::OnlineRequest;
+use crate::entry::reservation_client::ReservationClient;
 
 /// Retry delay that callers receive while the entry has no configuration.
 const NO_CONFIG_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -54,6 +55,8 @@
     pub metrics: EntryMetrics,
     /// Pool of connections to targets and sidecars.
     pub pool: ConnectionPool,
+    /// Places reservations at sidecars.
+    pub reservations: Rc<ReservationClient>,
     /// Detects callers that retry after a refusal.
     pub retry_detector: RefCell<RetryDetector>,
     /// When the entry started to accept requests.
@@ -133,7 +136,8 @@
     /// Returns whether a caller with this deadline has probably been refused before.
     pub fn is_retry(&self, route: &RouteRule, deadline: Option<Duration>) -> bool {
         let mut retry_detector = self.retry_detector.borrow_mut();
-        deadline.is_some_and(|deadline| retry_detector.is_retry(&route.name, deadline))
+        let now = self.view.clock.now();
+        deadline.is_some_and(|deadline| retry_detector.is_retry(now, &route.name, deadline))
     }
 
     /// Responds with status 404 to a request that matches no route.
--- a/crates/serving/src/entry/entry_node.rs
+++ b/crates/serving/src/entry/entry_node.rs
@@ -30,6 +30,7 @@
 use crate::entry::entry_metrics::EntryMetrics;
 use crate::entry::job_relay::JobRelay;
 use crate::entry::ready_handler::ReadyHandler;
+use crate::entry::reservation_client::ReservationClient;
 use crate::internal_handler::InternalHandler;
 use crate::load_listener::start_load_listener;
 use crate::peer_sync::start_peer_sync;
@@ -76,8 +77,12 @@
         let view = Rc::new(FleetView::new(clock, log.clone(), settings.seed));
         view.start::<P>(&Rc::new(P::store(settings.store)), &timers);
         let identity = Rc::new(settings.identity);
-        let socket = UdpSocket::bind(identity.internal_address())?;
-        start_load_listener(&view, &identity, socket, &timers);
+        let socket = Rc::new(UdpSocket::bind(identity.internal_address())?);
+        let reservations = ReservationClient::new(clock, Rc::clone(&socket), view.random_number());
+        let replies = Rc::clone(&reservations);
+        start_load_listener(&view, &identity, socket, &timers, move |sidecar, datagram| {
+            replies.handle_reply(sidecar, datagram);
+        });
         start_peer_sync::<P>(&view, &identity, &timers);
         let metrics = EntryMetrics::new().map_err(io::Error::other)?;
         let drain = DrainGate::default();
@@ -94,6 +99,7 @@
             jobs: JobRelay { pool: ConnectionPool::new(limits), view: Rc::clone(&view) },
             metrics,
             pool: ConnectionPool::new(limits),
+            reservations,
             retry_detector: RefCell::default(),
             started_at: Instant::now(),
             view: Rc::clone(&view),
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod job_relay;
 mod online_request;
 mod ready_handler;
+mod reservation_client;
 mod response_relay;
 
 pub use self::entry_node::EntryNode;
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use cv_dispatch::PlacementPolicy;
 use cv_dispatch::PlacementRequest;
+use cv_dispatch::ReservationId;
 use cv_dispatch::RouteKind;
 use cv_dispatch::RouteRule;
 use cv_dispatch::TargetChoice;
@@ -26,9 +27,11 @@
 use crate::PlatformAdapter;
 use crate::QueueOptions;
 use crate::RequestOptions;
+use crate::ReservationTerms;
 use crate::SidecarVerdict;
 use crate::entry::attempt_recorder::AttemptRecorder;
 use crate::entry::entry_handler::EntryHandler;
+use crate::entry::reservation_client::PlacedReservations;
 use crate::entry::response_relay::RelayOutcome;
 use crate::entry::response_relay::ResponseRelay;
 use crate::target_call::TargetCall;
@@ -46,6 +49,12 @@
 /// Targets that may refuse a request before the caller is told to retry later.
 const MAX_REFUSALS: usize = 6;
 
+/// Sidecars at which a request that finds no free slot places reservations.
+const RESERVATIONS: usize = 4;
+
+/// Times that all of a request's reservations are denied before its caller is told to retry later.
+const MAX_DENIED_ROUNDS: u32 = 2;
+
 /// Time after the queue timeout within which a stream has to begin, otherwise another target is
 /// tried.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -82,6 +91,18 @@
     Interrupted(String),
 }
 
+/// How the reservations of a request ended.
+enum ReservationOutcome {
+    /// A sidecar keeps a slot of this target free.
+    Granted(TargetChoice, PlacedReservations),
+    /// No sidecar will have a slot in time.
+    Denied,
+    /// The caller has gone away.
+    CallerGone,
+    /// No target has a sidecar.
+    Unavailable,
+}
+
 impl<'a, P: PlatformAdapter> OnlineRequest<'a, P> {
     /// Creates the state of an exchange's request; `body` has been read from it already.
     pub fn new(
@@ -119,6 +140,7 @@
         let random = self.handler.view.random_number();
         let service = self.route.pick_service(random).unwrap_or_default().to_owned();
         let mut refusals = 0;
+        let mut denied_rounds = 0;
         loop {
             if self.time_left().is_zero() {
                 return self.finish_unanswered(exchange, &relay, "deadline").await;
@@ -126,12 +148,34 @@
             let Some(choice) = self.choose_target(&service, random) else {
                 return self.finish_unanswered(exchange, &relay, "no_target").await;
             };
-            match self.attempt(exchange, &choice, &mut relay).await? {
+            let (choice, reservation) =
+                if choice.through_sidecar && (choice.is_full || refusals > 0) {
+                    match self.reserve(exchange, &service, random).await {
+                        ReservationOutcome::Granted(granted, placed) => (granted, Some(placed)),
+                        ReservationOutcome::Unavailable => (choice, None),
+                        ReservationOutcome::CallerGone => return Ok(()),
+                        ReservationOutcome::Denied => {
+                            refusals += 1;
+                            denied_rounds += 1;
+                            if denied_rounds >= MAX_DENIED_ROUNDS {
+                                return self.finish_unanswered(exchange, &relay, "all_busy").await;
+                            }
+                            continue;
+                        }
+                    }
+                } else {
+                    (choice, None)
+                };
+            let reservation = reservation.as_ref().map(PlacedReservations::id);
+            match self.attempt(exchange, &choice, reservation, &mut relay).await? {
                 AttemptOutcome::Finished => return Ok(()),
                 AttemptOutcome::NotRun => {
                     refusals += 1;
                     self.recorder().record_refusal(&choice);
-                    self.tried_targets.push(choice.id);
+                    // A sidecar that had no free slot may still be waited for.
+                    if !choice.through_sidecar || reservation.is_some() {
+                        self.tried_targets.push(choice.id);
+                    }
                     if refusals >= MAX_REFUSALS {
                         return self.finish_unanswered(exchange, &relay, "all_busy").await;
                     }
@@ -168,11 +212,63 @@
         Some(TargetChoice { through_sidecar: choice.through_sidecar && is_model, ..choice })
     }
 
+    /// Places reservations at a few sidecars and waits for the first slot that is granted.
+    async fn reserve(
+        &mut self,
+        exchange: &mut ServerExchange<'_>,
+        service: &str,
+        random: u64,
+    ) -> ReservationOutcome {
+        let candidates = self.choose_for_reservations(service, random);
+        if candidates.is_empty() {
+            return ReservationOutcome::Unavailable;
+        }
+        let mut placed = self.place_reservations(&candidates).await;
+        let granted = monoio::select! {
+            granted = placed.granted() => granted,
+            () = exchange.closed() => {
+                self.record_abandoned();
+                return ReservationOutcome::CallerGone;
+            }
+        };
+        let Some(index) = granted else {
+            self.tried_targets.extend(candidates.into_iter().map(|choice| choice.id));
+            return ReservationOutcome::Denied;
+        };
+        placed.release_others().await;
+        ReservationOutcome::Granted(candidates[index].clone(), placed)
+    }
+
+    /// Chooses the targets at which the request places reservations.
+    fn choose_for_reservations(&self, service: &str, random: u64) -> Vec<TargetChoice> {
+        let view = &self.handler.view;
+        let zone = &self.handler.identity.zone;
+        let request = PlacementRequest { seed: random, service, tried: &self.tried_targets, zone };
+        let now = view.clock.now();
+        view.with_targets(|targets| {
+            PlacementPolicy.choose_for_reservations(targets, now, &request, RESERVATIONS)
+        })
+    }
+
+    /// Places reservations at the sidecars of the given targets.
+    async fn place_reservations(&self, choices: &[TargetChoice]) -> PlacedReservations {
+        let identity = &self.handler.identity;
+        let sidecars = choices.iter().map(|choice| identity.sidecar_address(choice.address));
+        let terms = ReservationTerms {
+            max_expected_wait: self.max_expected_wait(),
+            objective_left: self.objective_left(),
+            queue_timeout: WaitPolicy.queue_timeout(self.time_left()),
+            queues: choices.len() as u8,
+        };
+        self.handler.reservations.place(sidecars.collect(), terms).await
+    }
+
     /// Sends the request to one target and relays its response.
     async fn attempt(
         &mut self,
         exchange: &mut ServerExchange<'_>,
         choice: &TargetChoice,
+        reservation: Option<ReservationId>,
         relay: &mut ResponseRelay,
     ) -> Result<AttemptOutcome, HttpFault> {
         let handler = self.handler;
@@ -188,7 +284,7 @@
             pool: &handler.pool,
             request_id_of: |headers| P::response_metadata(headers).request_id,
         };
-        let request = self.build_request(choice, relay);
+        let request = self.build_request(choice, reservation, relay);
         handler.metrics.attempts.inc();
         let timeout = self.response_timeout();
         let id = self.options.request_id.as_deref();
@@ -267,7 +363,12 @@
     }
 
     /// Builds the request for one attempt.
-    fn build_request(&self, choice: &TargetChoice, relay: &ResponseRelay) -> ClientRequest {
+    fn build_request(
+        &self,
+        choice: &TargetChoice,
+        reservation: Option<ReservationId>,
+        relay: &ResponseRelay,
+    ) -> ClientRequest {
         let attempt = AttemptOptions {
             deadline: Some(self.time_left()),
             expected_target: Some(&choice.id),
@@ -277,10 +378,13 @@
         if choice.through_sidecar {
             let options = QueueOptions {
                 class: WorkClass::Online,
-                wait_budget: self.max_expected_wait(),
+                // Without a reservation the request would wait for this one target only.
+                wait_budget: reservation.map_or(Duration::ZERO, |_| self.max_expected_wait()),
                 expected_run: Duration::ZERO,
+                objective_left: self.objective_left(),
                 slots: choice.slots,
                 queue_timeout: WaitPolicy.queue_timeout(self.time_left()),
+                reservation,
             };
             options.write(&mut headers);
         }
@@ -298,6 +402,11 @@
         WaitPolicy.max_expected_wait(self.route.objective, self.time_left(), is_retry)
     }
 
+    /// Returns the time in which the request has to start to meet its latency objective.
+    fn objective_left(&self) -> Duration {
+        WaitPolicy.objective_left(self.route.objective, self.received_at.elapsed())
+    }
+
     /// Returns the longest wait for the head of a response.
     fn response_timeout(&self) -> Duration {
         let time_left = self.time_left();
--- a/crates/serving/src/internal_headers.rs
+++ b/crates/serving/src/internal_headers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cv_dispatch::LoadReport;
+use cv_dispatch::ReservationId;
 use cv_policy::WorkClass;
 use http::HeaderMap;
 use http::HeaderName;
@@ -24,9 +25,15 @@
 /// Longest time for which an online request stays in the queue, in milliseconds.
 const QUEUE_TIMEOUT: HeaderName = HeaderName::from_static("cv-stay-ms");
 
+/// Time in which an online request has to start to meet its latency objective, in milliseconds.
+const OBJECTIVE_LEFT: HeaderName = HeaderName::from_static("cv-objective-ms");
+
 /// Requests that the target runs at once, according to its registration.
 const SLOTS: HeaderName = HeaderName::from_static("cv-slots");
 
+/// Id of the reservation by which the request's slot is kept free.
+const RESERVATION: HeaderName = HeaderName::from_static("cv-reservation");
+
 /// A sidecar's verdict on a request that gets no response from the target.
 const VERDICT: HeaderName = HeaderName::from_static("cv-verdict");
 
@@ -61,10 +68,14 @@
     pub wait_budget: Duration,
     /// Expected run time of a batch item.
     pub expected_run: Duration,
+    /// Time in which an online request has to start to meet its latency objective.
+    pub objective_left: Duration,
     /// Requests that the target runs at once, or 0 if that is unknown.
     pub slots: u32,
     /// Longest time for which an online request stays in the queue.
     pub queue_timeout: Duration,
+    /// The reservation by which the request has been granted a slot.
+    pub reservation: Option<ReservationId>,
 }
 
 impl QueueOptions {
@@ -77,8 +88,13 @@
         headers.insert(CLASS, HeaderValue::from_static(class));
         headers.insert(WAIT_BUDGET, HeaderValue::from(self.wait_budget.as_millis() as u64));
         headers.insert(EXPECTED_RUN, HeaderValue::from(self.expected_run.as_millis() as u64));
+        let objective_left = self.objective_left.as_millis() as u64;
+        headers.insert(OBJECTIVE_LEFT, HeaderValue::from(objective_left));
         headers.insert(SLOTS, HeaderValue::from(self.slots));
         headers.insert(QUEUE_TIMEOUT, HeaderValue::from(self.queue_timeout.as_millis() as u64));
+        if let Some(ReservationId(id)) = self.reservation {
+            headers.insert(RESERVATION, HeaderValue::from(id));
+        }
     }
 
     /// Reads the options of an attempt; without them it is an online request that does not wait.
@@ -94,8 +110,10 @@
             class,
             wait_budget,
             expected_run,
+            objective_left: Duration::from_millis(number(OBJECTIVE_LEFT).unwrap_or(0)),
             slots: number(SLOTS).unwrap_or(0) as u32,
             queue_timeout,
+            reservation: number(RESERVATION).map(ReservationId),
         }
     }
 }
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -324,9 +324,16 @@
             let slots = self.target.slots;
             let last_event = tracker.progress(self.item).last_event.unwrap_or(0);
             let expected_run = self.state.estimate.get().remaining(spec.tokens, last_event);
-            let (class, queue_timeout) = (WorkClass::Batch, Duration::ZERO);
-            QueueOptions { class, wait_budget, expected_run, slots, queue_timeout }
-                .write(&mut headers);
+            let options = QueueOptions {
+                class: WorkClass::Batch,
+                wait_budget,
+                expected_run,
+                objective_left: Duration::ZERO,
+                slots,
+                queue_timeout: Duration::ZERO,
+                reservation: None,
+            };
+            options.write(&mut headers);
         }
         let body = Bytes::from(spec.body.clone());
         let request =
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -90,7 +90,8 @@
         view.start::<P>(&store, &timers);
         let identity = Rc::new(settings.identity);
         let address = identity.internal_address();
-        start_load_listener(&view, &identity, UdpSocket::bind(address)?, &timers);
+        let socket = Rc::new(UdpSocket::bind(address)?);
+        start_load_listener(&view, &identity, socket, &timers, |_, _| {});
         start_peer_sync::<P>(&view, &identity, &timers);
         let state = Rc::new(KeeperState::<P> {
             adapter: PhantomData,
--- a/crates/serving/src/load_listener.rs
+++ b/crates/serving/src/load_listener.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cv_dispatch::LoadReport;
 use cv_dispatch::TargetState;
 use cv_policy::MonotonicTime;
 use cv_timer::TimerService;
@@ -32,20 +33,24 @@
     ready_at: MonotonicTime,
 }
 
-/// Starts the tasks that subscribe to all sidecars and apply their load reports to the view.
+/// Starts the tasks that subscribe to all sidecars and apply their load reports to the view; other
+/// datagrams are passed to `handle_other`.
 pub(crate) fn start_load_listener(
     view: &Rc<FleetView>,
     identity: &Rc<NodeIdentity>,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     timers: &TimerService,
+    handle_other: impl Fn(SocketAddr, &[u8]) + 'static,
 ) {
-    let socket = Rc::new(socket);
     let (report_view, report_socket) = (Rc::clone(view), Rc::clone(&socket));
     monoio::spawn(async move {
         loop {
             let (received, buffer) = report_socket.recv_from(Vec::with_capacity(16)).await;
             match received {
-                Ok((_, address)) => apply_load_report(&report_view, address, &buffer),
+                Ok((_, address)) => match decode_load_report(&buffer) {
+                    Some(report) => apply_load_report(&report_view, address, &report),
+                    None => handle_other(address, &buffer),
+                },
                 Err(_) => monoio::time::sleep(RECEIVE_RETRY_DELAY).await,
             }
         }
@@ -67,13 +72,10 @@
     });
 }
 
-/// Applies a datagram from the sidecar at `address`; one that cannot be decoded is ignored.
-fn apply_load_report(view: &FleetView, address: SocketAddr, datagram: &[u8]) {
-    let Some(report) = decode_load_report(datagram) else {
-        return;
-    };
+/// Applies a load report of the sidecar at `address`.
+fn apply_load_report(view: &FleetView, address: SocketAddr, report: &LoadReport) {
     let now = view.clock.now();
-    view.with_targets(|targets| targets.record_report_from(address.ip(), &report, now));
+    view.with_targets(|targets| targets.record_report_from(address.ip(), report, now));
 }
 
 /// Renews the subscriptions to the sidecars of ready targets, and ends those whose target has not
--- a/crates/serving/src/sidecar/batch_relay.rs
+++ b/crates/serving/src/sidecar/batch_relay.rs
@@ -30,10 +30,6 @@
 /// Buffered output that is sent on at once, in bytes.
 const FLUSH_BYTES: usize = 8 * 1024;
 
-/// Delay before a batch item is sent again to an engine that refused it although a slot seemed
-/// free.
-const ENGINE_FULL_DELAY: Duration = Duration::from_millis(100);
-
 /// Retries of a batch item at an engine that refuses it.
 const MAX_ENGINE_FULL_RETRIES: u32 = 20;
 
@@ -87,11 +83,10 @@
                 RunOutcome::Preempted if self.wait_for_slot(exchange).await? => {}
                 RunOutcome::EngineFull if full_retries < MAX_ENGINE_FULL_RETRIES => {
                     full_retries += 1;
-                    self.ticket.requeue();
+                    self.ticket.requeue(Duration::ZERO);
                     if !self.wait_for_slot(exchange).await? {
                         break;
                     }
-                    monoio::time::sleep(ENGINE_FULL_DELAY).await;
                 }
                 RunOutcome::Preempted | RunOutcome::EngineFull => break,
             }
--- a/crates/serving/src/sidecar/load_reporter.rs
+++ b/crates/serving/src/sidecar/load_reporter.rs
@@ -17,6 +17,8 @@
 
 use crate::encode_load_report;
 use crate::internal_headers::TARGET_DRAINING;
+use crate::reservation_message::ReservationMessage;
+use crate::sidecar::reservation_desk::ReservationDesk;
 use crate::sidecar::slot_gate::SlotGate;
 
 /// Time between two checks of the queue.
@@ -39,22 +41,33 @@
     /// Time until which the engine counts as draining.
     draining_until: Cell<MonotonicTime>,
     log: LineLog,
-    socket: UdpSocket,
+    /// Receives reservations, which come to the same socket.
+    desk: Rc<ReservationDesk>,
+    socket: Rc<UdpSocket>,
     /// Sorted by address, each with the time of its last renewal.
     subscribers: RefCell<Vec<(SocketAddr, MonotonicTime)>>,
 }
 
 impl LoadReporter {
-    /// Starts the tasks that receive subscriptions and send reports on a bound socket.
+    /// Starts the tasks that receive reservations and subscriptions and send reports on a bound
+    /// socket; returns the reservations.
     pub fn start(
         clock: ProcessClock,
         gate: Rc<SlotGate>,
         log: LineLog,
-        socket: UdpSocket,
+        socket: Rc<UdpSocket>,
         timers: &TimerService,
-    ) {
-        let (draining_until, subscribers) = (Cell::default(), RefCell::default());
-        let reporter = Rc::new(Self { clock, gate, draining_until, log, socket, subscribers });
+    ) -> Rc<ReservationDesk> {
+        let desk = ReservationDesk::start(clock, Rc::clone(&gate), Rc::clone(&socket));
+        let reporter = Rc::new(Self {
+            clock,
+            gate,
+            draining_until: Cell::default(),
+            log,
+            desk: Rc::clone(&desk),
+            socket,
+            subscribers: RefCell::default(),
+        });
         let receiver = Rc::clone(&reporter);
         monoio::spawn(async move { receiver.receive_subscriptions().await });
         let ticks = timers.subscribe(REPORT_INTERVAL);
@@ -73,16 +86,21 @@
                 reporter.send_report(now, &report).await;
             }
         });
+        desk
     }
 
-    /// Receives datagrams, each of which renews its sender's subscription.
+    /// Receives reservations and subscriptions, of which each renews the one of its sender.
     async fn receive_subscriptions(&self) {
         loop {
-            let (received, datagram) = self.socket.recv_from(Vec::with_capacity(16)).await;
+            let (received, datagram) = self.socket.recv_from(Vec::with_capacity(32)).await;
             let Ok((_, address)) = received else {
                 monoio::time::sleep(REPORT_INTERVAL).await;
                 continue;
             };
+            if let Some(message) = ReservationMessage::decode(&datagram) {
+                self.desk.handle(message, address).await;
+                continue;
+            }
             let now = self.clock.now();
             self.apply_target_state(now, &datagram);
             let mut subscribers = self.subscribers.borrow_mut();
--- a/crates/serving/src/sidecar/mod.rs
+++ b/crates/serving/src/sidecar/mod.rs
@@ -3,6 +3,7 @@
 mod batch_relay;
 mod engine_run;
 mod load_reporter;
+mod reservation_desk;
 mod sidecar_handler;
 mod sidecar_metrics;
 mod sidecar_node;
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -32,6 +32,7 @@
 use crate::internal_headers::strip_internal_headers;
 use crate::sidecar::batch_relay::BatchRelay;
 use crate::sidecar::engine_run::EngineRun;
+use crate::sidecar::reservation_desk::ReservationDesk;
 use crate::sidecar::sidecar_metrics::SidecarMetrics;
 use crate::sidecar::slot_gate::SlotGate;
 use crate::sidecar::slot_gate::SlotTicket;
@@ -43,6 +44,10 @@
 /// Longest wait for the head of the engine's response to a request without a deadline.
 const DEFAULT_RESPONSE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Times that an online request is sent again to an engine that refuses it. One that is larger than
+/// the engine's memory is refused each time.
+const MAX_ENGINE_FULL_RETRIES: u32 = 5;
+
 /// Wait for a slot above which the start of an online request is an essential log line.
 const SLOW_WAIT: Duration = Duration::from_millis(150);
 
@@ -50,6 +55,8 @@
 pub(crate) struct SidecarHandler<P> {
     /// The process's clock.
     pub clock: ProcessClock,
+    /// Holds the reservations of requests that are still at their entries.
+    pub desk: Rc<ReservationDesk>,
     /// Address of the engine.
     pub engine: SocketAddr,
     /// Queues the requests.
@@ -119,29 +126,13 @@
         exchange: &mut ServerExchange<'_>,
         request: &SidecarRequest,
     ) -> Result<(), HttpFault> {
-        let Some(_ticket) = self.admit(exchange, request).await? else {
+        let Some(ticket) = self.admit(exchange, request).await? else {
             return Ok(());
         };
         let call = self.engine_call();
-        let deadline = P::request_options(&request.headers).deadline;
-        let time_left = deadline.map(|limit| limit.saturating_sub(request.received_at.elapsed()));
-        let forwarded = Self::engine_request(
-            request,
-            AttemptOptions { deadline: time_left, ..AttemptOptions::default() },
-        );
-        let timeout = time_left.unwrap_or(DEFAULT_RESPONSE_TIMEOUT);
-        let started = monoio::select! {
-            started = EngineRun::start(&call, &forwarded, request.request_id.as_deref(), timeout) => started,
-            () = exchange.closed() => return Err(HttpFault::Closed),
-        };
-        let mut run = match started {
-            Ok(run) => run,
-            Err(verdict) => return self.refuse(exchange, request, verdict, "engine_silent").await,
+        let Some(mut run) = self.start_online_run(exchange, request, &ticket, &call).await? else {
+            return Ok(());
         };
-        if P::response_metadata(&run.head.headers).not_run {
-            run.release(&call);
-            return self.refuse(exchange, request, SidecarVerdict::NotRun, "engine_full").await;
-        }
         let mut headers = run.head.headers.clone();
         strip_hop_by_hop(&mut headers);
         exchange.start_stream(run.head.status, &headers).await?;
@@ -156,9 +147,57 @@
             }
         }
         run.release(&call);
+        ticket.complete();
         exchange.finish_stream().await
     }
 
+    /// Sends an online request to the engine; one that the engine refuses waits for the next slot.
+    /// Returns `None` after the request has been refused.
+    async fn start_online_run(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        request: &SidecarRequest,
+        ticket: &SlotTicket,
+        call: &TargetCall<'_>,
+    ) -> Result<Option<EngineRun>, HttpFault> {
+        let deadline = P::request_options(&request.headers).deadline;
+        let id = request.request_id.as_deref();
+        for _ in 0..=MAX_ENGINE_FULL_RETRIES {
+            let elapsed = request.received_at.elapsed();
+            let time_left = deadline.map(|limit| limit.saturating_sub(elapsed));
+            let options = AttemptOptions { deadline: time_left, ..AttemptOptions::default() };
+            let forwarded = Self::engine_request(request, options);
+            let timeout = time_left.unwrap_or(DEFAULT_RESPONSE_TIMEOUT);
+            let started = monoio::select! {
+                started = EngineRun::start(call, &forwarded, id, timeout) => started,
+                () = exchange.closed() => return Err(HttpFault::Closed),
+            };
+            let run = match started {
+                Ok(run) => run,
+                Err(verdict) => {
+                    self.refuse(exchange, request, verdict, "engine_silent").await?;
+                    return Ok(None);
+                }
+            };
+            let is_misdirected = run.head.status == StatusCode::MISDIRECTED_REQUEST;
+            let is_full = P::response_metadata(&run.head.headers).not_run && !is_misdirected;
+            if !is_full {
+                return Ok(Some(run));
+            }
+            run.release(call);
+            ticket.requeue(request.options.wait_budget);
+            let started = monoio::select! {
+                started = ticket.started() => started,
+                () = exchange.closed() => return Err(HttpFault::Closed),
+            };
+            if !started {
+                break;
+            }
+        }
+        self.refuse(exchange, request, SidecarVerdict::NotRun, "engine_full").await?;
+        Ok(None)
+    }
+
     /// Queues a batch item and runs it in the slots that online requests leave free.
     async fn serve_batch(
         &self,
@@ -177,8 +216,11 @@
         exchange: &mut ServerExchange<'_>,
         request: &SidecarRequest,
     ) -> Result<Option<SlotTicket>, HttpFault> {
-        let QueueOptions { class, wait_budget, expected_run, slots, queue_timeout } =
-            request.options;
+        let QueueOptions { class, wait_budget, slots, reservation, .. } = request.options;
+        if let Some(ticket) = reservation.and_then(|id| self.desk.claim(id)) {
+            self.log_start(request);
+            return Ok(Some(ticket));
+        }
         if slots > 0 {
             self.gate.set_slots(slots);
         }
@@ -188,11 +230,14 @@
             class,
             due: self.clock.now() + wait_budget,
             max_expected_wait: wait_budget,
-            expected_run,
-            queue_timeout,
+            objective_left: request.options.objective_left,
+            expected_run: request.options.expected_run,
+            queues: 1,
+            queue_timeout: request.options.queue_timeout,
         };
         let Ok(ticket) = self.gate.admit(&options) else {
-            self.refuse(exchange, request, SidecarVerdict::NotRun, "queue_full").await?;
+            let reason = if self.gate.is_draining() { "draining" } else { "queue_full" };
+            self.refuse(exchange, request, SidecarVerdict::NotRun, reason).await?;
             return Ok(None);
         };
         let started = monoio::select! {
--- a/crates/serving/src/sidecar/sidecar_node.rs
+++ b/crates/serving/src/sidecar/sidecar_node.rs
@@ -68,13 +68,14 @@
         let timers = TimerService::start(clock);
         let address = self.settings.identity.internal_address();
         let listener = bind_listener(address)?;
-        let socket = UdpSocket::bind(address)?;
+        let socket = Rc::new(UdpSocket::bind(address)?);
         let gate = SlotGate::new(clock, DEFAULT_SLOTS);
         monoio::spawn(Rc::clone(&gate).run_ticks());
-        LoadReporter::start(clock, Rc::clone(&gate), self.log.clone(), socket, &timers);
+        let desk = LoadReporter::start(clock, Rc::clone(&gate), self.log.clone(), socket, &timers);
         let handler = SidecarHandler::<P> {
             adapter: PhantomData,
             clock,
+            desk: Rc::clone(&desk),
             engine: self.settings.engine,
             gate: Rc::clone(&gate),
             log: self.log.clone(),
@@ -100,6 +101,7 @@
         let evict_batch = async {
             monoio::time::sleep(drain_delay(grace)).await;
             gate.evict_batch();
+            desk.close();
         };
         futures::join!(drain_server(&drain, &self.log, grace), evict_batch);
         Ok(())
--- a/crates/serving/src/sidecar/slot_gate.rs
+++ b/crates/serving/src/sidecar/slot_gate.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use cv_dispatch::AdmissionDecision;
 use cv_dispatch::AdmissionOptions;
@@ -41,6 +42,8 @@
     /// Notified when the time of the next tick may have changed.
     changed: Notify,
     clock: ProcessClock,
+    /// Notified when a waiting request has been started or evicted.
+    decided: Notify,
     next_ticket: Cell<u64>,
     queue: RefCell<SlotQueue>,
 }
@@ -52,6 +55,7 @@
             tickets: RefCell::default(),
             changed: Notify::new(),
             clock,
+            decided: Notify::new(),
             next_ticket: Cell::new(0),
             queue: RefCell::new(SlotQueue::new(slots)),
         })
@@ -73,6 +77,11 @@
         true
     }
 
+    /// Returns whether the engine is draining.
+    pub fn is_draining(&self) -> bool {
+        self.queue.borrow().is_draining()
+    }
+
     /// Evicts all batch requests and refuses new ones from now on.
     pub fn evict_batch(&self) {
         let mut commands = Vec::new();
@@ -85,6 +94,17 @@
         self.queue.borrow().load_report()
     }
 
+    /// Returns whether an online request that arrived now would start at once.
+    pub fn has_free_slot(&self) -> bool {
+        let queue = self.queue.borrow();
+        !queue.is_draining() && queue.expected_wait(self.clock.now()).is_zero()
+    }
+
+    /// Waits until a waiting request has been started or evicted.
+    pub async fn decided(&self) {
+        self.decided.notified().await;
+    }
+
     /// Admits a request to the queue.
     ///
     /// # Errors
@@ -103,7 +123,7 @@
         // Ticket ids increase, so appending keeps the list sorted.
         self.tickets.borrow_mut().push((id, Rc::clone(&state)));
         self.apply_commands(&commands);
-        Ok(SlotTicket { state, gate: Rc::clone(self), id })
+        Ok(SlotTicket { state, gate: Rc::clone(self), id, is_complete: false })
     }
 
     /// Runs the queue's timers for as long as the process runs.
@@ -145,12 +165,20 @@
             }
         }
         self.changed.notify_one();
+        if !commands.is_empty() {
+            self.decided.notify_one();
+        }
     }
 
-    /// Removes a request that has ended.
-    fn finish(&self, id: TicketId) {
+    /// Removes a request that has ended, `is_complete` if its whole response has been relayed.
+    fn finish(&self, id: TicketId, is_complete: bool) {
         let mut commands = Vec::new();
-        self.queue.borrow_mut().finish(self.clock.now(), id, &mut commands);
+        let now = self.clock.now();
+        if is_complete {
+            self.queue.borrow_mut().finish(now, id, &mut commands);
+        } else {
+            self.queue.borrow_mut().remove(now, id, &mut commands);
+        }
         self.tickets.borrow_mut().retain(|(other, _)| *other != id);
         self.apply_commands(&commands);
     }
@@ -162,9 +190,30 @@
     state: Rc<TicketState>,
     gate: Rc<SlotGate>,
     id: TicketId,
+    is_complete: bool,
 }
 
 impl SlotTicket {
+    /// Returns the ticket's id.
+    pub fn id(&self) -> TicketId {
+        self.id
+    }
+
+    /// Returns whether the request may run.
+    pub fn has_started(&self) -> bool {
+        self.state.signal.get() == TicketSignal::Started
+    }
+
+    /// Returns whether the queue has evicted the request.
+    pub fn is_evicted(&self) -> bool {
+        self.state.signal.get() == TicketSignal::Evicted
+    }
+
+    /// Releases the place of a request whose whole response has been relayed.
+    pub fn complete(mut self) {
+        self.is_complete = true;
+    }
+
     /// Waits for a slot; returns `false` if the queue evicts the request instead.
     pub async fn started(&self) -> bool {
         loop {
@@ -183,13 +232,14 @@
         }
     }
 
-    /// Puts the request back into the queue after the engine has refused it.
-    pub fn requeue(&self) {
+    /// Puts the request back into the queue after the engine has refused it; an online request whose
+    /// expected wait is longer than `max_expected_wait` is evicted instead.
+    pub fn requeue(&self, max_expected_wait: Duration) {
         if self.state.signal.get() == TicketSignal::Started {
             self.state.signal.set(TicketSignal::Waiting);
         }
-        let mut commands = Vec::new();
-        self.gate.queue.borrow_mut().requeue(self.id, &mut commands);
+        let (now, mut commands) = (self.gate.clock.now(), Vec::new());
+        self.gate.queue.borrow_mut().requeue(now, self.id, max_expected_wait, &mut commands);
         self.gate.apply_commands(&commands);
         self.gate.tick();
     }
@@ -197,6 +247,6 @@
 
 impl Drop for SlotTicket {
     fn drop(&mut self) {
-        self.gate.finish(self.id);
+        self.gate.finish(self.id, self.is_complete);
     }
 }
