--- a/tests/dispatch/event_parser.rs
+++ b/tests/dispatch/event_parser.rs
@@ -50,7 +50,7 @@
 #[test]
 fn bytes_without_an_event_are_not_buffered_without_end() {
     let mut parser = EventParser::default();
-    let piece = [b'x'; 32 * 1024];
+    let piece = vec![b'x'; 32 * 1024];
     let mut pieces = 0;
     while !parser.is_oversized() {
         parser.push(&piece);
