Count watches that are reset together as one failure, and load by slots

Causes: after the store lost its history it reset all watches of a process at once. A keeper compared the load of targets without their number of slots (found by reading). Ruled out: the compacted response, which counts as one. Change: failures within 25 ms are one; a target's load is scaled to eight slots.

--- a/crates/dispatch/src/run_schedule.rs
+++ b/crates/dispatch/src/run_schedule.rs
@@ -13,7 +13,7 @@
 /// Age above which a load report is ignored.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
-/// Cost of a target in another availability zone, in requests.
+/// Cost of a target in another availability zone, in requests on a target of eight slots.
 const ZONE_PENALTY: f64 = 0.3;
 
 /// Age above which a load report is too old to move runs; sidecars send several a second.
@@ -185,12 +185,12 @@
         waiting.into_iter().take(share).map(|run| run.id).collect()
     }
 
-    /// Returns the load of a target in requests, plus the penalty for another zone.
+    /// Returns the load of a target, scaled to eight slots, plus the penalty for another zone.
     fn placement_cost(&self, row: &TargetRow, now: MonotonicTime, zone: &str) -> f64 {
         let own = self.run_count(&row.record.id);
         let load = row.total_load(now, MAX_REPORT_AGE).unwrap_or_default().max(own);
         let penalty = if row.record.zone == zone { 0.0 } else { ZONE_PENALTY };
-        f64::from(load) + penalty
+        f64::from(load) / f64::from(row.record.slots.max(1)) * 8.0 + penalty
     }
 
     /// Returns the index of a target's run count, or the index at which to insert it.
--- a/crates/serving/src/store_health.rs
+++ b/crates/serving/src/store_health.rs
@@ -15,6 +15,10 @@
 /// Consecutive failures after which the store counts as down.
 const FAILURES_UNTIL_DOWN: u32 = 2;
 
+/// Time after a failure in which others count as part of it: a store that loses its history resets
+/// all watches at the same moment and goes on responding.
+const BURST_TIME: Duration = Duration::from_millis(25);
+
 /// Records the successes and failures of calls to the store.
 #[derive(Debug)]
 pub struct StoreHealth {
@@ -102,8 +106,13 @@
 
     /// Records a call that the store has not responded to, or whose outcome is unknown.
     fn record_failure(&self, fault: &StoreFault) {
+        let now = self.clock.now();
+        let last_failure = self.last_failure.replace(Some(now));
+        let is_same_burst = last_failure.is_some_and(|time| now.since(time) < BURST_TIME);
+        if is_same_burst && self.failures.get() > 0 {
+            return;
+        }
         self.failures.set(self.failures.get().saturating_add(1));
-        self.last_failure.set(Some(self.clock.now()));
         if self.failures.get() == FAILURES_UNTIL_DOWN {
             self.log.record(LinePriority::Essential, EventKind::DependencyLost, "store", || {
                 fault.to_string()
--- a/tests/adapter/main.rs
+++ b/tests/adapter/main.rs
@@ -5,3 +5,4 @@
 mod headers;
 mod jobs;
 mod store_client;
+mod store_health;
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -305,3 +305,17 @@
     assert!(!schedule.is_lost(run, &targets, at(1_100), Duration::ZERO), "reports are that slow");
     assert!(!schedule.is_lost(run, &targets, at(1_200), Duration::from_secs(2)));
 }
+
+#[test]
+fn a_target_with_more_slots_gets_more_items() {
+    let mut targets = TargetTable::default();
+    targets.upsert(TargetRecord { slots: 16, ..record("large", "a", 1) }, at(0));
+    targets.upsert(TargetRecord { slots: 4, ..record("small", "a", 2) }, at(0));
+    for (address, batch_running, slots) in [("10.0.0.1", 4, 16), ("10.0.0.2", 3, 4)] {
+        let report = LoadReport { batch_running, slots, ..LoadReport::default() };
+        targets.record_report_from(address.parse().expect("an address"), &report, at(0));
+    }
+    let schedule = RunSchedule::default();
+    let choice = schedule.choose_target(&targets, at(50), &request(&[])).expect("a choice");
+    assert_eq!(choice.id, "large");
+}
