--- a/crates/serving/src/entry/entry_metrics.rs
+++ b/crates/serving/src/entry/entry_metrics.rs
@@ -18,6 +18,10 @@
     /// Time to the first part of a response, in seconds.
     pub first_response: Histogram,
     pub refused: IntCounter,
+    /// Rounds of reservations that all sidecars denied.
+    pub reservations_denied: IntCounter,
+    /// Rounds of reservations in which a sidecar granted a slot.
+    pub reservations_granted: IntCounter,
     pub registry: Registry,
 }
 
@@ -38,12 +42,30 @@
         let attempts = counter("cv_front_attempts_total", "Attempts sent to targets.")?;
         let failed = counter("cv_front_failed_total", "Requests that failed after an attempt.")?;
         let refused = counter("cv_front_refused_total", "Requests told to come back later.")?;
+        let reservations_denied = counter(
+            "cv_front_reservations_denied_total",
+            "Times that no sidecar had a slot in time for a waiting request.",
+        )?;
+        let reservations_granted = counter(
+            "cv_front_reservations_granted_total",
+            "Times that a sidecar granted a slot to a waiting request.",
+        )?;
         let options = HistogramOpts::new(
             "cv_front_first_answer_seconds",
             "Time from a request's arrival to the first part of its answer.",
         );
         let first_response = Histogram::with_opts(options.buckets(LATENCY_BUCKETS.to_vec()))?;
         registry.register(Box::new(first_response.clone()))?;
-        Ok(Self { abandoned, answered, attempts, failed, first_response, refused, registry })
+        Ok(Self {
+            abandoned,
+            answered,
+            attempts,
+            failed,
+            first_response,
+            refused,
+            reservations_denied,
+            reservations_granted,
+            registry,
+        })
     }
 }
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -223,6 +223,7 @@
         if candidates.is_empty() {
             return ReservationOutcome::Unavailable;
         }
+        let placed_at = Instant::now();
         let mut placed = self.place_reservations(&candidates).await;
         let granted = monoio::select! {
             granted = placed.granted() => granted,
@@ -231,6 +232,7 @@
                 return ReservationOutcome::CallerGone;
             }
         };
+        self.record_reservations(&candidates, granted, placed_at.elapsed());
         let Some(index) = granted else {
             self.tried_targets.extend(candidates.into_iter().map(|choice| choice.id));
             return ReservationOutcome::Denied;
@@ -239,6 +241,28 @@
         ReservationOutcome::Granted(candidates[index].clone(), placed)
     }
 
+    /// Records where the request waited for a slot, for how long, and which target granted one.
+    fn record_reservations(
+        &self,
+        candidates: &[TargetChoice],
+        granted: Option<usize>,
+        waited: Duration,
+    ) {
+        let handler = self.handler;
+        let outcomes = &handler.metrics;
+        match granted {
+            Some(_) => outcomes.reservations_granted.inc(),
+            None => outcomes.reservations_denied.inc(),
+        }
+        let subject = self.options.request_id.as_deref().unwrap_or_default();
+        handler.view.log.record(LinePriority::Routine, EventKind::AttemptQueued, subject, || {
+            let target = granted.map_or("none", |index| candidates[index].id.as_str());
+            let ids: Vec<&str> = candidates.iter().map(|choice| choice.id.as_str()).collect();
+            let waited_ms = waited.as_millis();
+            format!("granted={target} at={} waited_ms={waited_ms}", ids.join(","))
+        });
+    }
+
     /// Chooses the targets at which the request places reservations.
     fn choose_for_reservations(&self, service: &str, random: u64) -> Vec<TargetChoice> {
         let view = &self.handler.view;
