--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -107,8 +107,15 @@
             .map(|index| (placement_cost(usable[index], now, mean_load, request), usable[index]))
             .collect();
         candidates.sort_by(|left, right| left.0.total_cmp(&right.0));
-        candidates.truncate(count);
-        candidates.into_iter().map(|(_, row)| target_choice(row, now, mean_load)).collect()
+        let mut chosen: Vec<TargetChoice> = Vec::new();
+        for (_, row) in candidates {
+            // A target that is gone may still be listed at the address of a new one.
+            let address = row.record.address;
+            if chosen.len() < count && chosen.iter().all(|choice| choice.address != address) {
+                chosen.push(target_choice(row, now, mean_load));
+            }
+        }
+        chosen
     }
 }
 
--- a/crates/dispatch/src/reservation_round.rs
+++ b/crates/dispatch/src/reservation_round.rs
@@ -75,6 +75,13 @@
         };
     }
 
+    /// Records that the request no longer needs a reservation.
+    pub fn end(&mut self, target: usize) {
+        if let Some(state) = self.states.get_mut(target) {
+            *state = ReservationState::Ended;
+        }
+    }
+
     /// Returns the targets whose reservations are due for renewal now.
     pub fn take_renewals(&mut self, now: MonotonicTime) -> Vec<usize> {
         if now < self.next_renewal {
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -31,7 +31,7 @@
 use crate::SidecarVerdict;
 use crate::entry::attempt_recorder::AttemptRecorder;
 use crate::entry::entry_handler::EntryHandler;
-use crate::entry::reservation_client::PlacedReservations;
+use crate::entry::placed_reservations::PlacedReservations;
 use crate::entry::response_relay::RelayOutcome;
 use crate::entry::response_relay::ResponseRelay;
 use crate::target_call::TargetCall;
--- a/crates/serving/src/entry/reservation_client.rs
+++ b/crates/serving/src/entry/reservation_client.rs
@@ -1,4 +1,4 @@
-//! Places an entry's reservations and waits for the first slot that is granted.
+//! Sends an entry's reservations and receives the replies.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -6,13 +6,13 @@
 use std::rc::Rc;
 
 use cv_dispatch::ReservationId;
-use cv_dispatch::ReservationReply;
 use cv_dispatch::ReservationRound;
-use cv_dispatch::RoundDecision;
+use cv_policy::MonotonicTime;
 use cv_timer::ProcessClock;
 use monoio::net::udp::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::entry::placed_reservations::PlacedReservations;
 use crate::reservation_message::ReservationMessage;
 use crate::reservation_message::ReservationTerms;
 use crate::reservation_message::decode_reply;
@@ -26,22 +26,16 @@
     socket: Rc<UdpSocket>,
 }
 
-/// The reservations of one request.
+/// The reservations of one request, shared by the task that waits for a slot and the one that
+/// receives the replies.
 #[derive(Debug)]
-struct OpenRound {
-    replied: Notify,
-    round: RefCell<ReservationRound>,
-    sidecars: Vec<SocketAddr>,
-}
-
-/// A request's reservations; dropping it releases those that are still open.
-pub(crate) struct PlacedReservations {
-    client: Rc<ReservationClient>,
-    id: ReservationId,
-    round: Rc<OpenRound>,
-    /// Index of the sidecar to which the request is sent.
-    taken: Option<usize>,
-    terms: ReservationTerms,
+pub(crate) struct OpenRound {
+    /// Notified of each reply.
+    pub replied: Notify,
+    /// The state of each reservation.
+    pub round: RefCell<ReservationRound>,
+    /// The sidecars, by the index that `round` uses.
+    pub sidecars: Vec<SocketAddr>,
 }
 
 impl ReservationClient {
@@ -64,12 +58,31 @@
         let (round, replied) = (RefCell::new(round), Notify::new());
         let round = Rc::new(OpenRound { replied, round, sidecars });
         self.add_round(id, Rc::clone(&round));
-        let placed = PlacedReservations { client: Rc::clone(self), id, round, taken: None, terms };
-        let all: Vec<usize> = (0..placed.round.sidecars.len()).collect();
-        placed.send(ReservationMessage::Place(id, terms), &all).await;
+        let placed = PlacedReservations::new(Rc::clone(self), id, round, terms);
+        placed.send_all().await;
         placed
     }
 
+    /// Returns the current time.
+    pub fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    /// Sends a message to some of a round's sidecars; renewal or expiry makes up for a lost one.
+    pub async fn send(&self, message: ReservationMessage, sidecars: &[SocketAddr]) {
+        for sidecar in sidecars {
+            let _ = self.socket.send_to(message.encode(), *sidecar).await;
+        }
+    }
+
+    /// Ends a round, whose replies are ignored from now on.
+    pub fn remove_round(&self, id: ReservationId) {
+        let mut rounds = self.rounds.borrow_mut();
+        if let Ok(position) = rounds.binary_search_by_key(&id, |(other, _)| *other) {
+            rounds.remove(position);
+        }
+    }
+
     /// Adds a round in order of id.
     fn add_round(&self, id: ReservationId, round: Rc<OpenRound>) {
         let mut rounds = self.rounds.borrow_mut();
@@ -93,73 +106,3 @@
         }
     }
 }
-
-impl PlacedReservations {
-    /// Returns the id, which the request carries to the sidecar that granted it a slot.
-    pub fn id(&self) -> ReservationId {
-        self.id
-    }
-
-    /// Waits until a sidecar grants a slot and returns its index, or `None` if none will.
-    pub async fn granted(&mut self) -> Option<usize> {
-        loop {
-            let now = self.client.clock.now();
-            let decision = self.round.round.borrow().decide(now);
-            match decision {
-                RoundDecision::Send(index) => {
-                    self.taken = Some(index);
-                    return Some(index);
-                }
-                RoundDecision::GiveUp => return None,
-                RoundDecision::Wait(until) => {
-                    let _ = monoio::time::timeout(now.until(until), self.round.replied.notified())
-                        .await;
-                }
-            }
-            let renewals = self.round.round.borrow_mut().take_renewals(self.client.clock.now());
-            self.send(ReservationMessage::Place(self.id, self.terms), &renewals).await;
-        }
-    }
-
-    /// Releases all reservations but the one that the request uses.
-    pub async fn release_others(&self) {
-        self.send(ReservationMessage::Release(self.id), &self.unused()).await;
-        for index in self.unused() {
-            self.round.round.borrow_mut().record_reply(index, ReservationReply::Denied);
-        }
-    }
-
-    /// Returns the sidecars at which an unused reservation may still be open.
-    fn unused(&self) -> Vec<usize> {
-        let open = self.round.round.borrow().open_targets();
-        open.into_iter().filter(|index| Some(*index) != self.taken).collect()
-    }
-
-    /// Sends a message to some of the sidecars; a lost one is made up for by renewal or expiry.
-    async fn send(&self, message: ReservationMessage, indices: &[usize]) {
-        for index in indices {
-            let address = self.round.sidecars[*index];
-            let _ = self.client.socket.send_to(message.encode(), address).await;
-        }
-    }
-}
-
-impl Drop for PlacedReservations {
-    fn drop(&mut self) {
-        let mut rounds = self.client.rounds.borrow_mut();
-        if let Ok(position) = rounds.binary_search_by_key(&self.id, |(other, _)| *other) {
-            rounds.remove(position);
-        }
-        let (socket, unused) = (Rc::clone(&self.client.socket), self.unused());
-        if unused.is_empty() {
-            return;
-        }
-        let (id, round) = (self.id, Rc::clone(&self.round));
-        monoio::spawn(async move {
-            for index in unused {
-                let datagram = ReservationMessage::Release(id).encode();
-                let _ = socket.send_to(datagram, round.sidecars[index]).await;
-            }
-        });
-    }
-}
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -319,3 +319,15 @@
     let choice = schedule.choose_target(&targets, at(50), &request(&[])).expect("a choice");
     assert_eq!(choice.id, "large");
 }
+
+#[test]
+fn reservations_are_placed_at_different_sidecars() {
+    let mut targets = table_with_a_silent_target(8, at(3_000));
+    targets.upsert(record("ghost", "a", 1), at(3_000));
+    let choices = PlacementPolicy.choose_for_reservations(&targets, at(3_000), &request(&[]), 4);
+    let mut addresses: Vec<_> = choices.iter().map(|choice| choice.address).collect();
+    addresses.sort();
+    addresses.dedup();
+    assert_eq!((choices.len(), addresses.len()), (4, 4));
+    assert!(choices.iter().all(|choice| choice.id != "t6"), "its sidecar is silent");
+}
