Let an engine that is down seem full instead of idle

Cause: a sidecar whose engine refuses connections has no runs and so granted every reservation and reported no load; the requests that it attracted came back after a futile try, and an engine that goes down and up by turns got all waiting requests at once when it was up. Change: a refused connection counts all slots as occupied; they are tried again one every 60 ms.

--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -175,6 +175,11 @@
             let run = match started {
                 Ok(run) => run,
                 Err(verdict) => {
+                    if verdict == SidecarVerdict::NotRun {
+                        // An engine that is down has no free slots, however few runs it has. The
+                        // request goes elsewhere, and the slots are tried again one by one.
+                        ticket.requeue(Duration::ZERO);
+                    }
                     self.refuse(exchange, request, verdict, "engine_silent").await?;
                     return Ok(None);
                 }
--- a/tests/dispatch/slot_queue.rs
+++ b/tests/dispatch/slot_queue.rs
@@ -303,3 +303,19 @@
     queue.finish(at(1_750), TicketId(1), &mut commands);
     assert_eq!(commands, [QueueCommand::Start(TicketId(2))]);
 }
+
+#[test]
+fn an_engine_that_is_down_seems_full_and_gets_its_slots_back_one_by_one() {
+    let mut queue = SlotQueue::new(4);
+    let mut commands = Vec::new();
+    queue.admit(at(0), TicketId(1), &online(500), &mut commands);
+    // The engine refuses the connection.
+    queue.requeue(at(1), TicketId(1), Duration::ZERO, &mut commands);
+    assert_eq!(commands, [QueueCommand::Evict(TicketId(1))]);
+    queue.remove(at(1), TicketId(1), &mut commands);
+    assert_eq!(queue.load_report().online_running, 4);
+    assert!(!queue.expected_wait(at(1)).is_zero());
+    queue.tick(at(61), &mut commands);
+    assert_eq!(queue.load_report().online_running, 3);
+    assert!(queue.expected_wait(at(61)).is_zero(), "one request may try");
+}
