Log the engines that end, with the runs that may be the cause

No line said that an engine had ended, and no line named the prompt parts of a request, so 'one part ends engines' and 'engines end under load' looked the same in the logs.

A sidecar now watches the runs of its engine. When one breaks off, it opens a connection: refused means that the engine has ended, accepted that it only broke off a response, and silence says nothing. The line engine_lost names the runs whose response had not begun or was less than 600 ms old, each with the shared parts of its prompt; cv_side_engine_losses_total counts the losses. attempt_failed names the parts, too.

No decision has changed.

--- /dev/null
+++ b/crates/dispatch/src/run_watch.rs
@@ -0,0 +1,119 @@
+//! The runs of one engine, and which of them an engine's loss may be blamed on.
+
+use std::time::Duration;
+
+use cv_policy::MonotonicTime;
+
+use crate::PromptPart;
+
+/// Time after the start of its response for which a run may be the cause of its engine's loss. An
+/// engine that a prompt ends does so while it writes the first tokens of the response.
+const SUSPECT_WINDOW: Duration = Duration::from_millis(600);
+
+/// Time after its end for which a run may be the cause, and after which a complete run shows that
+/// its engine survived it.
+const SURVIVAL_TIME: Duration = Duration::from_millis(300);
+
+/// Most ended runs that are kept for [`SURVIVAL_TIME`].
+const MAX_ENDED: usize = 256;
+
+/// Identifies a run at its engine.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct WatchedRunId(u64);
+
+/// A run that is in progress or has just ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WatchedRun {
+    /// When the head of the response arrived; `None` if it has not.
+    pub answered_at: Option<MonotonicTime>,
+    /// The shared parts of the request's prompt, in order.
+    pub parts: Vec<PromptPart>,
+    /// Id of the request.
+    pub request_id: String,
+    ended: Option<(MonotonicTime, bool)>,
+    id: WatchedRunId,
+}
+
+/// Tracks the runs of one engine.
+#[derive(Clone, Debug, Default)]
+pub struct RunWatch {
+    /// Runs in the order in which they ended.
+    ended: Vec<WatchedRun>,
+    next_id: u64,
+    /// Runs in progress, sorted by id.
+    running: Vec<WatchedRun>,
+}
+
+impl RunWatch {
+    /// Records that a request is handed to the engine.
+    pub fn begin(&mut self, request_id: &str, parts: &[PromptPart]) -> WatchedRunId {
+        let id = WatchedRunId(self.next_id);
+        self.next_id += 1;
+        self.running.push(WatchedRun {
+            answered_at: None,
+            parts: parts.to_vec(),
+            request_id: request_id.to_owned(),
+            ended: None,
+            id,
+        });
+        id
+    }
+
+    /// Records that the head of a run's response has arrived.
+    pub fn answer(&mut self, id: WatchedRunId, now: MonotonicTime) {
+        if let Ok(position) = self.running.binary_search_by_key(&id, |run| run.id) {
+            self.running[position].answered_at.get_or_insert(now);
+        }
+    }
+
+    /// Records the end of a run, `is_complete` if the engine sent a whole successful response.
+    pub fn end(&mut self, id: WatchedRunId, now: MonotonicTime, is_complete: bool) {
+        let Ok(position) = self.running.binary_search_by_key(&id, |run| run.id) else {
+            return;
+        };
+        let mut run = self.running.remove(position);
+        run.ended = Some((now, is_complete));
+        if self.ended.len() == MAX_ENDED {
+            self.ended.remove(0);
+        }
+        self.ended.push(run);
+    }
+
+    /// Removes a run that the engine has not run.
+    pub fn cancel(&mut self, id: WatchedRunId) {
+        self.running.retain(|run| run.id != id);
+    }
+
+    /// Returns the runs that may be the cause if the engine is lost now: those whose response has
+    /// not begun, has just begun or has just ended.
+    #[must_use]
+    pub fn suspects(&self, now: MonotonicTime) -> Vec<WatchedRun> {
+        let runs = self.running.iter().chain(&self.ended);
+        runs.filter(|run| run.is_suspect(now)).cloned().collect()
+    }
+
+    /// Forgets the runs that were lost with the engine.
+    pub fn clear_ended(&mut self) {
+        self.ended.clear();
+    }
+
+    /// Removes the runs whose end the engine has survived, and returns the complete ones.
+    pub fn take_survived(&mut self, now: MonotonicTime) -> Vec<WatchedRun> {
+        let has_survived = |run: &WatchedRun| {
+            run.ended.is_some_and(|(ended_at, _)| now.since(ended_at) > SURVIVAL_TIME)
+        };
+        let survived = self.ended.iter().take_while(|run| has_survived(run)).count();
+        let mut taken: Vec<WatchedRun> = self.ended.drain(..survived).collect();
+        taken.retain(|run| run.ended.is_some_and(|(_, is_complete)| is_complete));
+        taken
+    }
+}
+
+impl WatchedRun {
+    /// Returns whether the run may be the cause if its engine is lost now.
+    fn is_suspect(&self, now: MonotonicTime) -> bool {
+        let has_ended = self.ended.is_some_and(|(at, _)| now.since(at) > SURVIVAL_TIME);
+        let began_long_ago = self.answered_at.is_some_and(|at| now.since(at) > SUSPECT_WINDOW);
+        !has_ended && !began_long_ago
+    }
+}
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use cv_dispatch::PlacementPolicy;
 use cv_dispatch::PlacementRequest;
+use cv_dispatch::PromptPart;
 use cv_dispatch::ReservationId;
 use cv_dispatch::RouteKind;
 use cv_dispatch::RouteRule;
@@ -71,6 +72,8 @@
     headers: HeaderMap,
     is_retry: bool,
     method: Method,
+    /// The shared parts of the prompt, in order.
+    parts: Vec<PromptPart>,
     path: String,
     route: &'a RouteRule,
     /// Attempts that a target may have run.
@@ -121,6 +124,7 @@
             deadline: received_at + limit.saturating_sub(RESPONSE_MARGIN),
             handler,
             is_retry: handler.is_retry(route, options.deadline),
+            parts: P::prompt_parts(&headers),
             headers,
             method: exchange.head().method.clone(),
             path: exchange.head().uri.to_string(),
@@ -536,7 +540,7 @@
     /// Returns the recorder of this request's failed attempts.
     fn recorder(&self) -> AttemptRecorder<'_> {
         let request = self.options.request_id.as_deref().unwrap_or_default();
-        AttemptRecorder { request, view: &self.handler.view }
+        AttemptRecorder { parts: &self.parts, request, view: &self.handler.view }
     }
 
     /// Returns the time left until the final response is due.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod coordination_store;
 mod drain;
+mod engine_probe;
 mod entry;
 mod fleet_view;
 mod internal_handler;
--- a/crates/serving/src/platform_adapter.rs
+++ b/crates/serving/src/platform_adapter.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use cv_dispatch::ItemResult;
 use cv_dispatch::ItemSpec;
+use cv_dispatch::PromptPart;
 use cv_dispatch::RouteTable;
 use cv_dispatch::TargetRecord;
 use http::HeaderMap;
@@ -138,6 +139,9 @@
     /// Reads the options of a caller's request.
     fn request_options(headers: &HeaderMap) -> RequestOptions;
 
+    /// Reads the parts of a request's prompt that other prompts may share, in order.
+    fn prompt_parts(headers: &HeaderMap) -> Vec<PromptPart>;
+
     /// Builds the headers of an attempt from those of the caller's request.
     fn attempt_headers(headers: &HeaderMap, terms: &AttemptOptions<'_>) -> HeaderMap;
 
--- a/crates/serving/src/sidecar/batch_relay.rs
+++ b/crates/serving/src/sidecar/batch_relay.rs
@@ -106,8 +106,9 @@
         let options = AttemptOptions { resume_after: self.last_event, ..AttemptOptions::default() };
         let forwarded = SidecarHandler::<P>::engine_request(self.request, options);
         let id = self.request.request_id.as_deref();
+        let guard = self.handler.watch.begin(id.unwrap_or_default(), &self.request.parts);
         let started = monoio::select! {
-            started = EngineRun::start(&call, &forwarded, id, STALL_TIMEOUT) => started,
+            started = EngineRun::start(&call, &forwarded, id, guard, STALL_TIMEOUT) => started,
             () = self.ticket.preempted() => return Ok(RunOutcome::Preempted),
             () = exchange.closed() => return Err(HttpFault::Closed),
         };
@@ -124,7 +125,7 @@
         };
         let is_misdirected = run.head.status == StatusCode::MISDIRECTED_REQUEST;
         if P::response_metadata(&run.head.headers).not_run && !is_misdirected {
-            run.release(&call);
+            run.reject(&call);
             return Ok(RunOutcome::EngineFull);
         }
         let mut headers = run.head.headers.clone();
@@ -190,7 +191,7 @@
             }
             match ended {
                 Some(RunOutcome::Complete) => {
-                    run.release(&self.handler.engine_call());
+                    run.complete(&self.handler.engine_call());
                     return Ok(RunOutcome::Complete);
                 }
                 Some(outcome) => return Ok(outcome),
--- a/crates/serving/src/sidecar/engine_run.rs
+++ b/crates/serving/src/sidecar/engine_run.rs
@@ -5,9 +5,11 @@
 use bytes::Bytes;
 use cv_http::ClientConnection;
 use cv_http::ClientRequest;
+use cv_http::HttpFault;
 use http::response::Parts as ResponseHead;
 
 use crate::SidecarVerdict;
+use crate::sidecar::engine_watch::EngineRunGuard;
 use crate::target_call::TargetCall;
 use crate::target_call::TargetFault;
 
@@ -17,12 +19,15 @@
 /// A run whose response has begun.
 pub(crate) struct EngineRun {
     connection: ClientConnection,
+    /// Watches the run until the engine breaks it off.
+    guard: Option<EngineRunGuard>,
     /// Head of the engine's response.
     pub head: ResponseHead,
 }
 
 impl EngineRun {
-    /// Sends a request to the engine and waits up to `timeout` for the head of the response.
+    /// Sends a request, which `guard` watches, to the engine and waits up to `timeout` for the head
+    /// of the response.
     ///
     /// # Errors
     /// The verdict on a request that got no response.
@@ -30,12 +35,22 @@
         call: &TargetCall<'_>,
         request: &ClientRequest,
         request_id: Option<&str>,
+        guard: EngineRunGuard,
         timeout: Duration,
     ) -> Result<Self, SidecarVerdict> {
         match call.open(request, request_id, CONNECT_TIMEOUT, timeout).await {
-            Ok((connection, head)) => Ok(Self { connection, head }),
-            Err(TargetFault::NotSent(_)) => Err(SidecarVerdict::NotRun),
-            Err(TargetFault::Unknown(_)) => Err(SidecarVerdict::Unknown),
+            Ok((connection, head)) => {
+                guard.answered();
+                Ok(Self { connection, guard: Some(guard), head })
+            }
+            Err(TargetFault::NotSent(_)) => {
+                guard.cancel();
+                Err(SidecarVerdict::NotRun)
+            }
+            Err(TargetFault::Unknown(_)) => {
+                guard.interrupted();
+                Err(SidecarVerdict::Unknown)
+            }
         }
     }
 
@@ -43,12 +58,31 @@
     ///
     /// # Errors
     /// Fails if the connection breaks within the response.
-    pub async fn next_piece(&mut self) -> Result<Option<Bytes>, cv_http::HttpFault> {
-        self.connection.read_piece().await
+    pub async fn next_piece(&mut self) -> Result<Option<Bytes>, HttpFault> {
+        let piece = self.connection.read_piece().await;
+        if piece.is_err()
+            && let Some(guard) = self.guard.take()
+        {
+            guard.interrupted();
+        }
+        piece
+    }
+
+    /// Ends the run after its whole response has been read, and returns the connection to the pool.
+    pub fn complete(self, call: &TargetCall<'_>) {
+        if let Some(guard) = self.guard
+            && self.head.status.is_success()
+        {
+            guard.complete();
+        }
+        call.release(self.connection);
     }
 
-    /// Returns the connection to the pool after the whole response has been read.
-    pub fn release(self, call: &TargetCall<'_>) {
+    /// Ends a run that the engine has refused, and returns the connection to the pool.
+    pub fn reject(self, call: &TargetCall<'_>) {
+        if let Some(guard) = self.guard {
+            guard.cancel();
+        }
         call.release(self.connection);
     }
 }
--- a/crates/serving/src/sidecar/mod.rs
+++ b/crates/serving/src/sidecar/mod.rs
@@ -2,6 +2,7 @@
 
 mod batch_relay;
 mod engine_run;
+mod engine_watch;
 mod load_reporter;
 mod reservation_desk;
 mod sidecar_handler;
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use cv_dispatch::AdmissionOptions;
+use cv_dispatch::PromptPart;
 use cv_http::ClientRequest;
 use cv_http::ConnectionPool;
 use cv_http::HttpFault;
@@ -32,6 +33,7 @@
 use crate::internal_headers::strip_internal_headers;
 use crate::sidecar::batch_relay::BatchRelay;
 use crate::sidecar::engine_run::EngineRun;
+use crate::sidecar::engine_watch::EngineWatch;
 use crate::sidecar::reservation_desk::ReservationDesk;
 use crate::sidecar::sidecar_metrics::SidecarMetrics;
 use crate::sidecar::slot_gate::SlotGate;
@@ -67,6 +69,8 @@
     pub metrics: SidecarMetrics,
     /// Pool of connections to the engine.
     pub pool: ConnectionPool,
+    /// Watches the runs of the engine.
+    pub watch: Rc<EngineWatch>,
     /// Selects the platform adapter.
     pub adapter: PhantomData<P>,
 }
@@ -81,6 +85,8 @@
     pub headers: HeaderMap,
     /// The request method.
     pub method: Method,
+    /// The shared parts of the request's prompt, in order.
+    pub parts: Vec<PromptPart>,
     /// The request target with its query.
     pub path: String,
     /// Id of the request, if it has one.
@@ -105,6 +111,7 @@
             body,
             headers,
             method: exchange.head().method.clone(),
+            parts: P::prompt_parts(&exchange.head().headers),
             path: exchange.head().uri.to_string(),
             request_id: request_options.request_id,
             options,
@@ -146,7 +153,7 @@
                 None => break,
             }
         }
-        run.release(&call);
+        run.complete(&call);
         ticket.complete();
         exchange.finish_stream().await
     }
@@ -168,8 +175,9 @@
             let options = AttemptOptions { deadline: time_left, ..AttemptOptions::default() };
             let forwarded = Self::engine_request(request, options);
             let timeout = time_left.unwrap_or(DEFAULT_RESPONSE_TIMEOUT);
+            let guard = self.watch.begin(id.unwrap_or_default(), &request.parts);
             let started = monoio::select! {
-                started = EngineRun::start(call, &forwarded, id, timeout) => started,
+                started = EngineRun::start(call, &forwarded, id, guard, timeout) => started,
                 () = exchange.closed() => return Err(HttpFault::Closed),
             };
             let run = match started {
@@ -189,7 +197,7 @@
             if !is_full {
                 return Ok(Some(run));
             }
-            run.release(call);
+            run.reject(call);
             ticket.requeue(request.options.wait_budget);
             let started = monoio::select! {
                 started = ticket.started() => started,
--- a/crates/serving/src/sidecar/sidecar_metrics.rs
+++ b/crates/serving/src/sidecar/sidecar_metrics.rs
@@ -10,6 +10,8 @@
 #[derive(Debug)]
 pub(crate) struct SidecarMetrics {
     batch: IntGaugeVec,
+    /// Times that the engine ended with its runs.
+    pub engine_losses: IntCounter,
     online: IntGaugeVec,
     /// Requests that were refused.
     pub refused: IntCounter,
@@ -32,7 +34,10 @@
         let online = gauge("cv_side_online", "Online requests at the engine or in the queue.")?;
         let refused = IntCounter::new("cv_side_refused_total", "Requests that were turned away.")?;
         registry.register(Box::new(refused.clone()))?;
-        Ok(Self { batch, online, refused, registry })
+        let engine_losses =
+            IntCounter::new("cv_side_engine_losses_total", "Times that the engine ended.")?;
+        registry.register(Box::new(engine_losses.clone()))?;
+        Ok(Self { batch, engine_losses, online, refused, registry })
     }
 
     /// Sets the gauges to the queue's counts.
--- a/crates/serving/src/sidecar/sidecar_node.rs
+++ b/crates/serving/src/sidecar/sidecar_node.rs
@@ -23,6 +23,7 @@
 use crate::PlatformAdapter;
 use crate::drain::drain_delay;
 use crate::drain::drain_server;
+use crate::sidecar::engine_watch::EngineWatch;
 use crate::sidecar::load_reporter::LoadReporter;
 use crate::sidecar::sidecar_handler::SidecarHandler;
 use crate::sidecar::sidecar_metrics::SidecarMetrics;
@@ -72,15 +73,19 @@
         let gate = SlotGate::new(clock, DEFAULT_SLOTS);
         monoio::spawn(Rc::clone(&gate).run_ticks());
         let desk = LoadReporter::start(clock, Rc::clone(&gate), self.log.clone(), socket, &timers);
+        let metrics = SidecarMetrics::new().map_err(io::Error::other)?;
+        let engine = self.settings.engine;
+        let losses = metrics.engine_losses.clone();
         let handler = SidecarHandler::<P> {
             adapter: PhantomData,
             clock,
             desk: Rc::clone(&desk),
-            engine: self.settings.engine,
+            engine,
             gate: Rc::clone(&gate),
             log: self.log.clone(),
-            metrics: SidecarMetrics::new().map_err(io::Error::other)?,
+            metrics,
             pool: ConnectionPool::new(HttpLimits::default()),
+            watch: EngineWatch::new(clock, engine, self.log.clone(), losses),
         };
         let drain = DrainGate::default();
         let server =
--- a/crates/timeline/src/event_record.rs
+++ b/crates/timeline/src/event_record.rs
@@ -70,6 +70,8 @@
     ResultsRead,
     /// A request about a job was refused, or its outcome is unknown.
     JobRefused,
+    /// An engine ended with its runs.
+    EngineLost,
     /// Lines were dropped because there were too many.
     LinesDropped,
 }
@@ -88,6 +90,7 @@
                 | Self::LeaseAcquired
                 | Self::LeaseLost
                 | Self::DirectoryChanged
+                | Self::EngineLost
                 | Self::EntryRejected
                 | Self::DependencyLost
                 | Self::DependencyRegained
