Show with failing tests that one prompt part ends engine after engine

A fleet can run without proxies between sidecars and engines, since a proxy goes on accepting connections for an engine that has ended.

QuarantineTable collects the evidence against prompt parts, in rows that processes can exchange in any order.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -1,6 +1,7 @@
 //! Tests of node processes, with stand-ins for the platform.
 
 mod batch_jobs;
+mod crashing_prompts;
 mod faulty_responses;
 mod job_checks;
 mod keeper_matrix;
--- /dev/null
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -0,0 +1,225 @@
+//! The evidence against one prompt part.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use cv_policy::MonotonicTime;
+
+use crate::PromptPart;
+use crate::QuarantineRecord;
+
+/// Losses of one engine within this time are one loss that several processes have observed. An
+/// engine takes longer to start again.
+const SAME_LOSS_TIME: Duration = Duration::from_secs(1);
+
+/// Losses of several engines within this time have a common cause other than their prompts, for
+/// example the power supply, and count once.
+const COMMON_CAUSE_TIME: Duration = Duration::from_millis(50);
+
+/// Losses that put a part into quarantine; no number does yet.
+const MAX_LOSSES: usize = usize::MAX;
+
+/// Losses that put a part into quarantine that has been served before; no number does yet.
+const MAX_LOSSES_IF_SERVED: usize = usize::MAX;
+
+/// Most losses that are kept for one part.
+const KEPT_LOSSES: usize = 12;
+
+/// Time from the start of a quarantine to the first trial.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(5);
+
+/// Factor by which the delay grows with each trial.
+const TRIAL_DELAY_GROWTH: u32 = 4;
+
+/// Longest delay between two trials. Each failed trial costs an engine with all of its runs.
+const MAX_TRIAL_DELAY: Duration = Duration::from_mins(2);
+
+/// An engine that ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EngineLoss {
+    /// When it ended.
+    pub at: MonotonicTime,
+    /// Address of its instance.
+    pub engine: IpAddr,
+}
+
+impl EngineLoss {
+    /// Returns whether two observations are of the same loss.
+    fn is_same(&self, other: &Self) -> bool {
+        self.engine == other.engine && self.at.abs_diff(other.at) < SAME_LOSS_TIME
+    }
+}
+
+/// The evidence against one prompt part. Rows of two processes merge in any order and any number
+/// of times to the same state.
+#[derive(Clone, Debug)]
+pub(crate) struct QuarantineRow {
+    /// When this process last learned something new about the part.
+    pub changed_at: MonotonicTime,
+    /// Losses since the part was last served, in order of time.
+    losses: Vec<EngineLoss>,
+    pub part: PromptPart,
+    /// Number of parts before it in the prompt.
+    pub position: u8,
+    quarantined_at: Option<MonotonicTime>,
+    served_at: Option<MonotonicTime>,
+    trials: u8,
+    tried_at: Option<MonotonicTime>,
+}
+
+impl QuarantineRow {
+    /// Creates the row of a part without evidence; `served_at` is when it was last served.
+    pub fn new(part: PromptPart, served_at: Option<MonotonicTime>, now: MonotonicTime) -> Self {
+        Self {
+            changed_at: now,
+            losses: Vec::new(),
+            part,
+            position: 0,
+            quarantined_at: None,
+            served_at,
+            trials: 0,
+            tried_at: None,
+        }
+    }
+
+    /// Returns whether requests with the part are refused.
+    pub fn is_in_quarantine(&self) -> bool {
+        self.quarantined_at.is_some()
+    }
+
+    /// Returns whether the part is known to have been served.
+    pub fn was_served(&self) -> bool {
+        self.served_at.is_some()
+    }
+
+    /// Returns when the next request with the part may be tried.
+    pub fn trial_due(&self) -> Option<MonotonicTime> {
+        let growth = TRIAL_DELAY_GROWTH.saturating_pow(self.trials.into());
+        let delay = FIRST_TRIAL_DELAY.saturating_mul(growth).min(MAX_TRIAL_DELAY);
+        Some(self.quarantined_at.max(self.tried_at)? + delay)
+    }
+
+    /// Returns whether a loss is among the evidence.
+    pub fn has_loss(&self, loss: &EngineLoss) -> bool {
+        self.losses.iter().any(|known| known.is_same(loss))
+    }
+
+    /// Returns the time of the last event that concerns the part.
+    pub fn last_event(&self) -> MonotonicTime {
+        let last_loss = self.losses.last().map(|loss| loss.at);
+        let latest = last_loss.max(self.quarantined_at).max(self.tried_at).max(self.served_at);
+        latest.unwrap_or(MonotonicTime::ZERO)
+    }
+
+    /// Counts the losses that `is_explained` does not attribute to another part.
+    pub fn count_losses(&self, is_explained: impl Fn(&EngineLoss) -> bool) -> usize {
+        let mut count = 0;
+        let mut last: Option<MonotonicTime> = None;
+        for loss in self.losses.iter().filter(|loss| !is_explained(loss)) {
+            if last.is_none_or(|last| loss.at.since(last) >= COMMON_CAUSE_TIME) {
+                count += 1;
+                last = Some(loss.at);
+            }
+        }
+        count
+    }
+
+    /// Returns whether that many losses are enough for a quarantine.
+    pub fn is_convicted_by(&self, losses: usize) -> bool {
+        losses >= if self.was_served() { MAX_LOSSES_IF_SERVED } else { MAX_LOSSES }
+    }
+
+    /// Adds a loss; returns whether it was not known.
+    pub fn record_loss(&mut self, loss: EngineLoss) -> bool {
+        if self.served_at.is_some_and(|served| loss.at <= served) || self.has_loss(&loss) {
+            return false;
+        }
+        let position = self.losses.partition_point(|known| known.at <= loss.at);
+        self.losses.insert(position, loss);
+        if self.losses.len() > KEPT_LOSSES {
+            self.losses.remove(0);
+        }
+        true
+    }
+
+    /// Puts the part into quarantine.
+    pub fn quarantine(&mut self, now: MonotonicTime) {
+        self.quarantined_at = Some(now);
+        (self.trials, self.tried_at) = (0, None);
+        self.changed_at = now;
+    }
+
+    /// Records a trial, after which the next one is due later.
+    pub fn record_trial(&mut self, now: MonotonicTime) {
+        self.trials = self.trials.saturating_add(1);
+        self.tried_at = Some(now);
+        self.changed_at = now;
+    }
+
+    /// Records that the part was served, which clears it of what was seen before; returns whether
+    /// that ends its quarantine.
+    pub fn record_served(&mut self, at: MonotonicTime) -> bool {
+        self.served_at = self.served_at.max(Some(at));
+        self.losses.retain(|loss| loss.at > at);
+        let is_lifted = self.quarantined_at.is_some_and(|since| since < at);
+        if is_lifted {
+            (self.quarantined_at, self.trials, self.tried_at) = (None, 0, None);
+        }
+        is_lifted
+    }
+
+    /// Forgets the losses before a time.
+    pub fn forget_losses_before(&mut self, time: MonotonicTime) {
+        self.losses.retain(|loss| loss.at >= time);
+    }
+
+    /// Returns whether the row holds any evidence.
+    pub fn has_evidence(&self) -> bool {
+        self.is_in_quarantine() || !self.losses.is_empty()
+    }
+
+    /// Merges another process's knowledge; returns whether it is new here.
+    pub fn merge(&mut self, record: &QuarantineRecord, now: MonotonicTime) -> bool {
+        let before = (self.is_in_quarantine(), self.trials, self.losses.len(), self.was_served());
+        let time = |age: u32| now.before(Duration::from_millis(age.into()));
+        self.position = self.position.max(record.position);
+        for (engine, age) in &record.losses {
+            self.record_loss(EngineLoss { at: time(*age), engine: *engine });
+        }
+        if let Some(age) = record.quarantined {
+            let since = time(age);
+            if self.quarantined_at.is_none() && self.served_at.is_none_or(|served| served < since) {
+                self.quarantined_at = Some(since);
+            }
+            if self.quarantined_at.is_some() && record.trials >= self.trials {
+                self.trials = record.trials;
+                self.tried_at = self.tried_at.max(record.tried.map(time));
+            }
+        }
+        if let Some(age) = record.served {
+            self.record_served(time(age));
+        }
+        let after = (self.is_in_quarantine(), self.trials, self.losses.len(), self.was_served());
+        // The other process is told what it does not know.
+        let differs = record.quarantined.is_some() != self.is_in_quarantine();
+        if before != after || differs {
+            self.changed_at = now;
+        }
+        before != after
+    }
+
+    /// Returns this process's knowledge.
+    pub fn record(&self, now: MonotonicTime) -> QuarantineRecord {
+        let age =
+            |time: MonotonicTime| u32::try_from(now.since(time).as_millis()).unwrap_or(u32::MAX);
+        QuarantineRecord {
+            losses: self.losses.iter().map(|loss| (loss.engine, age(loss.at))).collect(),
+            part: self.part,
+            position: self.position,
+            quarantined: self.quarantined_at.map(age),
+            served: self.served_at.map(age),
+            tried: self.tried_at.map(age),
+            trials: self.trials,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -0,0 +1,270 @@
+//! Quarantine of prompt parts that end the engines that they run on.
+
+use std::time::Duration;
+
+use cv_policy::MonotonicTime;
+
+use crate::EngineLoss;
+use crate::PromptPart;
+use crate::QuarantineRecord;
+use crate::quarantine_row::QuarantineRow;
+
+/// Time after which a loss is no evidence any more against a part that is not in quarantine.
+const EVIDENCE_LIFETIME: Duration = Duration::from_secs(30);
+
+/// Time after the last loss or trial after which a quarantine ends.
+const QUARANTINE_LIFETIME: Duration = Duration::from_mins(15);
+
+/// Time for which news of a part is repeated to other processes.
+const NEWS_LIFETIME: Duration = Duration::from_secs(2);
+
+/// Most parts with evidence that are kept.
+const MAX_ROWS: usize = 128;
+
+/// Most parts that are told to other processes at once.
+const MAX_RECORDS: usize = 48;
+
+/// Most parts of which the last service is remembered.
+const MAX_SERVED: usize = 4_096;
+
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuarantineDecision {
+    /// Serve it.
+    Admit,
+    /// Run it, and no other, to find out whether engines survive this part by now.
+    Try(PromptPart),
+    /// Refuse it because of this part; the next trial is due after the given time.
+    Refuse(PromptPart, Duration),
+}
+
+/// Parts that came into quarantine or left it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct QuarantineChanges {
+    /// Parts that left quarantine.
+    pub lifted: Vec<PromptPart>,
+    /// Parts that came into quarantine.
+    pub quarantined: Vec<PromptPart>,
+}
+
+/// Decides which prompt parts end engines, from the losses of engines and the runs that each took
+/// with it.
+///
+/// An engine that ends takes innocent runs with it. A part is convicted by several losses without a
+/// single response in between that an engine survived. Requests share parts, so the part with most
+/// losses is convicted first, and its losses are no evidence against others.
+#[derive(Clone, Debug, Default)]
+pub struct QuarantineTable {
+    /// Parts with evidence, sorted by part.
+    rows: Vec<QuarantineRow>,
+    /// Last service of parts, sorted by part.
+    served: Vec<(PromptPart, MonotonicTime)>,
+}
+
+impl QuarantineTable {
+    /// Decides on a request by the shared parts of its prompt.
+    #[must_use]
+    pub fn decide(&self, parts: &[PromptPart], now: MonotonicTime) -> QuarantineDecision {
+        let mut decision = QuarantineDecision::Admit;
+        for row in parts.iter().filter_map(|part| self.get(*part)) {
+            let Some(due) = row.trial_due() else {
+                continue;
+            };
+            let left = now.until(due);
+            match decision {
+                QuarantineDecision::Refuse(_, longest) if longest >= left => {}
+                _ if !left.is_zero() => decision = QuarantineDecision::Refuse(row.part, left),
+                QuarantineDecision::Admit => decision = QuarantineDecision::Try(row.part),
+                _ => {}
+            }
+        }
+        decision
+    }
+
+    /// Records that a request with these parts is run as a trial.
+    pub fn begin_trial(&mut self, parts: &[PromptPart], now: MonotonicTime) {
+        for part in parts {
+            if let Ok(position) = self.position(*part)
+                && self.rows[position].is_in_quarantine()
+            {
+                self.rows[position].record_trial(now);
+            }
+        }
+    }
+
+    /// Records that an engine has ended. Each suspect is the parts of one run that may be the
+    /// cause, in order.
+    pub fn record_loss<'a>(
+        &mut self,
+        loss: EngineLoss,
+        suspects: impl IntoIterator<Item = &'a [PromptPart]>,
+    ) -> QuarantineChanges {
+        for parts in suspects {
+            for (index, part) in parts.iter().enumerate() {
+                let row = self.row_mut(*part, loss.at);
+                row.position = row.position.max(u8::try_from(index).unwrap_or(u8::MAX));
+                if row.record_loss(loss) {
+                    row.changed_at = loss.at;
+                }
+            }
+        }
+        let quarantined = self.convict(loss.at);
+        self.limit_rows();
+        QuarantineChanges { lifted: Vec::new(), quarantined }
+    }
+
+    /// Records that an engine has survived a whole response to a prompt with these parts.
+    pub fn record_served(&mut self, parts: &[PromptPart], at: MonotonicTime) -> QuarantineChanges {
+        let mut changes = QuarantineChanges::default();
+        for part in parts {
+            self.remember_served(*part, at);
+            let Ok(position) = self.position(*part) else {
+                continue;
+            };
+            let row = &mut self.rows[position];
+            if row.has_evidence() {
+                row.changed_at = at;
+            }
+            if row.record_served(at) {
+                changes.lifted.push(*part);
+            }
+        }
+        changes
+    }
+
+    /// Remembers that a response to a prompt with these parts was complete. That clears no part,
+    /// since its engine may still end of it.
+    pub fn record_response(&mut self, parts: &[PromptPart], at: MonotonicTime) {
+        for part in parts {
+            self.remember_served(*part, at);
+        }
+    }
+
+    /// Merges what another process knows.
+    pub fn merge(&mut self, records: &[QuarantineRecord], now: MonotonicTime) -> QuarantineChanges {
+        let mut changes = QuarantineChanges::default();
+        for record in records {
+            let row = self.row_mut(record.part, now);
+            let was_in_quarantine = row.is_in_quarantine();
+            row.merge(record, now);
+            match (was_in_quarantine, row.is_in_quarantine()) {
+                (true, false) => changes.lifted.push(record.part),
+                (false, true) => changes.quarantined.push(record.part),
+                _ => {}
+            }
+        }
+        changes.quarantined.extend(self.convict(now));
+        self.limit_rows();
+        changes
+    }
+
+    /// Returns what other processes should know: all quarantines if `is_full`, and news.
+    #[must_use]
+    pub fn records(&self, now: MonotonicTime, is_full: bool) -> Vec<QuarantineRecord> {
+        let is_told = |row: &&QuarantineRow| {
+            is_full && row.is_in_quarantine() || now.since(row.changed_at) < NEWS_LIFETIME
+        };
+        let mut told: Vec<&QuarantineRow> = self.rows.iter().filter(is_told).collect();
+        told.sort_by_key(|row| {
+            (!row.is_in_quarantine(), std::cmp::Reverse(row.count_losses(|_| false)))
+        });
+        told.into_iter().take(MAX_RECORDS).map(|row| row.record(now)).collect()
+    }
+
+    /// Removes evidence and quarantines that have expired; returns the parts that left quarantine.
+    pub fn expire(&mut self, now: MonotonicTime) -> Vec<PromptPart> {
+        let mut lifted = Vec::new();
+        for row in &mut self.rows {
+            if !row.is_in_quarantine() {
+                row.forget_losses_before(now.before(EVIDENCE_LIFETIME));
+            } else if now.since(row.last_event()) >= QUARANTINE_LIFETIME {
+                lifted.push(row.part);
+            }
+        }
+        self.rows.retain(|row| {
+            let is_news = now.since(row.changed_at) < EVIDENCE_LIFETIME;
+            !lifted.contains(&row.part) && (row.has_evidence() || is_news)
+        });
+        lifted
+    }
+
+    /// Returns the parts in quarantine.
+    pub fn quarantined(&self) -> impl Iterator<Item = PromptPart> {
+        self.rows.iter().filter(|row| row.is_in_quarantine()).map(|row| row.part)
+    }
+
+    /// Puts parts into quarantine as long as the evidence suffices for one; returns them.
+    fn convict(&mut self, now: MonotonicTime) -> Vec<PromptPart> {
+        let mut convicted = Vec::new();
+        loop {
+            let candidates =
+                self.rows.iter().enumerate().filter(|(_, row)| !row.is_in_quarantine());
+            let counted = candidates.map(|(index, row)| {
+                let losses = row.count_losses(|loss| self.is_explained(loss));
+                (losses, !row.was_served(), row.position, index)
+            });
+            let guilty =
+                counted.filter(|(losses, _, _, index)| self.rows[*index].is_convicted_by(*losses));
+            let Some((_, _, _, index)) = guilty.max() else {
+                return convicted;
+            };
+            self.rows[index].quarantine(now);
+            convicted.push(self.rows[index].part);
+        }
+    }
+
+    /// Returns whether a part in quarantine accounts for a loss.
+    fn is_explained(&self, loss: &EngineLoss) -> bool {
+        self.rows.iter().any(|row| row.is_in_quarantine() && row.has_loss(loss))
+    }
+
+    /// Remembers the last service of a part, at the cost of those served longest ago.
+    fn remember_served(&mut self, part: PromptPart, at: MonotonicTime) {
+        match self.served.binary_search_by_key(&part, |(part, _)| *part) {
+            Ok(position) => self.served[position].1 = self.served[position].1.max(at),
+            Err(position) => self.served.insert(position, (part, at)),
+        }
+        if self.served.len() > MAX_SERVED {
+            let mut times: Vec<MonotonicTime> = self.served.iter().map(|(_, at)| *at).collect();
+            let (_, median, _) = times.select_nth_unstable(MAX_SERVED / 2);
+            let median = *median;
+            self.served.retain(|(_, at)| *at > median);
+        }
+    }
+
+    /// Removes the oldest rows that are not in quarantine beyond [`MAX_ROWS`].
+    fn limit_rows(&mut self) {
+        while self.rows.len() > MAX_ROWS {
+            let rows = self.rows.iter().enumerate();
+            let oldest = rows.min_by_key(|(_, row)| (row.is_in_quarantine(), row.last_event()));
+            let Some((position, _)) = oldest else {
+                return;
+            };
+            self.rows.remove(position);
+        }
+    }
+
+    /// Returns the row of a part.
+    fn get(&self, part: PromptPart) -> Option<&QuarantineRow> {
+        self.position(part).ok().map(|position| &self.rows[position])
+    }
+
+    /// Returns the row of a part, which is added if it is missing.
+    fn row_mut(&mut self, part: PromptPart, now: MonotonicTime) -> &mut QuarantineRow {
+        let position = match self.position(part) {
+            Ok(position) => position,
+            Err(position) => {
+                let served = self.served.binary_search_by_key(&part, |(part, _)| *part);
+                let served_at = served.ok().map(|index| self.served[index].1);
+                self.rows.insert(position, QuarantineRow::new(part, served_at, now));
+                position
+            }
+        };
+        &mut self.rows[position]
+    }
+
+    /// Returns the index of a part's row, or the index at which to insert it.
+    fn position(&self, part: PromptPart) -> Result<usize, usize> {
+        self.rows.binary_search_by_key(&part, |row| row.part)
+    }
+}
--- a/crates/dispatch/src/run_watch.rs
+++ b/crates/dispatch/src/run_watch.rs
@@ -8,7 +8,7 @@
 
 /// Time after the start of its response for which a run may be the cause of its engine's loss. An
 /// engine that a prompt ends does so while it writes the first tokens of the response.
-const SUSPECT_WINDOW: Duration = Duration::from_millis(600);
+const SUSPECT_WINDOW: Duration = Duration::from_millis(300);
 
 /// Time after its end for which a run may be the cause, and after which a complete run shows that
 /// its engine survived it.
--- a/crates/policy/src/monotonic_time.rs
+++ b/crates/policy/src/monotonic_time.rs
@@ -35,6 +35,19 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the time between two times in either order.
+    #[must_use]
+    pub const fn abs_diff(self, other: Self) -> Duration {
+        Duration::from_micros(self.0.abs_diff(other.0))
+    }
+
+    /// Returns the time `duration` earlier, at the least the origin.
+    #[must_use]
+    pub fn before(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// Returns the time left until `later`, zero if it has passed.
     #[must_use]
     pub const fn until(self, later: Self) -> Duration {
--- a/crates/runtime/src/serving_thread.rs
+++ b/crates/runtime/src/serving_thread.rs
@@ -92,6 +92,12 @@
         self.shutdown.trigger();
     }
 
+    /// Returns whether the thread has ended.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.join.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+
     /// Waits until the thread ends, by itself or after its shutdown signal.
     pub fn wait(mut self) {
         self.join_thread();
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod keeper_set;
 mod load_simulation;
 mod placement;
+mod quarantine;
 mod reservations;
 mod route_table;
 mod run_estimate;
--- /dev/null
+++ b/tests/dispatch/quarantine.rs
@@ -0,0 +1,428 @@
+//! Quarantine of prompt parts that end engines.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use cv_dispatch::EngineLoss;
+use cv_dispatch::PromptPart;
+use cv_dispatch::QuarantineDecision;
+use cv_dispatch::QuarantineTable;
+use cv_dispatch::RunWatch;
+use cv_dispatch::WatchedRunId;
+use cv_policy::MonotonicTime;
+use cv_policy::SeededRandom;
+use rstest::rstest;
+
+/// The part that ends engines.
+const CRASHING: PromptPart = PromptPart(0xbad);
+
+/// A part that crashing and sound prompts have in common.
+const COMMON: PromptPart = PromptPart(0xc0);
+
+/// A time in milliseconds; processes have been running for an hour at its origin.
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(3_600_000 + millis)
+}
+
+/// A loss of the engine with a number at a time.
+fn loss(engine: u8, millis: u64) -> EngineLoss {
+    EngineLoss { at: at(millis), engine: IpAddr::V4(Ipv4Addr::new(10, 0, 0, engine)) }
+}
+
+/// Records the loss of an engine with the runs that may be the cause.
+fn lose(table: &mut QuarantineTable, engine: u8, millis: u64, suspects: &[&[PromptPart]]) {
+    table.record_loss(loss(engine, millis), suspects.iter().copied());
+}
+
+/// A table in which engines have ended each 200 ms under prompts with [`CRASHING`].
+fn convicted_table() -> QuarantineTable {
+    let mut table = QuarantineTable::default();
+    for engine in 1..=4 {
+        let prompt = [COMMON, CRASHING];
+        lose(&mut table, engine, 200 * u64::from(engine), &[&prompt]);
+    }
+    table
+}
+
+/// Returns whether requests with the parts are served.
+fn is_admitted(table: &QuarantineTable, parts: &[PromptPart], millis: u64) -> bool {
+    table.decide(parts, at(millis)) == QuarantineDecision::Admit
+}
+
+#[test]
+fn a_part_that_has_ended_four_engines_ends_no_fifth() {
+    let table = convicted_table();
+    let decision = table.decide(&[PromptPart(1), CRASHING], at(1_000));
+    assert!(
+        matches!(decision, QuarantineDecision::Refuse(CRASHING, left) if !left.is_zero()),
+        "{decision:?}"
+    );
+}
+
+#[test]
+fn prompts_with_the_same_first_part_as_a_crashing_one_are_served() {
+    let table = convicted_table();
+    assert!(is_admitted(&table, &[COMMON], 1_000));
+    assert!(is_admitted(&table, &[COMMON, PromptPart(7)], 1_000));
+}
+
+#[test]
+fn a_crashing_first_part_is_found_among_varying_other_parts() {
+    let mut table = QuarantineTable::default();
+    for engine in 1..=4 {
+        let prompt = [CRASHING, PromptPart(100 + u64::from(engine))];
+        lose(&mut table, engine, 200 * u64::from(engine), &[&prompt]);
+    }
+    assert!(!is_admitted(&table, &[CRASHING, PromptPart(9)], 1_000));
+    assert!(is_admitted(&table, &[PromptPart(101)], 1_000));
+}
+
+#[test]
+fn a_prompt_that_only_shared_engines_with_a_crashing_one_is_served() {
+    let (mut table, neighbour) = (QuarantineTable::default(), [PromptPart(5), PromptPart(6)]);
+    for engine in 1..=8 {
+        let prompts: [&[PromptPart]; 2] = [&neighbour, &[COMMON, CRASHING]];
+        // The neighbour was not at the first engine.
+        let suspects = if engine == 1 { &prompts[1..] } else { &prompts[..] };
+        lose(&mut table, engine, 200 * u64::from(engine), suspects);
+    }
+    assert!(!is_admitted(&table, &[CRASHING], 2_000));
+    assert!(is_admitted(&table, &neighbour, 2_000));
+}
+
+#[test]
+fn engines_that_are_lost_together_accuse_no_part() {
+    let mut table = QuarantineTable::default();
+    for round in 0..3 {
+        for engine in 1..=9 {
+            lose(&mut table, engine, 4_000 * round + u64::from(engine), &[&[COMMON]]);
+        }
+    }
+    assert!(is_admitted(&table, &[COMMON], 9_000));
+}
+
+#[test]
+fn losses_between_which_a_part_is_served_never_add_up() {
+    let mut table = QuarantineTable::default();
+    for engine in 1..=20 {
+        lose(&mut table, engine, 300 * u64::from(engine), &[&[COMMON]]);
+        table.record_served(&[COMMON], at(300 * u64::from(engine) + 100));
+    }
+    assert!(is_admitted(&table, &[COMMON], 6_200));
+}
+
+#[test]
+fn a_part_that_was_served_before_needs_more_losses() {
+    let mut table = QuarantineTable::default();
+    table.record_served(&[COMMON], at(0));
+    for engine in 1..=5 {
+        lose(&mut table, engine, 200 * u64::from(engine), &[&[COMMON]]);
+    }
+    assert!(is_admitted(&table, &[COMMON], 1_100));
+    lose(&mut table, 6, 1_200, &[&[COMMON]]);
+    assert!(!is_admitted(&table, &[COMMON], 1_300));
+}
+
+#[test]
+fn losses_long_ago_are_no_evidence() {
+    let mut table = QuarantineTable::default();
+    for engine in 1..=8 {
+        table.expire(at(12_000 * u64::from(engine)));
+        lose(&mut table, engine, 12_000 * u64::from(engine), &[&[COMMON]]);
+    }
+    assert!(is_admitted(&table, &[COMMON], 97_000));
+}
+
+#[test]
+fn processes_that_each_saw_one_loss_convict_the_part_together() {
+    let mut tables = vec![QuarantineTable::default(); 4];
+    for (index, table) in tables.iter_mut().enumerate() {
+        let prompt = [COMMON, CRASHING];
+        lose(table, index as u8, 200 * index as u64, &[&prompt]);
+    }
+    let mut table = QuarantineTable::default();
+    for (index, other) in tables.iter().enumerate() {
+        table.merge(&other.records(at(700), false), at(700));
+        // What is told twice counts once.
+        table.merge(&other.records(at(720), false), at(720));
+        assert_eq!(is_admitted(&table, &[CRASHING], 730), index < 3);
+    }
+    assert!(is_admitted(&table, &[COMMON], 730));
+}
+
+#[test]
+fn one_loss_that_several_processes_report_counts_once() {
+    let mut table = QuarantineTable::default();
+    for observer in 0..6 {
+        lose(&mut table, 1, 100 * observer, &[&[CRASHING]]);
+    }
+    assert!(is_admitted(&table, &[CRASHING], 700));
+}
+
+#[test]
+fn a_process_that_has_just_started_refuses_what_the_others_refuse() {
+    let table = convicted_table();
+    let mut started = QuarantineTable::default();
+    started.merge(&table.records(at(9_000), true), MonotonicTime::from_millis(90_000_000));
+    let decision = started.decide(&[CRASHING], MonotonicTime::from_millis(90_000_100));
+    assert_ne!(decision, QuarantineDecision::Admit);
+}
+
+#[test]
+fn a_quarantine_is_tested_by_one_request_at_a_time_and_ever_more_rarely() {
+    let mut table = convicted_table();
+    assert_eq!(table.decide(&[CRASHING], at(6_000)), QuarantineDecision::Try(CRASHING));
+    table.begin_trial(&[CRASHING], at(6_000));
+    assert!(matches!(table.decide(&[CRASHING], at(6_001)), QuarantineDecision::Refuse(..)));
+    lose(&mut table, 9, 6_100, &[&[CRASHING]]);
+    assert!(matches!(table.decide(&[CRASHING], at(20_000)), QuarantineDecision::Refuse(..)));
+    assert_eq!(table.decide(&[CRASHING], at(26_100)), QuarantineDecision::Try(CRASHING));
+    // Other processes learn of the trial.
+    table.begin_trial(&[CRASHING], at(26_100));
+    let mut other = convicted_table();
+    other.merge(&table.records(at(26_110), false), at(26_120));
+    assert!(matches!(other.decide(&[CRASHING], at(26_130)), QuarantineDecision::Refuse(..)));
+}
+
+#[test]
+fn a_quarantine_ends_everywhere_once_an_engine_has_survived_the_part() {
+    let mut table = convicted_table();
+    let mut other = convicted_table();
+    table.begin_trial(&[CRASHING], at(6_000));
+    let changes = table.record_served(&[COMMON, CRASHING], at(6_800));
+    assert_eq!(changes.lifted, [CRASHING]);
+    assert!(is_admitted(&table, &[CRASHING], 6_810));
+    other.merge(&table.records(at(6_900), false), at(6_910));
+    assert!(is_admitted(&other, &[CRASHING], 6_920));
+    // A process that missed the news cannot bring the quarantine back.
+    table.merge(&convicted_table().records(at(7_000), true), at(7_010));
+    assert!(is_admitted(&table, &[CRASHING], 7_020));
+}
+
+/// A request under way.
+#[derive(Clone, Debug)]
+struct SimulatedRun {
+    attempts_left: u32,
+    begun: u64,
+    engine: usize,
+    entry: usize,
+    id: WatchedRunId,
+    parts: Vec<PromptPart>,
+}
+
+/// Engines, sidecars and entries under requests of which some end their engine.
+struct CrashSimulation {
+    /// Tables of the entries, then of the sidecars.
+    tables: Vec<QuarantineTable>,
+    /// When each engine is up again.
+    down_until: Vec<u64>,
+    runs: Vec<SimulatedRun>,
+    /// Times at which engines ended of a prompt.
+    crashes: Vec<u64>,
+    /// Times at which crashing requests began to run.
+    crashing_runs: Vec<u64>,
+    random: SeededRandom,
+    /// Sound requests that came, and those refused because of their prompt.
+    sound: (u32, u32),
+    /// The runs of each engine, as its sidecar knows them.
+    watches: Vec<RunWatch>,
+}
+
+/// Number of entries of the simulation.
+const ENTRIES: usize = 5;
+
+/// Number of engines of the simulation, each with a sidecar.
+const ENGINES: usize = 12;
+
+/// Time from the start of a run to the head of its response, in milliseconds.
+const HEAD_MS: u64 = 60;
+
+/// Time from the start of a crashing run to the end of its engine, in milliseconds.
+const CRASH_MS: u64 = 140;
+
+/// Time from the start of a run to the end of its response, in milliseconds.
+const RUN_MS: u64 = 500;
+
+/// Time after which an engine is back, in milliseconds.
+const DOWN_MS: u64 = 3_400;
+
+/// Time between two exchanges of what processes know, in milliseconds.
+const EXCHANGE_MS: u64 = 500;
+
+/// Exchanges after which processes tell all that they know.
+const FULL_EXCHANGES: u64 = 4;
+
+impl CrashSimulation {
+    /// Creates a simulation in which no request has come yet.
+    fn new(seed: u64) -> Self {
+        Self {
+            tables: vec![QuarantineTable::default(); ENTRIES + ENGINES],
+            down_until: vec![0; ENGINES],
+            runs: Vec::new(),
+            crashes: Vec::new(),
+            crashing_runs: Vec::new(),
+            random: SeededRandom::new(seed),
+            sound: (0, 0),
+            watches: vec![RunWatch::default(); ENGINES],
+        }
+    }
+
+    /// Tells the other side what a process knows; a tenth of the messages is lost.
+    fn tell(&mut self, from: usize, now: u64, is_full: bool) {
+        let records = self.tables[from].records(at(now), is_full);
+        let others = if from < ENTRIES { ENTRIES..ENTRIES + ENGINES } else { 0..ENTRIES };
+        for other in others {
+            if self.random.fraction() > 0.1 {
+                self.tables[other].merge(&records, at(now + 2));
+            }
+        }
+    }
+
+    /// Sends a request from an entry to an engine; the first sidecar runs the trials.
+    fn request(&mut self, now: u64, entry: usize, parts: &[PromptPart], attempts: u32) {
+        let is_crashing = parts.contains(&CRASHING);
+        let up: Vec<usize> =
+            (0..ENGINES).filter(|engine| self.down_until[*engine] <= now).collect();
+        if up.is_empty() {
+            return;
+        }
+        let engine = match self.tables[entry].decide(parts, at(now)) {
+            QuarantineDecision::Admit => up[self.random.below(up.len())],
+            QuarantineDecision::Try(_) if up[0] == 0 => 0,
+            _ => {
+                self.sound.1 += u32::from(!is_crashing);
+                return;
+            }
+        };
+        match self.tables[ENTRIES + engine].decide(parts, at(now)) {
+            QuarantineDecision::Admit => {}
+            QuarantineDecision::Try(_) if engine == 0 => {
+                self.tables[ENTRIES].begin_trial(parts, at(now));
+                self.tell(ENTRIES, now, false);
+            }
+            _ => {
+                self.sound.1 += u32::from(!is_crashing);
+                return;
+            }
+        }
+        if is_crashing {
+            self.crashing_runs.push(now);
+        }
+        let id = self.watches[engine].begin("", parts);
+        let (attempts_left, parts) = (attempts - 1, parts.to_vec());
+        self.runs.push(SimulatedRun { attempts_left, begun: now, engine, entry, id, parts });
+    }
+
+    /// Ends engines and runs that are due.
+    fn step(&mut self, now: u64) {
+        for run in self.runs.iter().filter(|run| now == run.begun + HEAD_MS) {
+            self.watches[run.engine].answer(run.id, at(now));
+        }
+        let is_crash =
+            |run: &SimulatedRun| run.parts.contains(&CRASHING) && now >= run.begun + CRASH_MS;
+        while let Some(run) = self.runs.iter().find(|run| is_crash(run)) {
+            self.crashes.push(now);
+            self.lose_engine(run.engine, now);
+        }
+        let ended: Vec<_> = self.runs.extract_if(.., |run| now >= run.begun + RUN_MS).collect();
+        for run in ended {
+            self.watches[run.engine].end(run.id, at(now), true);
+            self.tables[run.entry].record_response(&run.parts, at(now));
+        }
+        for engine in 0..ENGINES {
+            for run in self.watches[engine].take_survived(at(now)) {
+                self.tables[ENTRIES + engine].record_served(&run.parts, at(now));
+            }
+        }
+        if now.is_multiple_of(EXCHANGE_MS) {
+            for process in 0..self.tables.len() {
+                self.tables[process].expire(at(now));
+                self.tell(process, now, now.is_multiple_of(FULL_EXCHANGES * EXCHANGE_MS));
+            }
+        }
+    }
+
+    /// Ends an engine with its runs, of which those with attempts left go elsewhere.
+    fn lose_engine(&mut self, engine: usize, now: u64) {
+        self.down_until[engine] = now + DOWN_MS;
+        let suspects = self.watches[engine].suspects(at(now));
+        self.watches[engine] = RunWatch::default();
+        let suspects = suspects.iter().map(|run| run.parts.as_slice());
+        self.tables[ENTRIES + engine].record_loss(loss(engine as u8, now), suspects);
+        self.tell(ENTRIES + engine, now, false);
+        let lost: Vec<_> = self.runs.extract_if(.., |run| run.engine == engine).collect();
+        for run in lost.into_iter().filter(|run| run.attempts_left > 0) {
+            self.request(now, run.entry, &run.parts, run.attempts_left);
+        }
+    }
+
+    /// Sends requests for a time; `crashing_ms` is the mean time between two crashing ones, and
+    /// `random_loss_ms` that between two engines that are lost for another reason.
+    fn run(&mut self, duration: u64, crashing_ms: u64, random_loss_ms: u64) {
+        for now in (0..duration).step_by(10) {
+            let draw = |random: &mut SeededRandom, mean: u64| {
+                mean > 0 && random.fraction() < 10.0 / mean as f64
+            };
+            let entry = self.random.below(ENTRIES);
+            if draw(&mut self.random, 25) {
+                let first = PromptPart(0xc0 + self.random.below(40) as u64);
+                let second = PromptPart(0x1000 + self.random.below(800) as u64);
+                self.sound.0 += 1;
+                self.request(now, entry, &[first, second], 4);
+            }
+            // Some seconds without trouble come first.
+            if now > 5_000 && draw(&mut self.random, crashing_ms) {
+                self.request(now, entry, &[COMMON, CRASHING], 2);
+            }
+            if now > 5_000 && draw(&mut self.random, random_loss_ms) {
+                let engine = self.random.below(ENGINES);
+                if self.down_until[engine] <= now {
+                    self.lose_engine(engine, now);
+                }
+            }
+            self.step(now);
+        }
+    }
+}
+
+#[rstest]
+fn a_part_does_not_end_engine_after_engine(
+    #[values(80, 300, 1_500, 4_000)] crashing_ms: u64,
+    #[values(0, 2_000)] random_loss_ms: u64,
+) {
+    for seed in 1..=20 {
+        let mut simulation = CrashSimulation::new(seed);
+        simulation.run(65_000, crashing_ms, random_loss_ms);
+        let Some(fifth) = simulation.crashes.get(4) else {
+            continue;
+        };
+        let late = simulation.crashing_runs.iter().filter(|at| **at > fifth + 3_000).count();
+        assert!(late <= 3, "seed {seed}: {late} requests ran after the fifth crash");
+        let (came, refused) = simulation.sound;
+        assert!(refused * 100 <= came, "seed {seed}: {refused} of {came} sound requests refused");
+    }
+}
+
+#[rstest]
+fn engines_lost_for_other_reasons_accuse_no_part(#[values(400, 1_000, 4_000)] mean_ms: u64) {
+    for seed in 1..=20 {
+        let mut simulation = CrashSimulation::new(seed);
+        simulation.run(65_000, 0, mean_ms);
+        assert_eq!(simulation.sound.1, 0, "seed {seed}: sound requests were refused");
+    }
+}
+
+#[test]
+fn a_quarantine_names_the_longest_wait_of_a_prompts_parts() {
+    let mut table = convicted_table();
+    for engine in 1..=4 {
+        lose(&mut table, engine, 3_000 + 200 * u64::from(engine), &[&[PromptPart(3)]]);
+    }
+    let decision = table.decide(&[CRASHING, PromptPart(3)], at(4_000));
+    assert!(
+        matches!(decision, QuarantineDecision::Refuse(PromptPart(3), left)
+            if left > Duration::from_secs(4)),
+        "{decision:?}"
+    );
+}
--- a/tests/support/node_caller.rs
+++ b/tests/support/node_caller.rs
@@ -62,8 +62,23 @@
 
     /// Requests a stream of `events` events and checks each of them.
     pub async fn request_stream(&mut self, route: &str, id: &str, events: u64) -> CallerOutcome {
-        let stream = build_request(Method::POST, &format!("/{route}/x"), id, "prompt")
+        self.request_prompt(route, id, events, "").await
+    }
+
+    /// Requests a stream of `events` events for a prompt with the given prefix, for example
+    /// `a1:100,b2:50`, and checks each event.
+    pub async fn request_prompt(
+        &mut self,
+        route: &str,
+        id: &str,
+        events: u64,
+        prefix: &str,
+    ) -> CallerOutcome {
+        let mut stream = build_request(Method::POST, &format!("/{route}/x"), id, "prompt")
             .with_header("token-count", &format!("10,{events}"));
+        if !prefix.is_empty() {
+            stream = stream.with_header("prompt-prefix", prefix);
+        }
         match self.call(&stream).await {
             Ok((StatusCode::OK, body)) => {
                 let expected = PlatformTarget::expected_stream(id, events);
@@ -136,6 +151,17 @@
     NodeCaller::new(address).request_stream(route, id, events).await
 }
 
+/// Requests a stream for a prompt with the given prefix over a new connection.
+pub async fn request_prompt(
+    address: SocketAddr,
+    route: &str,
+    id: &str,
+    events: u64,
+    prefix: &str,
+) -> CallerOutcome {
+    NodeCaller::new(address).request_prompt(route, id, events, prefix).await
+}
+
 /// Requests a plain response over a new connection.
 pub async fn request_plain(address: SocketAddr, route: &str, id: &str) -> CallerOutcome {
     NodeCaller::new(address).request_plain(route, id).await
@@ -172,6 +198,27 @@
     }
 }
 
+/// Submits a job with an item for each of the prompt prefixes; [`item_id`] gives their ids.
+pub async fn submit_prompts(
+    address: SocketAddr,
+    job: &str,
+    prefixes: &[&str],
+    events: u64,
+) -> CallerOutcome {
+    let rows = prefixes.iter().enumerate().map(|(item, prefix)| {
+        json!({
+            "id": item_id(job, item as u64), "path": "/plans/item", "body": DEFAULT_BODY,
+            "tokenCount": 20,
+            "headers": { "Token-Count": format!("10,{events}"), "Prompt-Prefix": prefix },
+        })
+    });
+    let body = json!({ "items": rows.collect::<Vec<Value>>() }).to_string();
+    match call(address, &build_request(Method::POST, "/plans/job", job, body)).await {
+        Ok((StatusCode::ACCEPTED, _)) => CallerOutcome::Completed,
+        other => failure_outcome(other),
+    }
+}
+
 /// Reads a job's results after a position.
 ///
 /// # Errors
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -12,11 +12,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cv_adapter_standin::CrashRule;
 use cv_adapter_standin::PlatformStore;
 use cv_adapter_standin::PlatformTarget;
 use cv_adapter_standin::StandinThread;
 use cv_adapter_standin::TargetKind;
 use cv_adapter_standin::TargetLog;
+use cv_adapter_standin::TargetThread;
 use cv_standin::FaultProxy;
 use rustix::process::Pid;
 use rustix::process::Signal;
@@ -37,6 +39,9 @@
 /// Port of the targets.
 const TARGET_PORT: u16 = 18_400;
 
+/// Time after which an engine that has ended starts again.
+const ENGINE_DOWN_TIME: Duration = Duration::from_millis(1_500);
+
 /// Maximum time until the fleet is ready.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -68,7 +73,7 @@
     started_at: Instant,
     /// Proxy between the process and the store.
     pub store_proxy: FaultProxy,
-    /// Proxy between a sidecar and its engine; `None` for other roles.
+    /// Proxy between a sidecar and its engine, if there is one.
     pub target_proxy: Option<FaultProxy>,
 }
 
@@ -77,6 +82,11 @@
 pub struct NodeFleet {
     /// Second and third octet of the fleet's addresses.
     address_block: [u8; 2],
+    /// Prompts that end the engines.
+    pub crash_rule: CrashRule,
+    /// Whether proxies stand between sidecars and engines. Through a proxy an engine that has ended
+    /// still accepts connections.
+    has_engine_proxies: bool,
     /// All processes: sidecars, entries, keepers.
     pub nodes: Vec<NodeProcess>,
     size: NodeFleetSize,
@@ -85,7 +95,8 @@
     /// The runs of all targets.
     pub target_log: TargetLog,
     folder: TempDir,
-    threads: Vec<StandinThread>,
+    store_thread: StandinThread,
+    target_threads: Vec<TargetThread>,
 }
 
 impl NodeProcess {
@@ -196,6 +207,20 @@
     /// Panics if a process or stand-in does not start, or the fleet is not ready in time.
     #[must_use]
     pub fn start(binary: &str, size: NodeFleetSize) -> Self {
+        Self::start_with(binary, size, true)
+    }
+
+    /// Starts a fleet whose engines may end, without proxies between them and their sidecars.
+    ///
+    /// # Panics
+    /// Panics if a process or stand-in does not start, or the fleet is not ready in time.
+    #[must_use]
+    pub fn start_without_engine_proxies(binary: &str, size: NodeFleetSize) -> Self {
+        Self::start_with(binary, size, false)
+    }
+
+    /// Starts a fleet and waits until it is ready.
+    fn start_with(binary: &str, size: NodeFleetSize, has_engine_proxies: bool) -> Self {
         let address_block =
             [100 + (std::process::id() % 100) as u8, NEXT_BLOCK.fetch_add(1, Ordering::Relaxed)];
         let folder = TempDir::new().expect("a temporary folder can be created");
@@ -203,12 +228,15 @@
         let store_thread = store.start(SocketAddr::new(ip_address(address_block, 1), 0));
         let mut fleet = Self {
             address_block,
+            crash_rule: CrashRule::new(ENGINE_DOWN_TIME),
+            has_engine_proxies,
             nodes: Vec::new(),
             size,
             store,
             target_log: TargetLog::default(),
             folder,
-            threads: vec![store_thread.expect("the store listens")],
+            store_thread: store_thread.expect("the store listens"),
+            target_threads: Vec::new(),
         };
         fleet.start_targets();
         fleet.write_config(1, 2);
@@ -325,20 +353,24 @@
         let engines = (0..self.size.engines).map(|index| (engine_id(index), 10 + index, engine));
         let targets: Vec<_> = engines.chain([("plain-0".to_owned(), 30, plain)]).collect();
         for (id, host, kind) in targets {
-            let target = PlatformTarget { id, kind, log: self.target_log.clone() };
+            let crash_rule = self.crash_rule.clone();
+            let target = PlatformTarget { crash_rule, id, kind, log: self.target_log.clone() };
             let thread =
                 target.start(self.socket_address(host, TARGET_PORT)).expect("the target listens");
-            self.threads.push(thread);
+            self.target_threads.push(thread);
         }
     }
 
     /// Adds all processes and writes their settings.
     fn add_nodes(&mut self, binary: &str) {
         for index in 0..self.size.engines {
-            let engine = FaultProxy::start(self.socket_address(10 + index, TARGET_PORT))
-                .expect("the proxy starts");
-            let section = format!("sidecar:\n  engine: \"{}\"\n", engine.address());
-            self.add_node(binary, "sidecar", 10 + index, &section, Some(engine));
+            let address = self.socket_address(10 + index, TARGET_PORT);
+            let proxy = self
+                .has_engine_proxies
+                .then(|| FaultProxy::start(address).expect("the proxy starts"));
+            let engine = proxy.as_ref().map_or(address, FaultProxy::address);
+            let section = format!("sidecar:\n  engine: \"{engine}\"\n");
+            self.add_node(binary, "sidecar", 10 + index, &section, proxy);
         }
         for index in 0..self.size.entries {
             let host = 50 + index;
@@ -364,7 +396,7 @@
         target_proxy: Option<FaultProxy>,
     ) {
         let name = format!("{role}-{host}");
-        let store_proxy = FaultProxy::start(self.threads[0].address).expect("the proxy starts");
+        let store_proxy = FaultProxy::start(self.store_thread.address).expect("the proxy starts");
         let settings = self.folder.path().join(format!("{name}.yaml"));
         let text = format!(
             "name: {name}\nrole: {role}\nzone: zone-0\nip: \"{}\"\ninner_port: {INTERNAL_PORT}\n\
@@ -402,7 +434,8 @@
     }
 
     /// Returns whether an entry's readiness check responds with status 200.
-    fn is_ready(&self, index: u8) -> bool {
+    #[must_use]
+    pub fn is_ready(&self, index: u8) -> bool {
         use std::io::Read;
         use std::io::Write;
         let Ok(mut stream) =
