Put prompt parts that end engines into quarantine

Callers saw: while requests with one part in their prompts came, engine after engine ended; sound streams broke off or were late.

Cause: nothing remembered what an engine ran when it ended. Each request with the part was new to every process and was placed by load, continued at another engine after the first had ended, and ended up to two. Class: a request that kills its worker is retried and repeated without bound (a query of death). Items were open to it, too, and so were requests past a sidecar.

Ruled out: retries alone (in the tests no two requests are alike, and refusing only continuations leaves one engine lost for each request) and load (the tests reproduce it at a tenth of the load).

Change: a sidecar that sees its engine end records the parts of the runs that had just begun; without a sidecar the entry or keeper does so for its own run. Processes exchange the evidence by datagrams over sidecars and keepers, as records that merge in any order. Four losses without a response in between that an engine survived convict a part, six if it was served before. The part with most losses is convicted first, and its losses are no evidence against the parts beside it, so prompts with the same first part go on. Engines lost within 50 ms of each other count once, and one that ends while it drains not at all. Entries, keepers and sidecars decide before each hand-over: first attempts, continuations, items, with and without a sidecar. Refusals say 503 with the time to the next trial. One sidecar of the fleet runs trials, after 5 s and then ever more rarely, and a response that an engine survives ends the quarantine everywhere. Keepers keep quarantines in the store beside the jobs, for the case that all processes end.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -73,6 +73,7 @@
 pub use crate::run_schedule::RunId;
 pub use crate::run_schedule::RunSchedule;
 pub use crate::run_watch::RunWatch;
+pub use crate::run_watch::SURVIVAL_TIME;
 pub use crate::run_watch::WatchedRun;
 pub use crate::run_watch::WatchedRunId;
 pub use crate::sidecar_subscriptions::SidecarSubscriptions;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -5,7 +5,9 @@
 
 use cv_policy::MonotonicTime;
 use cv_policy::SeededRandom;
+use cv_policy::stable_hash;
 
+use crate::PromptPart;
 use crate::TargetRow;
 use crate::TargetTable;
 
@@ -117,6 +119,26 @@
         }
         chosen
     }
+
+    /// Chooses the target whose sidecar runs the trials of a part in quarantine, the same for all
+    /// processes that know the same targets.
+    #[must_use]
+    pub fn choose_for_trial(
+        self,
+        targets: &TargetTable,
+        now: MonotonicTime,
+        service: &str,
+        part: PromptPart,
+    ) -> Option<TargetChoice> {
+        let usable = targets.rows().iter().filter(|row| {
+            row.record.service == service && row.is_usable(now) && row.has_sidecar(now)
+        });
+        let chosen = usable.max_by_key(|row| {
+            let address = row.record.address.to_string();
+            stable_hash(&[&part.to_string(), &address])
+        })?;
+        Some(target_choice(chosen, now, 0.0))
+    }
 }
 
 /// Describes a target as the choice for a request.
--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -16,11 +16,11 @@
 /// example the power supply, and count once.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(50);
 
-/// Losses that put a part into quarantine; no number does yet.
-const MAX_LOSSES: usize = usize::MAX;
+/// Losses that put a part into quarantine of which no response is known that an engine survived.
+const MAX_LOSSES: usize = 4;
 
-/// Losses that put a part into quarantine that has been served before; no number does yet.
-const MAX_LOSSES_IF_SERVED: usize = usize::MAX;
+/// Losses that put a part into quarantine that has been served before.
+const MAX_LOSSES_IF_SERVED: usize = 6;
 
 /// Most losses that are kept for one part.
 const KEPT_LOSSES: usize = 12;
@@ -87,6 +87,11 @@
         self.quarantined_at.is_some()
     }
 
+    /// Returns the losses since the part was last served.
+    pub fn losses(&self) -> &[EngineLoss] {
+        &self.losses
+    }
+
     /// Returns whether the part is known to have been served.
     pub fn was_served(&self) -> bool {
         self.served_at.is_some()
--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -188,6 +188,24 @@
         lifted
     }
 
+    /// Puts a part into quarantine that was there before all processes ended. As if a trial had been
+    /// run, since all of them failed before.
+    pub fn restore(&mut self, part: PromptPart, now: MonotonicTime) -> QuarantineChanges {
+        let row = self.row_mut(part, now);
+        if row.is_in_quarantine() {
+            return QuarantineChanges::default();
+        }
+        row.quarantine(now);
+        row.record_trial(now);
+        QuarantineChanges { lifted: Vec::new(), quarantined: vec![part] }
+    }
+
+    /// Returns the losses that are known of a part.
+    #[must_use]
+    pub fn losses(&self, part: PromptPart) -> &[EngineLoss] {
+        self.get(part).map_or(&[], QuarantineRow::losses)
+    }
+
     /// Returns the parts in quarantine.
     pub fn quarantined(&self) -> impl Iterator<Item = PromptPart> {
         self.rows.iter().filter(|row| row.is_in_quarantine()).map(|row| row.part)
--- a/crates/dispatch/src/run_watch.rs
+++ b/crates/dispatch/src/run_watch.rs
@@ -12,7 +12,7 @@
 
 /// Time after its end for which a run may be the cause, and after which a complete run shows that
 /// its engine survived it.
-const SURVIVAL_TIME: Duration = Duration::from_millis(300);
+pub const SURVIVAL_TIME: Duration = Duration::from_millis(300);
 
 /// Most ended runs that are kept for [`SURVIVAL_TIME`].
 const MAX_ENDED: usize = 256;
--- a/crates/serving/src/entry/entry_metrics.rs
+++ b/crates/serving/src/entry/entry_metrics.rs
@@ -17,6 +17,8 @@
     pub failed: IntCounter,
     /// Time to the first part of a response, in seconds.
     pub first_response: Histogram,
+    /// Requests refused because of a part of their prompts.
+    pub quarantined: IntCounter,
     pub refused: IntCounter,
     /// Rounds of reservations that all sidecars denied.
     pub reservations_denied: IntCounter,
@@ -41,6 +43,10 @@
         let answered = counter("cv_front_answered_total", "Requests answered by a target.")?;
         let attempts = counter("cv_front_attempts_total", "Attempts sent to targets.")?;
         let failed = counter("cv_front_failed_total", "Requests that failed after an attempt.")?;
+        let quarantined = counter(
+            "cv_front_quarantined_total",
+            "Requests refused because a part of their prompts ends engines.",
+        )?;
         let refused = counter("cv_front_refused_total", "Requests told to come back later.")?;
         let reservations_denied = counter(
             "cv_front_reservations_denied_total",
@@ -62,6 +68,7 @@
             attempts,
             failed,
             first_response,
+            quarantined,
             refused,
             reservations_denied,
             reservations_granted,
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -7,6 +7,7 @@
 use cv_dispatch::PlacementPolicy;
 use cv_dispatch::PlacementRequest;
 use cv_dispatch::PromptPart;
+use cv_dispatch::QuarantineDecision;
 use cv_dispatch::ReservationId;
 use cv_dispatch::RouteKind;
 use cv_dispatch::RouteRule;
@@ -60,6 +61,10 @@
 /// tried.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Retry delay of a request that was refused because another is being tried, or because of what only
+/// a sidecar knows yet.
+const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Share of the remaining time that one attempt of an idempotent request may take.
 const ATTEMPT_TIME_SHARE: f64 = 0.45;
 
@@ -82,12 +87,23 @@
     tried_targets: Vec<String>,
 }
 
+/// Terms of one attempt.
+#[derive(Clone, Copy, Debug)]
+struct AttemptTerms {
+    /// Whether the attempt is the trial of a part in quarantine.
+    is_trial: bool,
+    /// The reservation by which the target keeps a slot.
+    reservation: Option<ReservationId>,
+}
+
 /// How one attempt ended.
 enum AttemptOutcome {
     /// The caller has its response, or has gone away.
     Finished,
     /// The target has not run the request and will not.
     NotRun,
+    /// A part of the prompt ends engines; the request has not been handed over in this attempt.
+    Quarantined,
     /// The target or its sidecar could not be reached.
     Unreachable,
     /// The request may have run without a complete response; holds the reason.
@@ -149,11 +165,21 @@
             if self.time_left().is_zero() {
                 return self.finish_unanswered(exchange, &relay, "deadline").await;
             }
-            let Some(choice) = self.choose_target(&service, random) else {
+            let decision = self.decide_quarantine();
+            let is_trial = matches!(decision, QuarantineDecision::Try(_));
+            let choice = match decision {
+                QuarantineDecision::Admit => self.choose_target(&service, random),
+                QuarantineDecision::Try(part) => self.choose_for_trial(&service, part),
+                QuarantineDecision::Refuse(..) => None,
+            };
+            let Some(choice) = choice else {
+                if decision != QuarantineDecision::Admit {
+                    return self.finish_quarantined(exchange, &relay).await;
+                }
                 return self.finish_unanswered(exchange, &relay, "no_target").await;
             };
             let (choice, reservation) =
-                if choice.through_sidecar && (choice.is_full || refusals > 0) {
+                if !is_trial && choice.through_sidecar && (choice.is_full || refusals > 0) {
                     match self.reserve(exchange, &service, random).await {
                         ReservationOutcome::Granted(granted, placed) => (granted, Some(placed)),
                         ReservationOutcome::Unavailable => (choice, None),
@@ -171,8 +197,16 @@
                     (choice, None)
                 };
             let reservation = reservation.as_ref().map(PlacedReservations::id);
-            match self.attempt(exchange, &choice, reservation, &mut relay).await? {
+            let terms = AttemptTerms { is_trial, reservation };
+            match self.attempt(exchange, &choice, terms, &mut relay).await? {
                 AttemptOutcome::Finished => return Ok(()),
+                AttemptOutcome::Quarantined => {
+                    return self.finish_quarantined(exchange, &relay).await;
+                }
+                // Only one target runs the trials.
+                AttemptOutcome::NotRun | AttemptOutcome::Unreachable if is_trial => {
+                    return self.finish_quarantined(exchange, &relay).await;
+                }
                 AttemptOutcome::NotRun => {
                     refusals += 1;
                     self.recorder().record_refusal(&choice);
@@ -193,6 +227,10 @@
                 }
                 AttemptOutcome::Interrupted(detail) => {
                     self.recorder().record_failure(&choice, &detail);
+                    if !choice.through_sidecar {
+                        let desk = &self.handler.view.quarantine;
+                        desk.investigate(choice.address, &self.parts);
+                    }
                     self.tried_targets.push(choice.id);
                     let may_retry = self.route.may_repeat() && relay.can_resume();
                     if !may_retry || self.attempts >= self.route.max_attempts {
@@ -216,6 +254,18 @@
         Some(TargetChoice { through_sidecar: choice.through_sidecar && is_model, ..choice })
     }
 
+    /// Decides whether the parts of the prompt allow the request to be handed over.
+    fn decide_quarantine(&self) -> QuarantineDecision {
+        self.handler.view.quarantine.decide(&self.parts)
+    }
+
+    /// Chooses the target that runs the trial of a part in quarantine.
+    fn choose_for_trial(&self, service: &str, part: PromptPart) -> Option<TargetChoice> {
+        let view = &self.handler.view;
+        let now = view.clock.now();
+        view.with_targets(|targets| PlacementPolicy.choose_for_trial(targets, now, service, part))
+    }
+
     /// Places reservations at a few sidecars and waits for the first slot that is granted.
     async fn reserve(
         &mut self,
@@ -296,9 +346,13 @@
         &mut self,
         exchange: &mut ServerExchange<'_>,
         choice: &TargetChoice,
-        reservation: Option<ReservationId>,
+        terms: AttemptTerms,
         relay: &mut ResponseRelay,
     ) -> Result<AttemptOutcome, HttpFault> {
+        // The request may have waited for a slot since the last decision.
+        if !terms.is_trial && self.decide_quarantine() != QuarantineDecision::Admit {
+            return Ok(AttemptOutcome::Quarantined);
+        }
         let handler = self.handler;
         let _in_flight = InFlightGuard::begin(handler, &choice.id);
         let address = if choice.through_sidecar {
@@ -312,7 +366,7 @@
             pool: &handler.pool,
             request_id_of: |headers| P::response_metadata(headers).request_id,
         };
-        let request = self.build_request(choice, reservation, relay);
+        let request = self.build_request(choice, terms, relay);
         handler.metrics.attempts.inc();
         let timeout = self.response_timeout();
         let id = self.options.request_id.as_deref();
@@ -348,6 +402,10 @@
         if marks.not_run || is_misdirected || verdict == Some(SidecarVerdict::NotRun) {
             return Ok(self.handle_refusal(call, connection, choice).await);
         }
+        if verdict == Some(SidecarVerdict::Quarantined) {
+            self.handle_refusal(call, connection, choice).await;
+            return Ok(AttemptOutcome::Quarantined);
+        }
         self.attempts += 1;
         if !marks.is_signed || verdict.is_some() {
             return Ok(AttemptOutcome::Interrupted(format!("status={} unsigned", head.status)));
@@ -366,6 +424,7 @@
             RelayOutcome::Complete(connection) => {
                 call.release(*connection);
                 self.record_success(&choice.id, head.status, relay);
+                self.record_survival(choice, head.status);
                 Ok(AttemptOutcome::Finished)
             }
             RelayOutcome::CallerGone => Ok(self.record_abandoned()),
@@ -396,9 +455,10 @@
     fn build_request(
         &self,
         choice: &TargetChoice,
-        reservation: Option<ReservationId>,
+        terms: AttemptTerms,
         relay: &ResponseRelay,
     ) -> ClientRequest {
+        let AttemptTerms { is_trial, reservation } = terms;
         let attempt = AttemptOptions {
             deadline: Some(self.time_left()),
             expected_target: Some(&choice.id),
@@ -415,6 +475,7 @@
                 slots: choice.slots,
                 queue_timeout: WaitPolicy.queue_timeout(self.time_left()),
                 reservation,
+                is_trial,
             };
             options.write(&mut headers);
         }
@@ -499,6 +560,44 @@
         exchange.respond(status, &HeaderMap::new(), &Bytes::new()).await
     }
 
+    /// Ends a request that is not handed over because of a part of its prompt.
+    async fn finish_quarantined(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        relay: &ResponseRelay,
+    ) -> Result<(), HttpFault> {
+        const REASON: &str = "quarantined";
+        if self.attempts > 0 || relay.has_started() {
+            return self.finish_unanswered(exchange, relay, REASON).await;
+        }
+        let handler = self.handler;
+        handler.metrics.quarantined.inc();
+        let (part, retry_after) = match self.decide_quarantine() {
+            QuarantineDecision::Refuse(part, left) => (Some(part), left),
+            QuarantineDecision::Try(part) => (Some(part), TRIAL_RETRY_DELAY),
+            QuarantineDecision::Admit => (None, TRIAL_RETRY_DELAY),
+        };
+        let details = format!(
+            "part={} held_ms={}",
+            part.map_or_else(|| "unknown".to_owned(), |part| part.to_string()),
+            self.received_at.elapsed().as_millis(),
+        );
+        handler.refuse(exchange, retry_after, REASON, &details).await
+    }
+
+    /// Records that the engine may have survived the prompt.
+    fn record_survival(&self, choice: &TargetChoice, status: StatusCode) {
+        if self.parts.is_empty() || !status.is_success() {
+            return;
+        }
+        let desk = &self.handler.view.quarantine;
+        if choice.through_sidecar {
+            desk.record_response(&self.parts);
+        } else {
+            desk.judge_response(choice.address, &self.parts);
+        }
+    }
+
     /// Records a complete response.
     fn record_success(&self, target: &str, status: StatusCode, relay: &ResponseRelay) {
         let handler = self.handler;
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -29,6 +29,7 @@
 use crate::StoreUpdate;
 use crate::StoredItem;
 use crate::peer_sync::ViewSnapshot;
+use crate::quarantine_desk::QuarantineDesk;
 
 /// Prefix of the keys under which keepers register.
 pub const KEEPERS_PREFIX: &str = "cv/keeper/";
@@ -48,6 +49,8 @@
     pub clock: ProcessClock,
     /// The process's log.
     pub log: LineLog,
+    /// The prompt parts that end engines.
+    pub(crate) quarantine: Rc<QuarantineDesk>,
     /// Whether the store responds to this process.
     pub store_health: StoreHealth,
     /// The active configuration, as the operator wrote it.
@@ -71,6 +74,7 @@
         Self {
             clock,
             config: RefCell::default(),
+            quarantine: QuarantineDesk::new(clock, log.clone()),
             store_health: StoreHealth::new(clock, log.clone()),
             log,
             random: RefCell::new(SeededRandom::new(seed)),
--- a/crates/serving/src/internal_headers.rs
+++ b/crates/serving/src/internal_headers.rs
@@ -40,6 +40,12 @@
 /// Verdict on a request that has not been handed over to the target.
 const NOT_RUN: &str = "not_run";
 
+/// Verdict on a request that has not been handed over because of a part of its prompt.
+const QUARANTINED: &str = "quarantined";
+
+/// Marks a request that is the trial of a quarantine.
+const TRIAL: HeaderName = HeaderName::from_static("cv-trial");
+
 /// Verdict on a request that may have run.
 const UNKNOWN: &str = "unknown";
 
@@ -54,6 +60,9 @@
 pub enum SidecarVerdict {
     /// The request has not been handed over to the target and will not be.
     NotRun,
+    /// The request has not been handed over and will not be, because a part of its prompt ends
+    /// engines. Other targets would refuse it, too.
+    Quarantined,
     /// The request may have run.
     Unknown,
 }
@@ -76,6 +85,9 @@
     pub queue_timeout: Duration,
     /// The reservation by which the request has been granted a slot.
     pub reservation: Option<ReservationId>,
+    /// Whether the request may run although a part of its prompt is in quarantine, if no other has
+    /// been tried recently.
+    pub is_trial: bool,
 }
 
 impl QueueOptions {
@@ -95,6 +107,9 @@
         if let Some(ReservationId(id)) = self.reservation {
             headers.insert(RESERVATION, HeaderValue::from(id));
         }
+        if self.is_trial {
+            headers.insert(TRIAL, HeaderValue::from_static("1"));
+        }
     }
 
     /// Reads the options of an attempt; without them it is an online request that does not wait.
@@ -114,6 +129,7 @@
             slots: number(SLOTS).unwrap_or(0) as u32,
             queue_timeout,
             reservation: number(RESERVATION).map(ReservationId),
+            is_trial: headers.contains_key(TRIAL),
         }
     }
 }
@@ -123,6 +139,7 @@
     pub fn write(self, headers: &mut HeaderMap) {
         let value = match self {
             Self::NotRun => NOT_RUN,
+            Self::Quarantined => QUARANTINED,
             Self::Unknown => UNKNOWN,
         };
         headers.insert(VERDICT, HeaderValue::from_static(value));
@@ -133,7 +150,11 @@
     #[must_use]
     pub fn read(headers: &HeaderMap) -> Option<Self> {
         let value = headers.get(VERDICT)?;
-        Some(if value == NOT_RUN { Self::NotRun } else { Self::Unknown })
+        Some(match value.as_bytes() {
+            value if value == NOT_RUN.as_bytes() => Self::NotRun,
+            value if value == QUARANTINED.as_bytes() => Self::Quarantined,
+            _ => Self::Unknown,
+        })
     }
 }
 
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -6,7 +6,10 @@
 
 use bytes::Bytes;
 use cv_dispatch::EventParser;
+use cv_dispatch::PlacementPolicy;
 use cv_dispatch::PlacementRequest;
+use cv_dispatch::PromptPart;
+use cv_dispatch::QuarantineDecision;
 use cv_dispatch::RunId;
 use cv_dispatch::TargetChoice;
 use cv_dispatch::TargetRow;
@@ -52,6 +55,10 @@
     /// When the item is due, in milliseconds since the Unix epoch.
     due_ms: u64,
     id: RunId,
+    /// Whether the run is the trial of a part in quarantine.
+    is_trial: bool,
+    /// The shared parts of the item's prompt.
+    parts: Vec<PromptPart>,
     state: Rc<KeeperState<P>>,
     /// Notified when the run should restart on another target.
     withdrawn: Rc<Notify>,
@@ -66,6 +73,8 @@
     Impossible,
     /// The target failed on the item (status 500).
     Failed,
+    /// A part of the item's prompt ends engines; the target did not run the item.
+    Quarantined,
     /// The target did not run the item.
     Refused,
     /// The run broke off, for the reason given, before the output was complete.
@@ -76,7 +85,7 @@
 
 impl<P: PlatformAdapter> ItemRun<P> {
     /// Starts a run if any target has room; returns `false` if none has. An item whose job has no
-    /// route or service is skipped, with `true`.
+    /// route or service, or whose prompt ends engines, is skipped, with `true`.
     pub fn start(
         state: &Rc<KeeperState<P>>,
         job: &Rc<TrackedJob>,
@@ -88,25 +97,39 @@
         let Some(service) = picked.flatten() else {
             return true;
         };
+        let parts = {
+            let tracker = job.tracker.borrow();
+            P::prompt_parts(&P::item_headers(&tracker.spec().host, &tracker.spec().items[item]))
+        };
         let now = state.view.clock.now();
         let zone = &state.identity.zone;
         let seed = state.view.random_number();
         let request = PlacementRequest { seed, service: &service, tried: &[], zone };
+        let decision = state.view.quarantine.decide(&parts);
         let target = state.view.with_targets(|targets| {
-            let choice = state.schedule.borrow().choose_target(targets, now, &request)?;
+            let choice = match decision {
+                QuarantineDecision::Admit => {
+                    state.schedule.borrow().choose_target(targets, now, &request)?
+                }
+                QuarantineDecision::Try(part) => {
+                    PlacementPolicy.choose_for_trial(targets, now, &service, part)?
+                }
+                QuarantineDecision::Refuse(..) => return None,
+            };
             targets.begin_item(&choice.id);
             Some(choice)
         });
         let Some(target) = target else {
-            return false;
+            return decision != QuarantineDecision::Admit;
         };
+        let is_trial = decision != QuarantineDecision::Admit;
         let id = state.schedule.borrow_mut().begin_run(&target.id, due_ms, now);
         job.tracker.borrow_mut().start(item);
         let withdrawn = Rc::new(Notify::new());
         // Run ids increase, so pushing at the end keeps the list sorted.
         state.withdrawals.borrow_mut().push((id, Rc::clone(&withdrawn)));
         let (job, state) = (Rc::clone(job), Rc::clone(state));
-        let run = Self { job, target, item, due_ms, id, state, withdrawn };
+        let run = Self { job, target, item, due_ms, id, is_trial, parts, state, withdrawn };
         monoio::spawn(async move { run.run().await });
         true
     }
@@ -158,7 +181,9 @@
                 self.job.tracker.borrow_mut().release(self.item);
                 self.update_target(|row| row.eject(now, REFUSAL_BACKOFF));
             }
-            RunOutcome::Withdrawn => self.job.tracker.borrow_mut().release(self.item),
+            RunOutcome::Quarantined | RunOutcome::Withdrawn => {
+                self.job.tracker.borrow_mut().release(self.item);
+            }
             RunOutcome::Interrupted(_) => {
                 self.job.tracker.borrow_mut().release(self.item);
                 if self.job.is_active() {
@@ -166,6 +191,14 @@
                 }
             }
         }
+        if !self.target.through_sidecar {
+            let desk = &self.state.view.quarantine;
+            match outcome {
+                RunOutcome::Completed => desk.judge_response(self.target.address, &self.parts),
+                RunOutcome::Interrupted(_) => desk.investigate(self.target.address, &self.parts),
+                _ => {}
+            }
+        }
         match outcome {
             RunOutcome::Completed => {
                 self.log(EventKind::ItemEnded, LinePriority::Routine, || "whole".into());
@@ -173,6 +206,9 @@
             RunOutcome::Impossible | RunOutcome::Failed => {
                 self.log(EventKind::ItemEnded, LinePriority::Essential, || format!("{outcome:?}"));
             }
+            RunOutcome::Quarantined => {
+                self.log(EventKind::ItemReleased, LinePriority::Routine, || "quarantined".into());
+            }
             RunOutcome::Refused => {
                 self.log(EventKind::ItemReleased, LinePriority::Essential, || "refused".into());
             }
@@ -229,6 +265,9 @@
         if metadata.not_run || is_misdirected || verdict == Some(SidecarVerdict::NotRun) {
             return RunOutcome::Refused;
         }
+        if verdict == Some(SidecarVerdict::Quarantined) {
+            return RunOutcome::Quarantined;
+        }
         if verdict.is_some() || !metadata.is_signed && head.status.is_success() {
             return RunOutcome::Interrupted(format!("status={} unsigned", head.status));
         }
@@ -347,6 +386,7 @@
                 slots,
                 queue_timeout: Duration::ZERO,
                 reservation: None,
+                is_trial: self.is_trial,
             };
             options.write(&mut headers);
         }
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -26,6 +26,8 @@
 use crate::keeper::stored_keys::job_key;
 use crate::keeper::stored_keys::overflow_prefix;
 use crate::keeper::stored_keys::result_prefix;
+use crate::keeper::stored_quarantines::restore_quarantines;
+use crate::keeper::stored_quarantines::review_quarantines;
 use crate::keeper::tracked_job::ResultsState;
 use crate::keeper::tracked_job::TrackedJob;
 
@@ -62,7 +64,10 @@
     monoio::spawn(async move {
         loop {
             monoio::select! {
-                _ = reviews.next() => review_jobs(&state),
+                _ = reviews.next() => {
+                    review_jobs(&state);
+                    review_quarantines(&state);
+                }
                 _ = moves.next() => withdraw_runs(&state),
                 () = state.work_available.notified() => {}
             }
@@ -76,8 +81,11 @@
     state: &Rc<KeeperState<P>>,
     update: StoreUpdate,
 ) {
-    let changes = match update {
-        StoreUpdate::Snapshot(items) => items.into_iter().map(StoreChange::Put).collect(),
+    let changes: Vec<StoreChange> = match update {
+        StoreUpdate::Snapshot(items) => {
+            restore_quarantines(state, &items);
+            items.into_iter().map(StoreChange::Put).collect()
+        }
         StoreUpdate::Changes(changes) => changes,
     };
     for change in changes {
@@ -85,13 +93,14 @@
             StoreChange::Put(item) => match WorkKey::parse(&item.key) {
                 Some(WorkKey::Job(job_id)) => add_job(state, job_id, &item.value),
                 Some(WorkKey::Closed(job_id)) => mark_job_closed(state, job_id),
+                Some(WorkKey::Quarantine(part)) => state.stored_quarantines.add(part),
                 None => {}
             },
-            StoreChange::Deleted(key) => {
-                if let Some(WorkKey::Job(job_id)) = WorkKey::parse(&key) {
-                    state.jobs.remove(job_id);
-                }
-            }
+            StoreChange::Deleted(key) => match WorkKey::parse(&key) {
+                Some(WorkKey::Job(job_id)) => state.jobs.remove(job_id),
+                Some(WorkKey::Quarantine(part)) => state.stored_quarantines.remove(part),
+                Some(WorkKey::Closed(_)) | None => {}
+            },
         }
     }
     state.work_available.notify_one();
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -40,6 +40,7 @@
 use crate::keeper::keeper_registration::watch_isolation;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::progress_replication::start_replication;
+use crate::keeper::stored_quarantines::StoredQuarantines;
 use crate::load_listener::start_load_listener;
 use crate::peer_sync::start_peer_sync;
 
@@ -105,6 +106,7 @@
             pool: ConnectionPool::new(HttpLimits::default()),
             schedule: RefCell::new(RunSchedule::default()),
             jobs: JobTable::default(),
+            stored_quarantines: StoredQuarantines::default(),
             store,
             view,
             withdrawals: RefCell::default(),
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -24,6 +24,7 @@
 use crate::StoreFault;
 use crate::keeper::job_table::JobTable;
 use crate::keeper::keeper_metrics::KeeperMetrics;
+use crate::keeper::stored_quarantines::StoredQuarantines;
 use crate::keeper::tracked_job::ResultsState;
 use crate::keeper::tracked_job::TrackedJob;
 
@@ -62,6 +63,8 @@
     pub schedule: RefCell<RunSchedule>,
     /// All jobs that this keeper knows.
     pub jobs: JobTable,
+    /// Prompt parts in quarantine according to the store.
+    pub stored_quarantines: StoredQuarantines,
     /// Client of the coordination store.
     pub store: Rc<P::Store>,
     /// The configuration, the targets and the keepers that this process knows.
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -14,6 +14,7 @@
 mod progress_replication;
 mod result_commits;
 mod stored_keys;
+mod stored_quarantines;
 mod tracked_job;
 
 pub use self::keeper_node::KeeperNode;
--- a/crates/serving/src/keeper/stored_keys.rs
+++ b/crates/serving/src/keeper/stored_keys.rs
@@ -1,6 +1,7 @@
 //! Keys and values of jobs and results in the coordination store.
 
 use cv_dispatch::ItemResult;
+use cv_dispatch::PromptPart;
 
 /// Prefix of the keys that keepers watch: those of job records and of closed jobs.
 pub(crate) const WORK_PREFIX: &str = "cv/work/";
@@ -11,6 +12,9 @@
 /// Prefix of the keys that mark jobs as closed.
 const CLOSED_PREFIX: &str = "cv/work/end/";
 
+/// Prefix of the keys of prompt parts in quarantine.
+const QUARANTINE_PREFIX: &str = "cv/work/quarantine/";
+
 /// Prefix of the keys of overflow parts: the bytes of a job that do not fit under its own key.
 const OVERFLOW_PREFIX: &str = "cv/rest/";
 
@@ -24,13 +28,17 @@
     Job(&'a str),
     /// Key that marks a job as closed.
     Closed(&'a str),
+    /// Key of a prompt part in quarantine.
+    Quarantine(PromptPart),
 }
 
 impl<'a> WorkKey<'a> {
-    /// Parses a key; `None` if it belongs to neither kind.
+    /// Parses a key; `None` if it is of no known kind.
     pub fn parse(key: &'a str) -> Option<Self> {
         let job = key.strip_prefix(JOB_PREFIX).map(Self::Job);
-        job.or_else(|| key.strip_prefix(CLOSED_PREFIX).map(Self::Closed))
+        let closed = || key.strip_prefix(CLOSED_PREFIX).map(Self::Closed);
+        let part = || key.strip_prefix(QUARANTINE_PREFIX).map(PromptPart::from_id);
+        job.or_else(closed).or_else(|| part().map(Self::Quarantine))
     }
 }
 
@@ -39,6 +47,11 @@
     format!("{JOB_PREFIX}{job_id}")
 }
 
+/// Returns the key of a prompt part in quarantine.
+pub(crate) fn quarantine_key(part: PromptPart) -> String {
+    format!("{QUARANTINE_PREFIX}{part}")
+}
+
 /// Returns the key that marks a job as closed.
 pub(crate) fn closed_key(job_id: &str) -> String {
     format!("{CLOSED_PREFIX}{job_id}")
--- /dev/null
+++ b/crates/serving/src/keeper/stored_quarantines.rs
@@ -0,0 +1,99 @@
+//! Keeps quarantines of prompt parts in the store, in case all processes end at once.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cv_dispatch::PromptPart;
+
+use crate::PlatformAdapter;
+use crate::StoreCommit;
+use crate::StoredItem;
+use crate::keeper::keeper_state::KeeperState;
+use crate::keeper::stored_keys::WorkKey;
+use crate::keeper::stored_keys::quarantine_key;
+
+/// Time for which a write is repeated; afterwards the next review makes it again.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The parts in quarantine according to the store.
+#[derive(Debug, Default)]
+pub(crate) struct StoredQuarantines {
+    /// Whether the parts have been read since the process started.
+    is_loaded: Cell<bool>,
+    /// Whether a write is in progress.
+    is_writing: Cell<bool>,
+    /// Sorted.
+    parts: RefCell<Vec<PromptPart>>,
+}
+
+impl StoredQuarantines {
+    /// Adds a part that has been written.
+    pub fn add(&self, part: PromptPart) {
+        let mut parts = self.parts.borrow_mut();
+        if let Err(position) = parts.binary_search(&part) {
+            parts.insert(position, part);
+        }
+    }
+
+    /// Removes a part that has been deleted.
+    pub fn remove(&self, part: PromptPart) {
+        self.parts.borrow_mut().retain(|other| *other != part);
+    }
+
+    /// Returns whether a part has been written.
+    fn contains(&self, part: PromptPart) -> bool {
+        self.parts.borrow().binary_search(&part).is_ok()
+    }
+}
+
+/// Replaces the stored parts by those of a snapshot. The first one after the start of the process
+/// also puts them into quarantine.
+pub(crate) fn restore_quarantines<P: PlatformAdapter>(
+    state: &KeeperState<P>,
+    snapshot: &[StoredItem],
+) {
+    let stored = &state.stored_quarantines;
+    stored.parts.borrow_mut().clear();
+    let is_first = !stored.is_loaded.replace(true);
+    for item in snapshot {
+        if let Some(WorkKey::Quarantine(part)) = WorkKey::parse(&item.key) {
+            stored.add(part);
+            if is_first {
+                state.view.quarantine.restore(part);
+            }
+        }
+    }
+}
+
+/// Writes the parts that have come into quarantine and deletes those that have left it, if this
+/// keeper is responsible for them.
+pub(crate) fn review_quarantines<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
+    let stored = &state.stored_quarantines;
+    if !stored.is_loaded.get() || stored.is_writing.get() || !state.view.store_health.is_up() {
+        return;
+    }
+    let is_responsible = |part: &PromptPart| state.is_owner(&quarantine_key(*part));
+    let quarantined = state.view.quarantine.quarantined();
+    let added = quarantined.iter().find(|part| !stored.contains(**part) && is_responsible(part));
+    let parts = stored.parts.borrow();
+    let removed = parts.iter().find(|part| !quarantined.contains(part) && is_responsible(part));
+    let (part, commit) = match (added, removed) {
+        (Some(part), _) => (*part, StoreCommit::put(&quarantine_key(*part), Vec::new(), 0)),
+        (None, Some(part)) => (*part, StoreCommit::remove(&[quarantine_key(*part)])),
+        (None, None) => return,
+    };
+    let is_added = added.is_some();
+    drop(parts);
+    stored.is_writing.set(true);
+    let state = Rc::clone(state);
+    monoio::spawn(async move {
+        match state.commit_with_retry(&commit, WRITE_TIMEOUT).await {
+            Ok(_) if is_added => state.stored_quarantines.add(part),
+            Ok(_) => state.stored_quarantines.remove(part),
+            Err(fault) => log::warn!("cannot store the quarantine of part {part}: {fault}"),
+        }
+        state.stored_quarantines.is_writing.set(false);
+    });
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,6 +17,8 @@
 mod peer_sync;
 mod platform_adapter;
 mod prefix_watcher;
+mod quarantine_desk;
+mod quarantine_exchange;
 mod reservation_message;
 mod sidecar;
 mod store_health;
--- a/crates/serving/src/load_listener.rs
+++ b/crates/serving/src/load_listener.rs
@@ -15,6 +15,9 @@
 use crate::decode_load_report;
 use crate::internal_headers::TARGET_DRAINING;
 use crate::internal_headers::TARGET_READY;
+use crate::quarantine_exchange::DirectoryPeers;
+use crate::quarantine_exchange::MAX_DATAGRAM_BYTES;
+use crate::quarantine_exchange::QuarantineExchange;
 
 /// Time between two renewals of the subscriptions.
 const SUBSCRIBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -32,14 +35,24 @@
     handle_other: impl Fn(SocketAddr, &[u8]) + 'static,
 ) {
     let (report_view, report_socket) = (Rc::clone(view), Rc::clone(&socket));
+    let (peer_view, peer_identity) = (Rc::clone(view), Rc::clone(identity));
+    let desk = Rc::clone(&view.quarantine);
+    let exchange =
+        QuarantineExchange::start(view.clock, desk, Rc::clone(&socket), timers, move || {
+            directory_peers(&peer_view, &peer_identity)
+        });
     monoio::spawn(async move {
         loop {
-            let (received, buffer) = report_socket.recv_from(Vec::with_capacity(16)).await;
+            let buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+            let (received, buffer) = report_socket.recv_from(buffer).await;
             match received {
-                Ok((_, address)) => match decode_load_report(&buffer) {
-                    Some(report) => apply_load_report(&report_view, address, &report),
-                    None => handle_other(address, &buffer),
-                },
+                Ok((_, address)) => {
+                    if let Some(report) = decode_load_report(&buffer) {
+                        apply_load_report(&report_view, address, &report);
+                    } else if !exchange.handle(address, &buffer).await {
+                        handle_other(address, &buffer);
+                    }
+                }
                 Err(_) => monoio::time::sleep(RECEIVE_RETRY_DELAY).await,
             }
         }
@@ -63,6 +76,18 @@
     });
 }
 
+/// Returns the sidecars and the other keepers.
+fn directory_peers(view: &FleetView, identity: &NodeIdentity) -> DirectoryPeers {
+    let sidecars = listed_sidecars(view, identity);
+    let keepers = view.keepers();
+    let keepers = keepers.keepers().iter().map(|keeper| keeper.address);
+    let own_address = identity.internal_address();
+    DirectoryPeers {
+        keepers: keepers.filter(|address| *address != own_address).collect(),
+        sidecars: sidecars.into_iter().map(|(address, _)| address).collect(),
+    }
+}
+
 /// Applies a load report of the sidecar at `address`.
 fn apply_load_report(view: &FleetView, address: SocketAddr, report: &LoadReport) {
     let now = view.clock.now();
--- a/crates/serving/src/sidecar/batch_relay.rs
+++ b/crates/serving/src/sidecar/batch_relay.rs
@@ -54,6 +54,8 @@
     Preempted,
     /// The engine refused the request.
     EngineFull,
+    /// A part of the item's prompt ends engines, as has been found out since it was admitted.
+    Quarantined,
     /// The run failed; the keeper decides what follows.
     Interrupted,
 }
@@ -78,7 +80,12 @@
         loop {
             match self.run_once(exchange).await? {
                 RunOutcome::Complete => return exchange.finish_stream().await,
-                RunOutcome::Interrupted if self.has_started => return Err(HttpFault::Truncated),
+                RunOutcome::Interrupted | RunOutcome::Quarantined if self.has_started => {
+                    return Err(HttpFault::Truncated);
+                }
+                RunOutcome::Quarantined => {
+                    return self.handler.refuse_quarantined(exchange, self.request).await;
+                }
                 RunOutcome::Interrupted => return Ok(()),
                 RunOutcome::Preempted if self.wait_for_slot(exchange).await? => {}
                 RunOutcome::EngineFull if full_retries < MAX_ENGINE_FULL_RETRIES => {
@@ -102,6 +109,9 @@
         &mut self,
         exchange: &mut ServerExchange<'_>,
     ) -> Result<RunOutcome, HttpFault> {
+        if !self.handler.may_hand_over(self.request) {
+            return Ok(RunOutcome::Quarantined);
+        }
         let call = self.handler.engine_call();
         let options = AttemptOptions { resume_after: self.last_event, ..AttemptOptions::default() };
         let forwarded = SidecarHandler::<P>::engine_request(self.request, options);
@@ -115,7 +125,7 @@
         let run = match started {
             Ok(run) => run,
             Err(SidecarVerdict::NotRun) => return Ok(RunOutcome::EngineFull),
-            Err(SidecarVerdict::Unknown) => {
+            Err(SidecarVerdict::Quarantined | SidecarVerdict::Unknown) => {
                 if !self.has_started {
                     let verdict = SidecarVerdict::Unknown;
                     self.handler.refuse(exchange, self.request, verdict, "engine_silent").await?;
--- a/crates/serving/src/sidecar/engine_watch.rs
+++ b/crates/serving/src/sidecar/engine_watch.rs
@@ -2,8 +2,10 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use cv_dispatch::PromptPart;
 use cv_dispatch::RunWatch;
@@ -13,14 +15,24 @@
 use cv_timeline::LineLog;
 use cv_timeline::LinePriority;
 use cv_timer::ProcessClock;
+use cv_timer::TimerService;
 use prometheus::IntCounter;
 
 use crate::engine_probe::has_ended;
+use crate::quarantine_desk::QuarantineDesk;
+use crate::sidecar::slot_gate::SlotGate;
+
+/// Time between two checks for runs whose end the engine has survived.
+const SURVIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Watches the runs of one engine.
 pub(crate) struct EngineWatch {
     clock: ProcessClock,
+    desk: Rc<QuarantineDesk>,
     engine: SocketAddr,
+    gate: Rc<SlotGate>,
+    /// Address of the instance of engine and sidecar, by which other processes know the engine.
+    instance: IpAddr,
     /// Whether a broken run is being investigated.
     is_investigating: Cell<bool>,
     log: LineLog,
@@ -28,6 +40,24 @@
     runs: RefCell<RunWatch>,
 }
 
+/// What an engine is watched with.
+pub(crate) struct EngineWatchParts {
+    /// The process's clock.
+    pub clock: ProcessClock,
+    /// Learns which prompt parts the engine survives.
+    pub desk: Rc<QuarantineDesk>,
+    /// Address of the engine.
+    pub engine: SocketAddr,
+    /// Knows whether the engine is expected to end.
+    pub gate: Rc<SlotGate>,
+    /// Address of the instance of engine and sidecar.
+    pub instance: IpAddr,
+    /// The process's log.
+    pub log: LineLog,
+    /// Counts how often the engine ends.
+    pub losses: IntCounter,
+}
+
 /// A run in progress; dropping it ends the run as incomplete.
 pub(crate) struct EngineRunGuard {
     id: WatchedRunId,
@@ -35,21 +65,31 @@
 }
 
 impl EngineWatch {
-    /// Creates a watch of the engine at an address; `losses` counts how often it ends.
-    pub fn new(
-        clock: ProcessClock,
-        engine: SocketAddr,
-        log: LineLog,
-        losses: IntCounter,
-    ) -> Rc<Self> {
-        Rc::new(Self {
+    /// Starts to watch an engine, whose runs are known to the queue and whose prompts to the desk.
+    pub fn start(parts: EngineWatchParts, timers: &TimerService) -> Rc<Self> {
+        let EngineWatchParts { clock, desk, engine, gate, instance, log, losses } = parts;
+        let watch = Rc::new(Self {
             clock,
+            desk,
             engine,
+            gate,
+            instance,
             is_investigating: Cell::new(false),
             log,
             losses,
             runs: RefCell::default(),
-        })
+        });
+        let (checking, ticks) = (Rc::clone(&watch), timers.subscribe(SURVIVAL_CHECK_INTERVAL));
+        monoio::spawn(async move {
+            loop {
+                let now = ticks.next().await;
+                let survived = checking.runs.borrow_mut().take_survived(now);
+                for run in survived.iter().filter(|run| !run.parts.is_empty()) {
+                    checking.desk.record_served(&run.parts);
+                }
+            }
+        });
+        watch
     }
 
     /// Records that a request is handed to the engine.
@@ -78,12 +118,18 @@
     fn record_loss(&self, suspects: &[WatchedRun]) {
         self.losses.inc();
         self.runs.borrow_mut().clear_ended();
+        let is_planned = self.gate.is_draining();
+        if !is_planned {
+            let suspects = suspects.iter().map(|run| run.parts.as_slice());
+            self.desk.record_loss(self.instance, suspects);
+        }
         self.log.record(LinePriority::Essential, EventKind::EngineLost, "engine", || {
             let runs = suspects.iter().map(|run| {
                 let parts: Vec<String> = run.parts.iter().map(ToString::to_string).collect();
                 format!("{}:{}", run.request_id, parts.join("+"))
             });
-            format!("engine={} suspects={}", self.engine, runs.collect::<Vec<_>>().join(","))
+            let runs: Vec<String> = runs.collect();
+            format!("engine={} planned={is_planned} suspects={}", self.engine, runs.join(","))
         });
     }
 }
--- a/crates/serving/src/sidecar/load_reporter.rs
+++ b/crates/serving/src/sidecar/load_reporter.rs
@@ -17,6 +17,8 @@
 
 use crate::encode_load_report;
 use crate::internal_headers::TARGET_DRAINING;
+use crate::quarantine_exchange::MAX_DATAGRAM_BYTES;
+use crate::quarantine_exchange::QuarantineExchange;
 use crate::reservation_message::ReservationMessage;
 use crate::sidecar::reservation_desk::ReservationDesk;
 use crate::sidecar::slot_gate::SlotGate;
@@ -40,6 +42,8 @@
     gate: Rc<SlotGate>,
     /// Time until which the engine counts as draining.
     draining_until: Cell<MonotonicTime>,
+    /// Receives records of prompt parts, which come to the same socket.
+    exchange: Rc<QuarantineExchange>,
     log: LineLog,
     /// Receives reservations, which come to the same socket.
     desk: Rc<ReservationDesk>,
@@ -55,6 +59,7 @@
         clock: ProcessClock,
         gate: Rc<SlotGate>,
         log: LineLog,
+        exchange: Rc<QuarantineExchange>,
         socket: Rc<UdpSocket>,
         timers: &TimerService,
     ) -> Rc<ReservationDesk> {
@@ -63,6 +68,7 @@
             clock,
             gate,
             draining_until: Cell::default(),
+            exchange,
             log,
             desk: Rc::clone(&desk),
             socket,
@@ -92,7 +98,8 @@
     /// Receives reservations and subscriptions, of which each renews the one of its sender.
     async fn receive_subscriptions(&self) {
         loop {
-            let (received, datagram) = self.socket.recv_from(Vec::with_capacity(32)).await;
+            let buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+            let (received, datagram) = self.socket.recv_from(buffer).await;
             let Ok((_, address)) = received else {
                 monoio::time::sleep(REPORT_INTERVAL).await;
                 continue;
@@ -101,6 +108,10 @@
                 self.desk.handle(message, address).await;
                 continue;
             }
+            if self.exchange.handle(address, &datagram).await {
+                continue;
+            }
+            self.exchange.note_peer(address).await;
             let now = self.clock.now();
             self.apply_target_state(now, &datagram);
             let mut subscribers = self.subscribers.borrow_mut();
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use cv_dispatch::AdmissionOptions;
 use cv_dispatch::PromptPart;
+use cv_dispatch::QuarantineDecision;
 use cv_http::ClientRequest;
 use cv_http::ConnectionPool;
 use cv_http::HttpFault;
@@ -31,6 +32,7 @@
 use crate::internal_handler::respond_metrics;
 use crate::internal_headers::strip_hop_by_hop;
 use crate::internal_headers::strip_internal_headers;
+use crate::quarantine_desk::QuarantineDesk;
 use crate::sidecar::batch_relay::BatchRelay;
 use crate::sidecar::engine_run::EngineRun;
 use crate::sidecar::engine_watch::EngineWatch;
@@ -69,6 +71,8 @@
     pub metrics: SidecarMetrics,
     /// Pool of connections to the engine.
     pub pool: ConnectionPool,
+    /// The prompt parts that end engines.
+    pub quarantine: Rc<QuarantineDesk>,
     /// Watches the runs of the engine.
     pub watch: Rc<EngineWatch>,
     /// Selects the platform adapter.
@@ -116,6 +120,9 @@
             request_id: request_options.request_id,
             options,
         };
+        if !self.passes_quarantine(&request) {
+            return self.refuse_quarantined(exchange, &request).await;
+        }
         let result = match options.class {
             WorkClass::Online => self.serve_online(exchange, &request).await,
             WorkClass::Batch => self.serve_batch(exchange, &request).await,
@@ -127,6 +134,33 @@
 }
 
 impl<P: PlatformAdapter> SidecarHandler<P> {
+    /// Returns whether a request may enter the queue. Begins the trial of a quarantine if it is one.
+    fn passes_quarantine(&self, request: &SidecarRequest) -> bool {
+        match self.quarantine.decide(&request.parts) {
+            QuarantineDecision::Admit => true,
+            QuarantineDecision::Try(_) if request.options.is_trial => {
+                self.quarantine.begin_trial(&request.parts);
+                true
+            }
+            QuarantineDecision::Try(_) | QuarantineDecision::Refuse(..) => false,
+        }
+    }
+
+    /// Returns whether a request that has waited for a slot may still be handed over.
+    pub fn may_hand_over(&self, request: &SidecarRequest) -> bool {
+        request.options.is_trial
+            || self.quarantine.decide(&request.parts) == QuarantineDecision::Admit
+    }
+
+    /// Refuses a request because of a part of its prompt.
+    pub async fn refuse_quarantined(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        request: &SidecarRequest,
+    ) -> Result<(), HttpFault> {
+        self.refuse(exchange, request, SidecarVerdict::Quarantined, "quarantined").await
+    }
+
     /// Queues an online request and relays the engine's response.
     async fn serve_online(
         &self,
@@ -170,6 +204,10 @@
         let deadline = P::request_options(&request.headers).deadline;
         let id = request.request_id.as_deref();
         for _ in 0..=MAX_ENGINE_FULL_RETRIES {
+            if !self.may_hand_over(request) {
+                self.refuse_quarantined(exchange, request).await?;
+                return Ok(None);
+            }
             let elapsed = request.received_at.elapsed();
             let time_left = deadline.map(|limit| limit.saturating_sub(elapsed));
             let options = AttemptOptions { deadline: time_left, ..AttemptOptions::default() };
--- a/crates/serving/src/sidecar/sidecar_node.rs
+++ b/crates/serving/src/sidecar/sidecar_node.rs
@@ -23,7 +23,11 @@
 use crate::PlatformAdapter;
 use crate::drain::drain_delay;
 use crate::drain::drain_server;
+use crate::quarantine_desk::QuarantineDesk;
+use crate::quarantine_exchange::DirectoryPeers;
+use crate::quarantine_exchange::QuarantineExchange;
 use crate::sidecar::engine_watch::EngineWatch;
+use crate::sidecar::engine_watch::EngineWatchParts;
 use crate::sidecar::load_reporter::LoadReporter;
 use crate::sidecar::sidecar_handler::SidecarHandler;
 use crate::sidecar::sidecar_metrics::SidecarMetrics;
@@ -72,10 +76,28 @@
         let socket = Rc::new(UdpSocket::bind(address)?);
         let gate = SlotGate::new(clock, DEFAULT_SLOTS);
         monoio::spawn(Rc::clone(&gate).run_ticks());
-        let desk = LoadReporter::start(clock, Rc::clone(&gate), self.log.clone(), socket, &timers);
+        let quarantine = QuarantineDesk::new(clock, self.log.clone());
+        let exchange = QuarantineExchange::start(
+            clock,
+            Rc::clone(&quarantine),
+            Rc::clone(&socket),
+            &timers,
+            DirectoryPeers::default,
+        );
+        let (log, reporting_gate) = (self.log.clone(), Rc::clone(&gate));
+        let desk = LoadReporter::start(clock, reporting_gate, log, exchange, socket, &timers);
         let metrics = SidecarMetrics::new().map_err(io::Error::other)?;
         let engine = self.settings.engine;
-        let losses = metrics.engine_losses.clone();
+        let watch_parts = EngineWatchParts {
+            clock,
+            desk: Rc::clone(&quarantine),
+            engine,
+            gate: Rc::clone(&gate),
+            instance: self.settings.identity.ip,
+            log: self.log.clone(),
+            losses: metrics.engine_losses.clone(),
+        };
+        let watch = EngineWatch::start(watch_parts, &timers);
         let handler = SidecarHandler::<P> {
             adapter: PhantomData,
             clock,
@@ -85,7 +107,8 @@
             log: self.log.clone(),
             metrics,
             pool: ConnectionPool::new(HttpLimits::default()),
-            watch: EngineWatch::new(clock, engine, self.log.clone(), losses),
+            quarantine,
+            watch,
         };
         let drain = DrainGate::default();
         let server =
--- a/crates/timeline/src/event_record.rs
+++ b/crates/timeline/src/event_record.rs
@@ -72,6 +72,10 @@
     JobRefused,
     /// An engine ended with its runs.
     EngineLost,
+    /// A prompt part that ends engines is refused from now on.
+    PartQuarantined,
+    /// A prompt part is served again.
+    QuarantineEnded,
     /// Lines were dropped because there were too many.
     LinesDropped,
 }
@@ -94,6 +98,8 @@
                 | Self::EntryRejected
                 | Self::DependencyLost
                 | Self::DependencyRegained
+                | Self::PartQuarantined
+                | Self::QuarantineEnded
                 | Self::LinesDropped
         )
     }
