Tell whole event streams without length or chunks from broken ones

Such a stream ends with its connection, so its end alone says nothing. Callers saw, in a test: a stream that broke off before its first event was delivered as whole and empty, and an item was listed as completed with an empty text.

Change: an event stream that ends with its connection is whole only if it ends with the empty line of an event; the client's connection says so, for entries, sidecars and keepers alike. A sidecar also looks whether its engine has ended when a request cannot be sent, once until the engine responds again. The body of a refusal is waited for for 50 ms at most, since it may end with its connection, too.

The fault proxy learns to remove chunks, and the stand-in of engines to send streams without them.

--- a/crates/clementinevale/tests/nodes/crashing_prompts.rs
+++ b/crates/clementinevale/tests/nodes/crashing_prompts.rs
@@ -1,6 +1,7 @@
 //! Prompts with a part that ends each engine that begins a response to them.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -177,6 +178,15 @@
     check_late_runs(&fleet);
 }
 
+#[test]
+fn with_unframed_streams_requests_with_one_part_do_not_end_engine_after_engine() {
+    let fleet = crashing_fleet();
+    fleet.has_unframed_streams.store(true, Ordering::Relaxed);
+    let entries = fleet.entry_addresses();
+    send_crashing(&entries, Duration::from_secs(9));
+    check_late_runs(&fleet);
+}
+
 #[test]
 fn without_the_store_requests_with_one_part_do_not_end_engine_after_engine() {
     let fleet = crashing_fleet();
--- a/crates/clementinevale/tests/nodes/faulty_responses.rs
+++ b/crates/clementinevale/tests/nodes/faulty_responses.rs
@@ -110,3 +110,50 @@
     let outcome = block_on(async { request_stream(entry, "advice", "s1", 120).await });
     assert_eq!(outcome.expect("the runtime starts"), CallerOutcome::Completed);
 }
+
+#[test]
+fn a_stream_that_ends_with_its_connection_is_not_taken_for_broken_off() {
+    let fleet = small_fleet();
+    let entry = fleet.entry_addresses()[0];
+    for engine in 0..2 {
+        set_engine_fault(&fleet, engine, FaultMode::Unframe(usize::MAX));
+    }
+    let outcome = block_on(async { request_stream(entry, "hints", "s1", 12).await });
+    assert_eq!(outcome.expect("the runtime starts"), CallerOutcome::Completed);
+    assert_eq!(fleet.target_log.runs().len(), 1);
+}
+
+#[rstest]
+#[case::within_the_first_event(7)]
+#[case::within_a_later_event(100)]
+#[case::before_the_first_event(0)]
+fn a_stream_that_ends_early_with_its_connection_is_not_taken_for_whole(#[case] bytes: usize) {
+    let fleet = small_fleet();
+    let entry = fleet.entry_addresses()[0];
+    for engine in 0..2 {
+        set_engine_fault(&fleet, engine, FaultMode::Unframe(bytes));
+    }
+    // The route `hints` allows no continuation.
+    let outcomes = block_on(async {
+        let hint = request_stream(entry, "hints", "s1", 12).await;
+        (hint, request_stream(entry, "advice", "s2", 12).await)
+    });
+    let (hint, advice) = outcomes.expect("the runtime starts");
+    assert!(matches!(hint, CallerOutcome::Unknown(_)), "{hint:?}");
+    assert!(!matches!(advice, CallerOutcome::Incorrect(_)), "{advice:?}");
+}
+
+#[rstest]
+#[case::within_an_event(100)]
+#[case::before_the_first_event(0)]
+fn an_item_whose_output_ends_early_with_its_connection_is_not_taken_for_done(#[case] bytes: usize) {
+    let fleet = small_fleet();
+    let entries = fleet.entry_addresses();
+    set_engine_fault(&fleet, 0, FaultMode::Unframe(bytes));
+    set_engine_fault(&fleet, 1, FaultMode::Unframe(usize::MAX));
+    block_on(async {
+        submit_until_accepted(&entries, "job1", 6, EVENTS_PER_ITEM).await;
+        read_all_results(&entries, "job1", 6).await;
+    })
+    .expect("the runtime starts");
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -9,6 +9,7 @@
 use http::Method;
 use http::StatusCode;
 use http::header::CONNECTION;
+use http::header::CONTENT_TYPE;
 use http::header::EXPECT;
 use http::response::Parts as ResponseHead;
 use monoio::io::OwnedReadHalf;
@@ -25,6 +26,7 @@
 use crate::limits::KEEP_ALIVE_IDLE;
 use crate::limits::KEEP_ALIVE_INTERVAL;
 use crate::limits::KEEP_ALIVE_PROBES;
+use crate::stream_tail::StreamTail;
 
 /// A request to send, with its whole body.
 #[derive(Clone, Debug)]
@@ -80,6 +82,8 @@
     /// Head of a final response that arrived instead of `100 Continue`.
     early_head: Option<ResponseHead>,
     framing: BodyFraming,
+    /// The last bytes of an event stream that ends with its connection; `None` for other bodies.
+    stream_tail: Option<StreamTail>,
     /// Idle timeout that the server announced, if it did.
     keep_alive_timeout: Option<Duration>,
     reader: HttpReader<OwnedReadHalf<TcpStream>>,
@@ -114,6 +118,7 @@
         Ok(Self {
             early_head: None,
             framing: BodyFraming::Empty,
+            stream_tail: None,
             keep_alive_timeout: None,
             reader: HttpReader::new(read_half, limits),
             reusable: true,
@@ -180,7 +185,10 @@
             head = self.reader.read_response_head(response_timeout).await?;
         }
         self.framing = BodyFraming::of_response(method, head.status, &head.headers)?;
-        let closes = matches!(self.framing, BodyFraming::UntilClose)
+        let ends_with_connection = matches!(self.framing, BodyFraming::UntilClose);
+        let is_unframed_stream = ends_with_connection && is_event_stream(&head.headers);
+        self.stream_tail = is_unframed_stream.then(StreamTail::default);
+        let closes = ends_with_connection
             || head.headers.get(CONNECTION).is_some_and(|value| value == "close");
         // After an early response the server still waits for the body.
         self.reusable = !closes && !is_early;
@@ -213,9 +221,17 @@
     /// Reads the next piece of the response body, or `None` at its end.
     ///
     /// # Errors
-    /// `Truncated` if the connection ended first.
+    /// `Truncated` if the connection ended first. An event stream that ends with its connection is
+    /// whole only if it ends with an event.
     pub async fn read_piece(&mut self) -> Result<Option<Bytes>, HttpFault> {
-        let result = self.reader.read_piece(&mut self.framing).await;
+        let mut result = self.reader.read_piece(&mut self.framing).await;
+        if let Some(tail) = &mut self.stream_tail {
+            match &result {
+                Ok(Some(piece)) => tail.push(piece),
+                Ok(None) if !tail.ends_event() => result = Err(HttpFault::Truncated),
+                _ => {}
+            }
+        }
         if result.is_err() {
             self.reusable = false;
         }
@@ -248,6 +264,12 @@
     }
 }
 
+/// Returns whether a response is a stream of events.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers.get(CONTENT_TYPE).map_or(&b""[..], HeaderValue::as_bytes);
+    value.to_ascii_lowercase().starts_with(b"text/event-stream")
+}
+
 /// Parses the `timeout` parameter, in seconds, of a `Keep-Alive` header.
 fn parse_keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -23,6 +23,8 @@
     NotStarted,
     /// The head and perhaps some chunks have been written.
     Streaming,
+    /// The head and perhaps some bytes of a body that ends with the connection have been written.
+    Unframed,
     /// The whole response has been written.
     Finished,
 }
@@ -142,12 +144,31 @@
         Ok(())
     }
 
+    /// Sends the head of a response whose body follows in pieces and ends with the connection.
+    ///
+    /// # Errors
+    /// Fails if the connection does.
+    pub async fn start_unframed_stream(
+        &mut self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<(), HttpFault> {
+        self.close_afterwards();
+        let headers = self.response_headers(headers);
+        self.writer.write_unframed_head(status, &headers).await?;
+        self.stage = ResponseStage::Unframed;
+        Ok(())
+    }
+
     /// Sends one piece of the response body.
     ///
     /// # Errors
     /// Fails if the connection does.
     pub async fn send_piece(&mut self, piece: &Bytes) -> Result<(), HttpFault> {
-        self.writer.write_chunk(piece).await
+        match self.stage {
+            ResponseStage::Unframed => self.writer.write_body(piece).await,
+            _ => self.writer.write_chunk(piece).await,
+        }
     }
 
     /// Ends the response body; without this call the caller sees a truncated message.
@@ -155,7 +176,9 @@
     /// # Errors
     /// Fails if the connection does.
     pub async fn finish_stream(&mut self) -> Result<(), HttpFault> {
-        self.writer.write_last_chunk().await?;
+        if self.stage != ResponseStage::Unframed {
+            self.writer.write_last_chunk().await?;
+        }
         self.stage = ResponseStage::Finished;
         Ok(())
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 mod pool;
 mod reader;
 mod server;
+mod stream_tail;
 mod writer;
 
 pub use crate::client::ClientConnection;
--- a/crates/http/src/writer.rs
+++ b/crates/http/src/writer.rs
@@ -105,6 +105,22 @@
         self.write(head.freeze()).await
     }
 
+    /// Writes the head of a response whose body ends with the connection.
+    ///
+    /// # Errors
+    /// Fails if the connection does, or if the peer does not read the bytes in time.
+    pub async fn write_unframed_head(
+        &mut self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<(), HttpFault> {
+        let mut head = BytesMut::with_capacity(256);
+        append_status_line(&mut head, status);
+        append_headers(&mut head, headers);
+        head.extend_from_slice(b"\r\n");
+        self.write(head.freeze()).await
+    }
+
     /// Writes one chunk of a body; an empty piece writes nothing.
     ///
     /// # Errors
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -65,6 +65,12 @@
 /// a sidecar knows yet.
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Longest body of a refusal after which the connection is reused, in bytes.
+const MAX_REFUSAL_BYTES: usize = 4096;
+
+/// Longest wait for the body of a refusal, which is not needed.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Share of the remaining time that one attempt of an idempotent request may take.
 const ATTEMPT_TIME_SHARE: f64 = 0.45;
 
@@ -439,7 +445,10 @@
         mut connection: ClientConnection,
         choice: &TargetChoice,
     ) -> AttemptOutcome {
-        if connection.skip_response(4096).await.is_ok() {
+        let skipped = connection.skip_response(MAX_REFUSAL_BYTES);
+        // The body of a refusal may end with its connection, which the target closes when it likes.
+        if monoio::time::timeout(REFUSAL_BODY_TIMEOUT, skipped).await.is_ok_and(|read| read.is_ok())
+        {
             call.release(connection);
         }
         self.handler.view.log.record(
--- a/crates/serving/src/sidecar/engine_run.rs
+++ b/crates/serving/src/sidecar/engine_run.rs
@@ -44,7 +44,7 @@
                 Ok(Self { connection, guard: Some(guard), head })
             }
             Err(TargetFault::NotSent(_)) => {
-                guard.cancel();
+                guard.not_sent();
                 Err(SidecarVerdict::NotRun)
             }
             Err(TargetFault::Unknown(_)) => {
--- a/crates/serving/src/sidecar/engine_watch.rs
+++ b/crates/serving/src/sidecar/engine_watch.rs
@@ -35,6 +35,8 @@
     instance: IpAddr,
     /// Whether a broken run is being investigated.
     is_investigating: Cell<bool>,
+    /// Whether the engine has ended and not responded since.
+    is_lost: Cell<bool>,
     log: LineLog,
     losses: IntCounter,
     runs: RefCell<RunWatch>,
@@ -75,6 +77,7 @@
             gate,
             instance,
             is_investigating: Cell::new(false),
+            is_lost: Cell::new(false),
             log,
             losses,
             runs: RefCell::default(),
@@ -101,7 +104,7 @@
     /// Finds out whether the engine has ended after a run broke off. All runs that it takes with it
     /// break off together, so the suspects are collected before the first of them is dropped.
     fn investigate(self: &Rc<Self>) {
-        if self.is_investigating.replace(true) {
+        if self.is_lost.get() || self.is_investigating.replace(true) {
             return;
         }
         let suspects = self.runs.borrow().suspects(self.clock.now());
@@ -116,6 +119,7 @@
 
     /// Records that the engine has ended.
     fn record_loss(&self, suspects: &[WatchedRun]) {
+        self.is_lost.set(true);
         self.losses.inc();
         self.runs.borrow_mut().clear_ended();
         let is_planned = self.gate.is_draining();
@@ -137,6 +141,7 @@
 impl EngineRunGuard {
     /// Records that the head of the response has arrived.
     pub fn answered(&self) {
+        self.watch.is_lost.set(false);
         self.watch.runs.borrow_mut().answer(self.id, self.watch.clock.now());
     }
 
@@ -150,7 +155,14 @@
         self.watch.investigate();
     }
 
-    /// Removes a run that the engine has not run.
+    /// Removes a run that could not be sent. The engine may have ended unnoticed, if its last
+    /// responses ended with their connections.
+    pub fn not_sent(self) {
+        self.watch.runs.borrow_mut().cancel(self.id);
+        self.watch.investigate();
+    }
+
+    /// Removes a run that the engine has refused.
     pub fn cancel(self) {
         self.watch.runs.borrow_mut().cancel(self.id);
     }
--- a/crates/standin/src/fault_proxy.rs
+++ b/crates/standin/src/fault_proxy.rs
@@ -14,6 +14,8 @@
 use monoio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::unframed_response::copy_unframed;
+
 /// Size of the read buffer, in bytes.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -33,6 +35,9 @@
     TruncateResponse(usize),
     /// Forwards requests and closes a connection when the first byte of a response arrives.
     LoseResponse,
+    /// Forwards chunked responses without chunks or length, and at most this many bytes of the body;
+    /// closes the connection after each.
+    Unframe(usize),
     /// Forwards this many bytes of a connection's responses, then sends bytes that belong to no
     /// response until the client closes: one a time with this pause, or without end if it is zero.
     SendGarbage(usize, Duration),
@@ -139,7 +144,14 @@
                 }
                 break;
             }
+            FaultMode::Unframe(limit) if is_response => {
+                let mut received = buffer;
+                received.truncate(length);
+                copy_unframed(&mut from, &mut to, received, limit).await;
+                break;
+            }
             FaultMode::Pass
+            | FaultMode::Unframe(_)
             | FaultMode::TruncateResponse(_)
             | FaultMode::LoseResponse
             | FaultMode::SendGarbage(..) => {}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod json_response;
 mod key_value;
 mod plain_service;
+mod unframed_response;
 
 pub use crate::engine::EngineReport;
 pub use crate::engine::EngineSettings;
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -7,6 +7,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -87,6 +89,8 @@
     /// Whether proxies stand between sidecars and engines. Through a proxy an engine that has ended
     /// still accepts connections.
     has_engine_proxies: bool,
+    /// Whether the engines' streams have no chunks and end with their connection.
+    pub has_unframed_streams: Arc<AtomicBool>,
     /// All processes: sidecars, entries, keepers.
     pub nodes: Vec<NodeProcess>,
     size: NodeFleetSize,
@@ -230,6 +234,7 @@
             address_block,
             crash_rule: CrashRule::new(ENGINE_DOWN_TIME),
             has_engine_proxies,
+            has_unframed_streams: Arc::default(),
             nodes: Vec::new(),
             size,
             store,
@@ -354,7 +359,9 @@
         let targets: Vec<_> = engines.chain([("plain-0".to_owned(), 30, plain)]).collect();
         for (id, host, kind) in targets {
             let crash_rule = self.crash_rule.clone();
-            let target = PlatformTarget { crash_rule, id, kind, log: self.target_log.clone() };
+            let is_unframed = Arc::clone(&self.has_unframed_streams);
+            let log = self.target_log.clone();
+            let target = PlatformTarget { crash_rule, id, is_unframed, kind, log };
             let thread =
                 target.start(self.socket_address(host, TARGET_PORT)).expect("the target listens");
             self.target_threads.push(thread);
