Show with failing tests that targets get more than the limit they name

The stand-ins of targets learn to name a limit. With a limit of 2 requests a second an engine gets 98 requests in 4 s through its sidecar, without one, and so does a plain service behind three entries; 17 are allowed. RequestBucket decides on one target; no queue or process asks it yet.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -6,3 +6,4 @@
 mod job_checks;
 mod keeper_matrix;
 mod online_requests;
+mod request_limits;
--- a/crates/dispatch/src/slot_queue.rs
+++ b/crates/dispatch/src/slot_queue.rs
@@ -7,6 +7,7 @@
 use cv_policy::WorkClass;
 
 use crate::BatchOrder;
+use crate::RequestBucket;
 
 /// Time after a preemption in which no batch run starts, so that runs are not preempted and resumed
 /// in quick succession.
@@ -132,6 +133,8 @@
     online_waiting: Vec<WaitingRequest>,
     /// When a batch run was last preempted.
     preempted_at: Option<MonotonicTime>,
+    /// Limit on the requests that the engine takes in a second.
+    request_bucket: RequestBucket,
     slots: u32,
 }
 
@@ -150,6 +153,7 @@
             online_running: Vec::new(),
             online_waiting: Vec::new(),
             preempted_at: None,
+            request_bucket: RequestBucket::default(),
             slots: slots.max(1),
         }
     }
@@ -159,6 +163,11 @@
         self.slots = slots.max(1);
     }
 
+    /// Sets the limit that the engine names, in requests a second; `None` if it names none.
+    pub fn set_request_limit(&mut self, now: MonotonicTime, limit: Option<f64>) {
+        self.request_bucket.set_limit(now, limit);
+    }
+
     /// Sets whether the engine is draining; if it is, all waiting requests are evicted.
     pub fn set_draining(&mut self, is_draining: bool, commands: &mut Vec<QueueCommand>) {
         self.is_draining = is_draining;
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -9,6 +9,7 @@
 mod load_simulation;
 mod placement;
 mod quarantine;
+mod request_limits;
 mod reservations;
 mod route_table;
 mod run_estimate;
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -91,6 +92,8 @@
     has_engine_proxies: bool,
     /// Whether the engines' streams have no chunks and end with their connection.
     pub has_unframed_streams: Arc<AtomicBool>,
+    /// Limit that all targets name, in requests in a hundred seconds; 0 for none.
+    pub request_limit: Arc<AtomicU32>,
     /// All processes: sidecars, entries, keepers.
     pub nodes: Vec<NodeProcess>,
     size: NodeFleetSize,
@@ -235,6 +238,7 @@
             crash_rule: CrashRule::new(ENGINE_DOWN_TIME),
             has_engine_proxies,
             has_unframed_streams: Arc::default(),
+            request_limit: Arc::default(),
             nodes: Vec::new(),
             size,
             store,
@@ -361,7 +365,8 @@
             let crash_rule = self.crash_rule.clone();
             let is_unframed = Arc::clone(&self.has_unframed_streams);
             let log = self.target_log.clone();
-            let target = PlatformTarget { crash_rule, id, is_unframed, kind, log };
+            let request_limit = Arc::clone(&self.request_limit);
+            let target = PlatformTarget { crash_rule, id, is_unframed, kind, log, request_limit };
             let thread =
                 target.start(self.socket_address(host, TARGET_PORT)).expect("the target listens");
             self.target_threads.push(thread);
