Send targets no more requests than the limit that they name

A target that named a limit got up to five times as many requests: nothing read the header. Class: a limit of one target for all senders together needs one place that counts.

Change: the sidecar of an engine is that place. Its queue has a token bucket beside the slots, for online requests, items, and repeats alike; batch leaves one token for the next online request, and the load report says full while there is none, so entries and keepers go elsewhere. Without a sidecar (plain services, and engines whose sidecar is silent) one keeper, chosen by the target's address, permits the requests of all entries; an entry that reaches none uses a quarter of the limit. The limit ends with the first response of the target that names none, and callers do not get the header.

Ruled out: a share of the limit for each entry. With 58 entries one request each after a pause is more than the rule allows, and entries get unequal traffic.

--- a/crates/dispatch/src/run_schedule.rs
+++ b/crates/dispatch/src/run_schedule.rs
@@ -84,6 +84,7 @@
         let usable = targets.rows().iter().filter(|row| {
             row.record.service == request.service
                 && row.is_usable(now)
+                && (row.request_limit.is_none() || row.has_sidecar(now))
                 && self.run_count(&row.record.id) < item_limit(row, now)
         });
         let costs =
--- a/crates/dispatch/src/slot_queue.rs
+++ b/crates/dispatch/src/slot_queue.rs
@@ -25,6 +25,10 @@
 /// Weight of a new sample in the mean run time.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
+/// Requests that an engine must take at once before a batch request starts, so that an online one
+/// that arrives next does not wait.
+const BATCH_TOKENS: f64 = 2.0;
+
 /// Most batch requests that may wait at one engine; their keepers hold the others.
 const MAX_BATCH_WAITING: usize = 64;
 
@@ -168,6 +172,12 @@
         self.request_bucket.set_limit(now, limit);
     }
 
+    /// Returns whether the engine names a limit.
+    #[must_use]
+    pub fn is_limited(&self) -> bool {
+        self.request_bucket.is_limited()
+    }
+
     /// Sets whether the engine is draining; if it is, all waiting requests are evicted.
     pub fn set_draining(&mut self, is_draining: bool, commands: &mut Vec<QueueCommand>) {
         self.is_draining = is_draining;
@@ -304,7 +314,27 @@
         let refill = self.preempted_at.map(|time| time + REFILL_DELAY);
         let refill = refill.filter(|time| !self.batch_waiting.is_empty() && *time > now);
         let probe = (self.occupied_by_others > 0).then_some(self.next_probe);
-        timeout.into_iter().chain(refill).chain(probe).min()
+        let token = self.next_token(now);
+        timeout.into_iter().chain(refill).chain(probe).chain(token).min()
+    }
+
+    /// Returns when the engine takes the next request, if one waits for that alone.
+    fn next_token(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let online =
+            !self.online_waiting.is_empty() && self.online_running.len() < self.usable_slots();
+        let running = self.online_running.len() + self.batch_running.len();
+        let batch = !self.batch_waiting.is_empty() && running < self.usable_slots();
+        let count = if online { 1.0 } else { BATCH_TOKENS };
+        let wait = self.request_bucket.wait_for(now, count);
+        // Rounded up, so that the token is there when the tick comes.
+        ((online || batch) && !wait.is_zero()).then(|| now + wait + Duration::from_millis(1))
+    }
+
+    /// Returns whether the engine takes no further request at the moment, however many slots are
+    /// free.
+    #[must_use]
+    pub fn is_rate_limited(&self, now: MonotonicTime) -> bool {
+        self.request_bucket.available(now) < 1.0
     }
 
     /// Returns the request counts; runs of others count as online ones, which keep their slots.
@@ -323,16 +353,18 @@
     /// latency objective.
     #[must_use]
     pub fn expected_wait(&self, now: MonotonicTime) -> Duration {
-        if self.online_running.len() + self.online_waiting.len() < self.usable_slots() {
-            return Duration::ZERO;
-        }
         // Requests that have missed their objective let it pass.
         let ahead =
             self.online_waiting.iter().filter(|request| request.meets_objective_until >= now);
         let waiting: f64 = ahead.map(|request| request.share).sum();
+        let token_wait = self.request_bucket.wait_for(now, waiting + 1.0);
+        if self.online_running.len() + self.online_waiting.len() < self.usable_slots() {
+            return token_wait;
+        }
         let ahead = self.online_running.len() as f64 + waiting;
         let ends_needed = (ahead + 1.0 - self.usable_slots() as f64).max(0.0);
-        Duration::from_secs_f64(ends_needed * self.mean_run_seconds / f64::from(self.slots))
+        let run_seconds = ends_needed * self.mean_run_seconds / f64::from(self.slots);
+        Duration::from_secs_f64(run_seconds).max(token_wait)
     }
 
     /// Starts, queues or refuses an online request.
@@ -356,7 +388,7 @@
             share: 1.0 / f64::from(options.queues.max(1)),
             ticket,
         };
-        if !wait.is_zero() {
+        if !wait.is_zero() || !self.request_bucket.take(now) {
             self.online_waiting.push(request);
             return AdmissionDecision::Wait;
         }
@@ -387,6 +419,7 @@
             ticket,
         };
         if self.batch_waiting.is_empty() && self.may_start_batch(now) {
+            self.request_bucket.take(now);
             self.batch_running.push(RunningRequest { request, started: now });
             return AdmissionDecision::Start;
         }
@@ -433,7 +466,10 @@
 
     /// Starts waiting requests in free slots, online requests first.
     fn fill_slots(&mut self, now: MonotonicTime, commands: &mut Vec<QueueCommand>) {
-        while self.online_running.len() < self.usable_slots() && !self.online_waiting.is_empty() {
+        while self.online_running.len() < self.usable_slots()
+            && !self.online_waiting.is_empty()
+            && self.request_bucket.take(now)
+        {
             let request = self.dequeue_online(now);
             self.online_running.push(RunningRequest { request, started: now });
             commands.push(QueueCommand::Start(request.ticket));
@@ -442,6 +478,7 @@
         while self.may_start_batch(now)
             && let Some(request) = self.dequeue_batch(now)
         {
+            self.request_bucket.take(now);
             self.batch_running.push(RunningRequest { request, started: now });
             commands.push(QueueCommand::Start(request.ticket));
         }
@@ -475,7 +512,8 @@
     fn may_start_batch(&self, now: MonotonicTime) -> bool {
         let running = self.online_running.len() + self.batch_running.len();
         let is_refill_due = self.preempted_at.is_none_or(|time| now.since(time) >= REFILL_DELAY);
-        running < self.usable_slots() && is_refill_due
+        let has_tokens = self.request_bucket.available(now) >= BATCH_TOKENS;
+        running < self.usable_slots() && is_refill_due && has_tokens
     }
 }
 
--- a/crates/dispatch/src/target_table.rs
+++ b/crates/dispatch/src/target_table.rs
@@ -70,6 +70,10 @@
     report: Option<(LoadReport, MonotonicTime)>,
     /// The registration of the target.
     pub record: TargetRecord,
+    /// Requests that it takes in a second from all processes, if it names a limit.
+    pub request_limit: Option<f64>,
+    /// Time until which it takes no further request.
+    resting_until: MonotonicTime,
     /// Time until which its sidecar is bypassed.
     sidecar_bypassed_until: MonotonicTime,
 }
@@ -92,6 +96,8 @@
             ejected_until: MonotonicTime::ZERO,
             report: None,
             record,
+            request_limit: None,
+            resting_until: MonotonicTime::ZERO,
             sidecar_bypassed_until: MonotonicTime::ZERO,
         }
     }
@@ -99,9 +105,20 @@
     /// Returns whether the target accepts new requests and is not ejected.
     #[must_use]
     pub fn is_usable(&self, now: MonotonicTime) -> bool {
+        self.resting_until <= now && self.is_healthy(now)
+    }
+
+    /// Returns whether the target is not ejected and, apart from its limit, accepts new requests.
+    #[must_use]
+    pub fn is_healthy(&self, now: MonotonicTime) -> bool {
         self.record.state == TargetState::Ready && self.ejected_until <= now
     }
 
+    /// Records that the target takes no further request for a duration because of its limit.
+    pub fn rest(&mut self, now: MonotonicTime, duration: Duration) {
+        self.resting_until = self.resting_until.max(now + duration);
+    }
+
     /// Returns whether requests are sent through the target's sidecar.
     ///
     /// A sidecar that stops sending load reports, or has sent none since its target became known,
@@ -229,6 +246,16 @@
         self.position(id).ok().map(|position| &mut self.rows[position])
     }
 
+    /// Returns the time until a target of the service that rests because of its limit takes the next
+    /// request; `None` if none rests.
+    #[must_use]
+    pub fn shortest_rest(&self, service: &str, now: MonotonicTime) -> Option<Duration> {
+        let resting = self.rows.iter().filter(|row| {
+            row.record.service == service && row.is_healthy(now) && row.resting_until > now
+        });
+        resting.map(|row| now.until(row.resting_until)).min()
+    }
+
     /// Records a load report of the sidecar at an address for all targets with that address.
     pub fn record_report_from(&mut self, ip: IpAddr, report: &LoadReport, now: MonotonicTime) {
         for row in self.rows.iter_mut().filter(|row| row.record.address.ip() == ip) {
--- a/crates/serving/src/entry/entry_handler.rs
+++ b/crates/serving/src/entry/entry_handler.rs
@@ -30,6 +30,7 @@
 use crate::entry::entry_metrics::EntryMetrics;
 use crate::entry::job_relay::JobRelay;
 use crate::entry::online_request::OnlineRequest;
+use crate::entry::permit_client::PermitClient;
 use crate::entry::reservation_client::ReservationClient;
 
 /// Retry delay that callers receive while the entry has no configuration.
@@ -53,6 +54,8 @@
     pub jobs: JobRelay,
     /// The entry's metrics.
     pub metrics: EntryMetrics,
+    /// Asks for permits to send requests to targets with a limit.
+    pub permits: Rc<PermitClient>,
     /// Pool of connections to targets and sidecars.
     pub pool: ConnectionPool,
     /// Places reservations at sidecars.
--- a/crates/serving/src/entry/entry_node.rs
+++ b/crates/serving/src/entry/entry_node.rs
@@ -29,6 +29,7 @@
 use crate::entry::entry_handler::EntryHandler;
 use crate::entry::entry_metrics::EntryMetrics;
 use crate::entry::job_relay::JobRelay;
+use crate::entry::permit_client::PermitClient;
 use crate::entry::ready_handler::ReadyHandler;
 use crate::entry::reservation_client::ReservationClient;
 use crate::internal_handler::InternalHandler;
@@ -79,9 +80,11 @@
         let identity = Rc::new(settings.identity);
         let socket = Rc::new(UdpSocket::bind(identity.internal_address())?);
         let reservations = ReservationClient::new(clock, Rc::clone(&socket), view.random_number());
-        let replies = Rc::clone(&reservations);
-        start_load_listener(&view, &identity, socket, &timers, move |sidecar, datagram| {
-            replies.handle_reply(sidecar, datagram);
+        let permits = PermitClient::new(clock, Rc::clone(&socket), view.random_number());
+        let (reservation_replies, permit_replies) = (Rc::clone(&reservations), Rc::clone(&permits));
+        start_load_listener(&view, &identity, socket, &timers, move |peer, datagram| {
+            reservation_replies.handle_reply(peer, datagram);
+            permit_replies.handle_reply(datagram);
         });
         start_peer_sync::<P>(&view, &identity, &timers);
         let metrics = EntryMetrics::new().map_err(io::Error::other)?;
@@ -98,6 +101,7 @@
             identity,
             jobs: JobRelay { pool: ConnectionPool::new(limits), view: Rc::clone(&view) },
             metrics,
+            permits,
             pool: ConnectionPool::new(limits),
             reservations,
             retry_detector: RefCell::default(),
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod entry_node;
 mod job_relay;
 mod online_request;
+mod permit_client;
 mod placed_reservations;
 mod ready_handler;
 mod reservation_client;
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -61,6 +61,9 @@
 /// tried.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Shortest time for which a target without a permit gets no requests.
+const MIN_REST: Duration = Duration::from_millis(5);
+
 /// Retry delay of a request that was refused because another is being tried, or because of what only
 /// a sidecar knows yet.
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -108,6 +111,8 @@
     Finished,
     /// The target has not run the request and will not.
     NotRun,
+    /// The target takes no further request at the moment.
+    RateLimited,
     /// A part of the prompt ends engines; the request has not been handed over in this attempt.
     Quarantined,
     /// The target or its sidecar could not be reached.
@@ -116,6 +121,16 @@
     Interrupted(String),
 }
 
+/// How the wait for a target that rests because of its limit ended.
+enum RestOutcome {
+    /// The target may take a request now.
+    Over,
+    /// The caller has gone away.
+    CallerGone,
+    /// No target takes a request before the latency objective.
+    TooLong,
+}
+
 /// How the reservations of a request ended.
 enum ReservationOutcome {
     /// A sidecar keeps a slot of this target free.
@@ -182,6 +197,11 @@
                 if decision != QuarantineDecision::Admit {
                     return self.finish_quarantined(exchange, &relay).await;
                 }
+                match self.wait_for_rest(exchange, &service).await {
+                    RestOutcome::Over => continue,
+                    RestOutcome::CallerGone => return Ok(()),
+                    RestOutcome::TooLong => {}
+                }
                 return self.finish_unanswered(exchange, &relay, "no_target").await;
             };
             let (choice, reservation) =
@@ -206,6 +226,7 @@
             let terms = AttemptTerms { is_trial, reservation };
             match self.attempt(exchange, &choice, terms, &mut relay).await? {
                 AttemptOutcome::Finished => return Ok(()),
+                AttemptOutcome::RateLimited => {}
                 AttemptOutcome::Quarantined => {
                     return self.finish_quarantined(exchange, &relay).await;
                 }
@@ -361,6 +382,9 @@
         }
         let handler = self.handler;
         let _in_flight = InFlightGuard::begin(handler, &choice.id);
+        if !choice.through_sidecar && !self.has_permit(choice).await {
+            return Ok(AttemptOutcome::RateLimited);
+        }
         let address = if choice.through_sidecar {
             handler.identity.sidecar_address(choice.address)
         } else {
@@ -392,6 +416,49 @@
         self.handle_response(exchange, &call, connection, &head, relay, choice).await
     }
 
+    /// Returns whether a request may be sent to a target without a sidecar; if not, the target rests.
+    async fn has_permit(&self, choice: &TargetChoice) -> bool {
+        let handler = self.handler;
+        let limit = handler.view.with_targets(|targets| targets.get(&choice.id)?.request_limit);
+        let Some(limit) = limit else {
+            return true;
+        };
+        let keepers = handler.view.keepers();
+        let Err(wait) = handler.permits.request(choice.address, limit, &keepers).await else {
+            return true;
+        };
+        let now = handler.view.clock.now();
+        handler.view.with_targets(|targets| {
+            if let Some(row) = targets.get_mut(&choice.id) {
+                row.rest(now, wait.max(MIN_REST));
+            }
+        });
+        let subject = self.options.request_id.as_deref().unwrap_or_default();
+        handler.view.log.record(LinePriority::Routine, EventKind::Refused, subject, || {
+            let wait_ms = wait.as_millis();
+            format!("target={} reason=rate_limited limit={limit} wait_ms={wait_ms}", choice.id)
+        });
+        false
+    }
+
+    /// Waits until a target that rests because of its limit takes the next request, if that is soon.
+    async fn wait_for_rest(&self, exchange: &mut ServerExchange<'_>, service: &str) -> RestOutcome {
+        let view = &self.handler.view;
+        let now = view.clock.now();
+        let rest = view.with_targets(|targets| targets.shortest_rest(service, now));
+        let max_rest = self.objective_left().min(self.time_left());
+        match rest.filter(|rest| *rest <= max_rest) {
+            None => RestOutcome::TooLong,
+            Some(rest) => monoio::select! {
+                () = monoio::time::sleep(rest) => RestOutcome::Over,
+                () = exchange.closed() => {
+                    self.record_abandoned();
+                    RestOutcome::CallerGone
+                }
+            },
+        }
+    }
+
     /// Handles a response whose head has arrived.
     async fn handle_response(
         &mut self,
@@ -403,6 +470,13 @@
         choice: &TargetChoice,
     ) -> Result<AttemptOutcome, HttpFault> {
         let marks = P::response_metadata(&head.headers);
+        if let Some(limit) = marks.named_limit() {
+            self.handler.view.with_targets(|targets| {
+                if let Some(row) = targets.get_mut(&choice.id) {
+                    row.request_limit = limit;
+                }
+            });
+        }
         let verdict = SidecarVerdict::read(&head.headers);
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         if marks.not_run || is_misdirected || verdict == Some(SidecarVerdict::NotRun) {
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -260,6 +260,9 @@
         head: &ResponseHead,
     ) -> RunOutcome {
         let metadata = P::response_metadata(&head.headers);
+        if let Some(limit) = metadata.named_limit() {
+            self.update_target(|row| row.request_limit = limit);
+        }
         let verdict = SidecarVerdict::read(&head.headers);
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         if metadata.not_run || is_misdirected || verdict == Some(SidecarVerdict::NotRun) {
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -39,6 +39,7 @@
 use crate::keeper::keeper_registration::maintain_registration;
 use crate::keeper::keeper_registration::watch_isolation;
 use crate::keeper::keeper_state::KeeperState;
+use crate::keeper::permit_desk::PermitDesk;
 use crate::keeper::progress_replication::start_replication;
 use crate::keeper::stored_quarantines::StoredQuarantines;
 use crate::load_listener::start_load_listener;
@@ -92,7 +93,10 @@
         let identity = Rc::new(settings.identity);
         let address = identity.internal_address();
         let socket = Rc::new(UdpSocket::bind(address)?);
-        start_load_listener(&view, &identity, socket, &timers, |_, _| {});
+        let permits = PermitDesk::new(clock, Rc::clone(&socket));
+        start_load_listener(&view, &identity, socket, &timers, move |entry, datagram| {
+            permits.handle(entry, datagram);
+        });
         start_peer_sync::<P>(&view, &identity, &timers);
         let state = Rc::new(KeeperState::<P> {
             adapter: PhantomData,
--- a/crates/serving/src/platform_adapter.rs
+++ b/crates/serving/src/platform_adapter.rs
@@ -95,7 +95,7 @@
 }
 
 /// The metadata in the headers of a target's response.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Whether the response carries the target's signature.
     pub is_signed: bool,
@@ -103,6 +103,17 @@
     pub not_run: bool,
     /// Id of the request that the response belongs to, if it is given.
     pub request_id: Option<String>,
+    /// Requests that the target takes in a second from all processes, if it names a limit.
+    pub request_limit: Option<f64>,
+}
+
+impl ResponseMetadata {
+    /// Returns the limit that the response names, `Some(None)` if it names none, or `None` if the
+    /// response is not known to be the target's.
+    #[must_use]
+    pub fn named_limit(&self) -> Option<Option<f64>> {
+        (self.is_signed || self.not_run).then_some(self.request_limit)
+    }
 }
 
 /// Translates between the platform's messages and this system's types, without any policy of its
--- a/crates/serving/src/sidecar/batch_relay.rs
+++ b/crates/serving/src/sidecar/batch_relay.rs
@@ -134,7 +134,9 @@
             }
         };
         let is_misdirected = run.head.status == StatusCode::MISDIRECTED_REQUEST;
-        if P::response_metadata(&run.head.headers).not_run && !is_misdirected {
+        let metadata = P::response_metadata(&run.head.headers);
+        self.handler.record_limit(&metadata);
+        if metadata.not_run && !is_misdirected {
             run.reject(&call);
             return Ok(RunOutcome::EngineFull);
         }
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -27,6 +27,7 @@
 use crate::AttemptOptions;
 use crate::PlatformAdapter;
 use crate::QueueOptions;
+use crate::ResponseMetadata;
 use crate::SidecarVerdict;
 use crate::internal_handler::METRICS_PATH;
 use crate::internal_handler::respond_metrics;
@@ -152,6 +153,13 @@
             || self.quarantine.decide(&request.parts) == QuarantineDecision::Admit
     }
 
+    /// Applies the limit that a response of the engine names.
+    pub fn record_limit(&self, metadata: &ResponseMetadata) {
+        if let Some(limit) = metadata.named_limit() {
+            self.gate.set_request_limit(limit);
+        }
+    }
+
     /// Refuses a request because of a part of its prompt.
     pub async fn refuse_quarantined(
         &self,
@@ -231,7 +239,9 @@
                 }
             };
             let is_misdirected = run.head.status == StatusCode::MISDIRECTED_REQUEST;
-            let is_full = P::response_metadata(&run.head.headers).not_run && !is_misdirected;
+            let metadata = P::response_metadata(&run.head.headers);
+            self.record_limit(&metadata);
+            let is_full = metadata.not_run && !is_misdirected;
             if !is_full {
                 return Ok(Some(run));
             }
--- a/crates/serving/src/sidecar/slot_gate.rs
+++ b/crates/serving/src/sidecar/slot_gate.rs
@@ -66,6 +66,15 @@
         self.queue.borrow_mut().set_slots(slots);
     }
 
+    /// Sets the limit that the engine names, in requests a second; `None` if it names none.
+    pub fn set_request_limit(&self, limit: Option<f64>) {
+        if limit.is_none() && !self.queue.borrow().is_limited() {
+            return;
+        }
+        self.queue.borrow_mut().set_request_limit(self.clock.now(), limit);
+        self.changed.notify_one();
+    }
+
     /// Sets whether the engine is draining; returns whether that is a change.
     pub fn set_draining(&self, is_draining: bool) -> bool {
         if self.queue.borrow().is_draining() == is_draining {
@@ -89,9 +98,15 @@
         self.apply_commands(&commands);
     }
 
-    /// Returns the queue's counts.
+    /// Returns the queue's counts. An engine that takes no further request at the moment counts as
+    /// full.
     pub fn load_report(&self) -> LoadReport {
-        self.queue.borrow().load_report()
+        let queue = self.queue.borrow();
+        let mut report = queue.load_report();
+        if queue.is_rate_limited(self.clock.now()) {
+            report.online_running = report.online_running.max(report.slots);
+        }
+        report
     }
 
     /// Returns whether an online request that arrived now would start at once.
