Begin the trial of a quarantine when its request has a slot

Found by reading. A trial counted from its admission, so on a busy fleet a request that was then refused for lack of a slot used the trial up, and callers were refused for 20 s more although engines had long survived the part. The test fails without the change, and passes with it.

--- a/crates/clementinevale/tests/nodes/crashing_prompts.rs
+++ b/crates/clementinevale/tests/nodes/crashing_prompts.rs
@@ -299,3 +299,27 @@
     let last = calls.iter().rev().take(5);
     assert!(last.into_iter().all(|call| call.outcome == CallerOutcome::Completed));
 }
+
+#[test]
+fn a_trial_that_gets_no_slot_does_not_prolong_the_quarantine() {
+    let fleet = crashing_fleet();
+    let entries = fleet.entry_addresses();
+    find_out_crashing_part(&entries);
+    fleet.crash_rule.set_parts(&[]);
+    // Long streams take all slots when the first trial is due, and end three seconds later.
+    let occupied: Vec<_> = (0..32)
+        .map(|number| {
+            let entry = entries[number % entries.len()];
+            std::thread::spawn(move || {
+                let id = format!("long-{number}");
+                block_on(async move { request_prompt(entry, "hints", &id, 500, "e1:1,f1:1").await })
+            })
+        })
+        .collect();
+    let calls = send_crashing(&entries, Duration::from_secs(11));
+    for caller in occupied {
+        let _ = caller.join();
+    }
+    let last = calls.iter().rev().take(5);
+    assert!(last.into_iter().all(|call| call.outcome == CallerOutcome::Completed));
+}
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -135,22 +135,24 @@
 }
 
 impl<P: PlatformAdapter> SidecarHandler<P> {
-    /// Returns whether a request may enter the queue. Begins the trial of a quarantine if it is one.
+    /// Returns whether the prompt's parts allow a request to enter the queue.
     fn passes_quarantine(&self, request: &SidecarRequest) -> bool {
         match self.quarantine.decide(&request.parts) {
             QuarantineDecision::Admit => true,
-            QuarantineDecision::Try(_) if request.options.is_trial => {
-                self.quarantine.begin_trial(&request.parts);
-                true
-            }
-            QuarantineDecision::Try(_) | QuarantineDecision::Refuse(..) => false,
+            QuarantineDecision::Try(_) => request.options.is_trial,
+            QuarantineDecision::Refuse(..) => false,
         }
     }
 
-    /// Returns whether a request that has waited for a slot may still be handed over.
+    /// Returns whether a request that has a slot may be handed over. Begins the trial of a
+    /// quarantine if it is one, so that a request which gets no slot uses up none.
     pub fn may_hand_over(&self, request: &SidecarRequest) -> bool {
-        request.options.is_trial
-            || self.quarantine.decide(&request.parts) == QuarantineDecision::Admit
+        let decision = self.quarantine.decide(&request.parts);
+        let is_trial = matches!(decision, QuarantineDecision::Try(_)) && request.options.is_trial;
+        if is_trial {
+            self.quarantine.begin_trial(&request.parts);
+        }
+        is_trial || decision == QuarantineDecision::Admit
     }
 
     /// Applies the limit that a response of the engine names.
