Test headers of prompts and limits, and let the soak change responses

The soak's targets now name limits and send streams that end with their connections, drawn apart from the faults so that older seeds keep theirs; CV_SOAK_SCALE multiplies its processes.

--- a/crates/clementinevale/tests/soak/fault_schedule.rs
+++ b/crates/clementinevale/tests/soak/fault_schedule.rs
@@ -1,5 +1,6 @@
 //! Injects random, overlapping faults into a fleet.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -45,6 +46,8 @@
 #[derive(Debug)]
 pub struct FaultSchedule {
     random: SeededRandom,
+    /// Draws the targets' ways of responding, apart from the faults, so that older seeds keep theirs.
+    response_random: SeededRandom,
     /// Actions to run, each with its due time.
     undos: Vec<(Instant, FaultUndo)>,
     /// Version of the latest configuration.
@@ -54,7 +57,8 @@
 impl FaultSchedule {
     /// Creates a schedule from a seed.
     pub fn new(seed: u64) -> Self {
-        Self { random: SeededRandom::new(seed), undos: Vec::new(), version: 1 }
+        let (random, response_random) = (SeededRandom::new(seed), SeededRandom::new(!seed));
+        Self { random, response_random, undos: Vec::new(), version: 1 }
     }
 
     /// Injects faults for the given duration, then undoes all.
@@ -67,11 +71,29 @@
             self.undo_due(fleet, Instant::now());
             report_crashes(fleet, check);
             self.inject(fleet, check);
+            self.change_responses(fleet);
         }
+        fleet.request_limit.store(0, Ordering::Relaxed);
+        fleet.has_unframed_streams.store(false, Ordering::Relaxed);
         let last_due = self.undos.iter().map(|(due, _)| *due).max();
         self.undo_due(fleet, last_due.unwrap_or(end));
     }
 
+    /// Changes whether the targets name a limit, and whether their streams end with their
+    /// connections.
+    fn change_responses(&mut self, fleet: &NodeFleet) {
+        match self.response_random.below(6) {
+            0 => {
+                let limit = 200 + self.response_random.below(2_000) as u32;
+                fleet.request_limit.store(limit, Ordering::Relaxed);
+            }
+            1 => fleet.request_limit.store(0, Ordering::Relaxed),
+            2 => fleet.has_unframed_streams.store(true, Ordering::Relaxed),
+            3 => fleet.has_unframed_streams.store(false, Ordering::Relaxed),
+            _ => {}
+        }
+    }
+
     /// Injects one random fault and schedules its end.
     fn inject(&mut self, fleet: &mut NodeFleet, check: &GuaranteeCheck) {
         let node = self.random.below(fleet.nodes.len());
--- a/crates/clementinevale/tests/soak/main.rs
+++ b/crates/clementinevale/tests/soak/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `CV_SOAK_SEEDS=1-50 CV_SOAK_SECONDS=8 cargo test -p clementinevale --test soak` runs 50 seeds.
 //! Without these variables it runs the seeds that have failed before and two more, 8 seconds each.
+//! `CV_SOAK_SCALE` multiplies the number of processes, up to 6.
 
 mod fault_schedule;
 mod guarantee_check;
@@ -34,6 +35,9 @@
 /// Seconds of faults per seed when `CV_SOAK_SECONDS` is not set.
 const DEFAULT_SECONDS: u64 = 8;
 
+/// Largest multiple of the number of processes; the addresses of a fleet allow no more.
+const MAX_SCALE: u8 = 6;
+
 /// Number of concurrent callers.
 const CALLERS: u64 = 4;
 
@@ -53,7 +57,9 @@
 
 /// Runs one seed and returns the violations found.
 fn run_seed(seed: u64, seconds: Duration) -> Vec<String> {
-    let size = NodeFleetSize { engines: 3, entries: 2, keepers: 2 };
+    let scale = environment_variable("CV_SOAK_SCALE").and_then(|text| text.parse().ok());
+    let scale: u8 = scale.unwrap_or(1).clamp(1, MAX_SCALE);
+    let size = NodeFleetSize { engines: 3 * scale, entries: 2 * scale, keepers: 2 * scale };
     let mut fleet = NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size);
     let entries = fleet.entry_addresses();
     let check = GuaranteeCheck::default();
--- a/tests/adapter/main.rs
+++ b/tests/adapter/main.rs
@@ -4,5 +4,6 @@
 mod directory;
 mod headers;
 mod jobs;
+mod prompts_and_limits;
 mod store_client;
 mod store_health;
--- /dev/null
+++ b/tests/adapter/prompts_and_limits.rs
@@ -0,0 +1,77 @@
+//! The headers of prompts and of limits, and the datagrams about limits.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cv_adapter::GrowersPlatform;
+use cv_dispatch::PromptPart;
+use cv_serving::PermitReply;
+use cv_serving::PermitRequest;
+use cv_serving::PermitTarget;
+use cv_serving::PlatformAdapter;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use rstest::rstest;
+
+/// Builds a header map from names and values.
+fn header_map(fields: &[(&'static str, &'static str)]) -> HeaderMap {
+    let rows = fields
+        .iter()
+        .map(|(name, value)| (HeaderName::from_static(name), HeaderValue::from_static(value)));
+    rows.collect()
+}
+
+#[rstest]
+#[case::none("", &[])]
+#[case::only_the_requests_own("ab:100", &[])]
+#[case::two_shared("5c1e07a2:800, 91bd3f06:410,e4402b7d:250", &[0x5c1e_07a2, 0x91bd_3f06])]
+#[case::without_tokens("a1,b2", &[0xa1])]
+fn the_last_part_of_a_prompt_is_not_shared(#[case] prefix: &'static str, #[case] ids: &[u64]) {
+    let parts = GrowersPlatform::prompt_parts(&header_map(&[("prompt-prefix", prefix)]));
+    let expected: Vec<PromptPart> = ids.iter().copied().map(PromptPart).collect();
+    assert_eq!(parts, expected);
+}
+
+#[test]
+fn parts_with_ids_of_another_form_differ() {
+    let parts = GrowersPlatform::prompt_parts(&header_map(&[("prompt-prefix", "x-1:5,x-2:5,c:1")]));
+    assert_eq!(parts.len(), 2);
+    assert_ne!(parts[0], parts[1]);
+    assert_eq!(PromptPart::from_id("5c1e07a2").to_string(), "5c1e07a2");
+}
+
+#[rstest]
+#[case::named(&[("server-seal", "s"), ("server-limit", "2.5")], Some(Some(2.5)))]
+#[case::named_by_a_refusal(&[("not-run", "1"), ("server-limit", "3")], Some(Some(3.0)))]
+#[case::not_named(&[("server-seal", "s")], Some(None))]
+#[case::malformed(&[("server-seal", "s"), ("server-limit", "many")], Some(None))]
+#[case::negative(&[("server-seal", "s"), ("server-limit", "-1")], Some(None))]
+#[case::not_the_targets(&[("server-limit", "2.5")], None)]
+fn a_limit_is_read_from_the_targets_responses(
+    #[case] fields: &[(&'static str, &'static str)],
+    #[case] expected: Option<Option<f64>>,
+) {
+    let metadata = GrowersPlatform::response_metadata(&header_map(fields));
+    assert_eq!(metadata.named_limit(), expected);
+}
+
+#[test]
+fn callers_do_not_get_the_limit() {
+    let headers = header_map(&[("server-seal", "s"), ("server-limit", "2.5")]);
+    assert!(!GrowersPlatform::response_headers(&headers).contains_key("server-limit"));
+}
+
+#[test]
+fn permits_are_read_as_they_were_written() {
+    let address: SocketAddr = "10.0.0.1:80".parse().expect("an address");
+    let request = PermitRequest { id: 7, limit: 2.5, target: PermitTarget::at(address) };
+    assert_eq!(PermitRequest::decode(&request.encode()), Some(request));
+    for wait in [None, Some(Duration::from_millis(70_000))] {
+        let reply = PermitReply { id: 8, wait };
+        assert_eq!(PermitReply::decode(&reply.encode()), Some(reply));
+        assert_eq!(PermitRequest::decode(&reply.encode()), None);
+    }
+    assert_eq!(PermitReply::decode(&[]), None);
+    assert_eq!(PermitRequest::decode(&request.encode()[..20]), None);
+}
