--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod batch_order;
 mod deferred_removals;
+mod engine_loss;
 mod event_parser;
 mod job_replication;
 mod job_tracker;
@@ -32,6 +33,7 @@
 
 pub use crate::batch_order::BatchOrder;
 pub use crate::deferred_removals::DeferredRemovals;
+pub use crate::engine_loss::EngineLoss;
 pub use crate::event_parser::EventParser;
 pub use crate::event_parser::StreamEvent;
 pub use crate::job_replication::ItemUpdate;
@@ -53,7 +55,6 @@
 pub use crate::placement::TargetChoice;
 pub use crate::prompt_part::PromptPart;
 pub use crate::quarantine_record::QuarantineRecord;
-pub use crate::quarantine_row::EngineLoss;
 pub use crate::quarantine_table::QuarantineChanges;
 pub use crate::quarantine_table::QuarantineDecision;
 pub use crate::quarantine_table::QuarantineTable;
--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -1,17 +1,13 @@
 //! The evidence against one prompt part.
 
-use std::net::IpAddr;
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
 
+use crate::EngineLoss;
 use crate::PromptPart;
 use crate::QuarantineRecord;
 
-/// Losses of one engine within this time are one loss that several processes have observed. An
-/// engine takes longer to start again.
-const SAME_LOSS_TIME: Duration = Duration::from_secs(1);
-
 /// Losses of several engines within this time have a common cause other than their prompts, for
 /// example the power supply, and count once.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(50);
@@ -34,22 +30,6 @@
 /// Longest delay between two trials. Each failed trial costs an engine with all of its runs.
 const MAX_TRIAL_DELAY: Duration = Duration::from_mins(2);
 
-/// An engine that ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct EngineLoss {
-    /// When it ended.
-    pub at: MonotonicTime,
-    /// Address of its instance.
-    pub engine: IpAddr,
-}
-
-impl EngineLoss {
-    /// Returns whether two observations are of the same loss.
-    fn is_same(&self, other: &Self) -> bool {
-        self.engine == other.engine && self.at.abs_diff(other.at) < SAME_LOSS_TIME
-    }
-}
-
 /// The evidence against one prompt part. Rows of two processes merge in any order and any number
 /// of times to the same state.
 #[derive(Clone, Debug)]
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry, which accepts callers' requests.
 
 mod attempt_recorder;
+mod direct_send;
 mod entry_handler;
 mod entry_metrics;
 mod entry_node;
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -32,6 +32,7 @@
 use crate::ReservationTerms;
 use crate::SidecarVerdict;
 use crate::entry::attempt_recorder::AttemptRecorder;
+use crate::entry::direct_send::DirectSend;
 use crate::entry::entry_handler::EntryHandler;
 use crate::entry::placed_reservations::PlacedReservations;
 use crate::entry::response_relay::RelayOutcome;
@@ -61,9 +62,6 @@
 /// tried.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Shortest time for which a target without a permit gets no requests.
-const MIN_REST: Duration = Duration::from_millis(5);
-
 /// Retry delay of a request that was refused because another is being tried, or because of what only
 /// a sidecar knows yet.
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -382,8 +380,11 @@
         }
         let handler = self.handler;
         let _in_flight = InFlightGuard::begin(handler, &choice.id);
-        if !choice.through_sidecar && !self.has_permit(choice).await {
-            return Ok(AttemptOutcome::RateLimited);
+        if !choice.through_sidecar {
+            let request = self.options.request_id.as_deref().unwrap_or_default();
+            if !(DirectSend { handler, request }).is_permitted(choice).await {
+                return Ok(AttemptOutcome::RateLimited);
+            }
         }
         let address = if choice.through_sidecar {
             handler.identity.sidecar_address(choice.address)
@@ -416,31 +417,6 @@
         self.handle_response(exchange, &call, connection, &head, relay, choice).await
     }
 
-    /// Returns whether a request may be sent to a target without a sidecar; if not, the target rests.
-    async fn has_permit(&self, choice: &TargetChoice) -> bool {
-        let handler = self.handler;
-        let limit = handler.view.with_targets(|targets| targets.get(&choice.id)?.request_limit);
-        let Some(limit) = limit else {
-            return true;
-        };
-        let keepers = handler.view.keepers();
-        let Err(wait) = handler.permits.request(choice.address, limit, &keepers).await else {
-            return true;
-        };
-        let now = handler.view.clock.now();
-        handler.view.with_targets(|targets| {
-            if let Some(row) = targets.get_mut(&choice.id) {
-                row.rest(now, wait.max(MIN_REST));
-            }
-        });
-        let subject = self.options.request_id.as_deref().unwrap_or_default();
-        handler.view.log.record(LinePriority::Routine, EventKind::Refused, subject, || {
-            let wait_ms = wait.as_millis();
-            format!("target={} reason=rate_limited limit={limit} wait_ms={wait_ms}", choice.id)
-        });
-        false
-    }
-
     /// Waits until a target that rests because of its limit takes the next request, if that is soon.
     async fn wait_for_rest(&self, exchange: &mut ServerExchange<'_>, service: &str) -> RestOutcome {
         let view = &self.handler.view;
--- a/crates/serving/src/keeper/permit_desk.rs
+++ b/crates/serving/src/keeper/permit_desk.rs
@@ -49,6 +49,7 @@
         let found = buckets.binary_search_by_key(&request.target, |(target, _)| *target);
         let position = match found {
             Ok(position) => position,
+            // Most of so many targets are gone; one that is not gets a burst at most.
             Err(_) if buckets.len() >= MAX_TARGETS => {
                 buckets.clear();
                 buckets.push((request.target, RequestBucket::default()));
