Notice the loss of an engine that ends again at its first request

Found by reading. A sidecar looked no further at broken runs while its engine was known to have ended and had not responded since.

A run that was handed over after the last known end tells of a new one. RunWatch decides that.

--- a/crates/clementinevale/tests/nodes/crashing_prompts.rs
+++ b/crates/clementinevale/tests/nodes/crashing_prompts.rs
@@ -178,6 +178,19 @@
     check_late_runs(&fleet);
 }
 
+#[test]
+fn engines_that_end_before_they_respond_do_not_end_again_and_again() {
+    let size = NodeFleetSize { engines: 2, entries: 2, keepers: 1 };
+    let binary = env!("CARGO_BIN_EXE_clementinevale");
+    let fleet = NodeFleet::start_without_engine_proxies(binary, size);
+    fleet.crash_rule.set_parts(&[CRASHING_PART]);
+    fleet.crash_rule.ends_before_response.store(true, Ordering::Relaxed);
+    std::thread::sleep(Duration::from_millis(1_200));
+    // After each start, the first request to an engine is one that ends it.
+    send_crashing(&fleet.entry_addresses(), Duration::from_secs(14));
+    check_late_runs(&fleet);
+}
+
 #[test]
 fn with_unframed_streams_requests_with_one_part_do_not_end_engine_after_engine() {
     let fleet = crashing_fleet();
--- a/crates/dispatch/src/run_watch.rs
+++ b/crates/dispatch/src/run_watch.rs
@@ -26,6 +26,8 @@
 pub struct WatchedRun {
     /// When the head of the response arrived; `None` if it has not.
     pub answered_at: Option<MonotonicTime>,
+    /// When the request was handed to the engine.
+    begun_at: MonotonicTime,
     /// The shared parts of the request's prompt, in order.
     pub parts: Vec<PromptPart>,
     /// Id of the request.
@@ -39,6 +41,8 @@
 pub struct RunWatch {
     /// Runs in the order in which they ended.
     ended: Vec<WatchedRun>,
+    /// When the engine ended, if it has not responded since.
+    lost_at: Option<MonotonicTime>,
     next_id: u64,
     /// Runs in progress, sorted by id.
     running: Vec<WatchedRun>,
@@ -46,11 +50,17 @@
 
 impl RunWatch {
     /// Records that a request is handed to the engine.
-    pub fn begin(&mut self, request_id: &str, parts: &[PromptPart]) -> WatchedRunId {
+    pub fn begin(
+        &mut self,
+        request_id: &str,
+        parts: &[PromptPart],
+        now: MonotonicTime,
+    ) -> WatchedRunId {
         let id = WatchedRunId(self.next_id);
         self.next_id += 1;
         self.running.push(WatchedRun {
             answered_at: None,
+            begun_at: now,
             parts: parts.to_vec(),
             request_id: request_id.to_owned(),
             ended: None,
@@ -61,6 +71,7 @@
 
     /// Records that the head of a run's response has arrived.
     pub fn answer(&mut self, id: WatchedRunId, now: MonotonicTime) {
+        self.lost_at = None;
         if let Ok(position) = self.running.binary_search_by_key(&id, |run| run.id) {
             self.running[position].answered_at.get_or_insert(now);
         }
@@ -92,8 +103,26 @@
         runs.filter(|run| run.is_suspect(now)).cloned().collect()
     }
 
-    /// Forgets the runs that were lost with the engine.
-    pub fn clear_ended(&mut self) {
+    /// Returns whether the end of the engine would be news to a run that broke off: whether it was
+    /// handed over after the last known end.
+    #[must_use]
+    pub fn may_have_lost_engine(&self, id: WatchedRunId) -> bool {
+        let found = self.running.binary_search_by_key(&id, |run| run.id);
+        found.is_ok_and(|position| {
+            let begun_at = self.running[position].begun_at;
+            self.lost_at.is_none_or(|lost_at| begun_at > lost_at)
+        })
+    }
+
+    /// Returns whether the engine is known to have ended and has not responded since.
+    #[must_use]
+    pub fn is_engine_lost(&self) -> bool {
+        self.lost_at.is_some()
+    }
+
+    /// Records that the engine has ended, with the runs that had just ended.
+    pub fn record_loss(&mut self, now: MonotonicTime) {
+        self.lost_at = Some(now);
         self.ended.clear();
     }
 
--- a/crates/serving/src/sidecar/engine_watch.rs
+++ b/crates/serving/src/sidecar/engine_watch.rs
@@ -35,8 +35,6 @@
     instance: IpAddr,
     /// Whether a broken run is being investigated.
     is_investigating: Cell<bool>,
-    /// Whether the engine has ended and not responded since.
-    is_lost: Cell<bool>,
     log: LineLog,
     losses: IntCounter,
     runs: RefCell<RunWatch>,
@@ -77,7 +75,6 @@
             gate,
             instance,
             is_investigating: Cell::new(false),
-            is_lost: Cell::new(false),
             log,
             losses,
             runs: RefCell::default(),
@@ -97,14 +94,14 @@
 
     /// Records that a request is handed to the engine.
     pub fn begin(self: &Rc<Self>, request_id: &str, parts: &[PromptPart]) -> EngineRunGuard {
-        let id = self.runs.borrow_mut().begin(request_id, parts);
+        let id = self.runs.borrow_mut().begin(request_id, parts, self.clock.now());
         EngineRunGuard { id, watch: Rc::clone(self) }
     }
 
     /// Finds out whether the engine has ended after a run broke off. All runs that it takes with it
     /// break off together, so the suspects are collected before the first of them is dropped.
     fn investigate(self: &Rc<Self>) {
-        if self.is_lost.get() || self.is_investigating.replace(true) {
+        if self.is_investigating.replace(true) {
             return;
         }
         let suspects = self.runs.borrow().suspects(self.clock.now());
@@ -119,9 +116,8 @@
 
     /// Records that the engine has ended.
     fn record_loss(&self, suspects: &[WatchedRun]) {
-        self.is_lost.set(true);
         self.losses.inc();
-        self.runs.borrow_mut().clear_ended();
+        self.runs.borrow_mut().record_loss(self.clock.now());
         let is_planned = self.gate.is_draining();
         if !is_planned {
             let suspects = suspects.iter().map(|run| run.parts.as_slice());
@@ -141,7 +137,6 @@
 impl EngineRunGuard {
     /// Records that the head of the response has arrived.
     pub fn answered(&self) {
-        self.watch.is_lost.set(false);
         self.watch.runs.borrow_mut().answer(self.id, self.watch.clock.now());
     }
 
@@ -152,14 +147,20 @@
 
     /// Ends the run after the engine broke it off.
     pub fn interrupted(self) {
-        self.watch.investigate();
+        let is_news = self.watch.runs.borrow().may_have_lost_engine(self.id);
+        if is_news {
+            self.watch.investigate();
+        }
     }
 
     /// Removes a run that could not be sent. The engine may have ended unnoticed, if its last
     /// responses ended with their connections.
     pub fn not_sent(self) {
         self.watch.runs.borrow_mut().cancel(self.id);
-        self.watch.investigate();
+        let is_known = self.watch.runs.borrow().is_engine_lost();
+        if !is_known {
+            self.watch.investigate();
+        }
     }
 
     /// Removes a run that the engine has refused.
--- a/tests/dispatch/quarantine.rs
+++ b/tests/dispatch/quarantine.rs
@@ -200,6 +200,23 @@
     assert!(is_admitted(&table, &[CRASHING], 7_020));
 }
 
+#[test]
+fn the_loss_of_an_engine_that_ends_again_at_its_first_request_is_noticed() {
+    let mut watch = RunWatch::default();
+    let first = watch.begin("first", &[CRASHING], at(0));
+    let neighbour = watch.begin("neighbour", &[COMMON], at(10));
+    assert!(watch.may_have_lost_engine(first));
+    watch.record_loss(at(100));
+    assert!(!watch.may_have_lost_engine(neighbour), "it was lost together with the first");
+    assert!(watch.is_engine_lost());
+    // The engine is back, and ends before it responds.
+    let second = watch.begin("second", &[CRASHING], at(3_500));
+    assert!(watch.may_have_lost_engine(second));
+    assert!(watch.suspects(at(3_600)).iter().any(|run| run.request_id == "second"));
+    watch.answer(second, at(3_600));
+    assert!(!watch.is_engine_lost());
+}
+
 /// A request under way.
 #[derive(Clone, Debug)]
 struct SimulatedRun {
@@ -309,7 +326,7 @@
         if is_crashing {
             self.crashing_runs.push(now);
         }
-        let id = self.watches[engine].begin("", parts);
+        let id = self.watches[engine].begin("", parts, at(now));
         let (attempts_left, parts) = (attempts - 1, parts.to_vec());
         self.runs.push(SimulatedRun { attempts_left, begun: now, engine, entry, id, parts });
     }
