Load quarantines when an entry starts

Entries learned of quarantines from keepers and sidecars only, so an entry that was ready before a keeper had read them from the store served such requests. Not load: with entries and sidecars started and no keeper at all, 10 requests ran in 3 s on the code before.

A restored quarantine no longer counts as tried just now, which would have put off the trials of the others. The new test starts no keeper; it fails without the read and passes with it.

--- a/crates/clementinevale/tests/nodes/crashing_prompts.rs
+++ b/crates/clementinevale/tests/nodes/crashing_prompts.rs
@@ -336,3 +336,18 @@
     let last = calls.iter().rev().take(5);
     assert!(last.into_iter().all(|call| call.outcome == CallerOutcome::Completed));
 }
+
+#[test]
+fn entries_that_start_before_any_keeper_do_not_end_more_engines() {
+    let mut fleet = crashing_fleet();
+    let entries = fleet.entry_addresses();
+    find_out_crashing_part(&entries);
+    fleet.nodes.iter_mut().for_each(NodeProcess::kill);
+    for role in ["sidecar", "entry"] {
+        nodes_with_role(&mut fleet, role).for_each(NodeProcess::start);
+    }
+    assert!(
+        fleet.wait_for(Duration::from_secs(10), |fleet| fleet.is_ready(0) && fleet.is_ready(1))
+    );
+    check_refused(&fleet, &entries);
+}
--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -134,6 +134,12 @@
         self.changed_at = now;
     }
 
+    /// Puts the part into quarantine after a restart, with the delay after one failed trial.
+    pub fn restore(&mut self, now: MonotonicTime) {
+        self.quarantine(now);
+        self.trials = 1;
+    }
+
     /// Records a trial, after which the next one is due later.
     pub fn record_trial(&mut self, now: MonotonicTime) {
         self.trials = self.trials.saturating_add(1);
--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -188,15 +188,13 @@
         lifted
     }
 
-    /// Puts a part into quarantine that was there before all processes ended. As if a trial had been
-    /// run, since all of them failed before.
+    /// Puts a part into quarantine that was there before this process started.
     pub fn restore(&mut self, part: PromptPart, now: MonotonicTime) -> QuarantineChanges {
         let row = self.row_mut(part, now);
         if row.is_in_quarantine() {
             return QuarantineChanges::default();
         }
-        row.quarantine(now);
-        row.record_trial(now);
+        row.restore(now);
         QuarantineChanges { lifted: Vec::new(), quarantined: vec![part] }
     }
 
--- a/crates/serving/src/entry/entry_handler.rs
+++ b/crates/serving/src/entry/entry_handler.rs
@@ -98,18 +98,23 @@
 }
 
 impl<P: PlatformAdapter> EntryHandler<P> {
-    /// Waits until the view is loaded, or the entry has been running for [`VIEW_LOAD_TIMEOUT`].
+    /// Waits until the view and the quarantines are loaded, or the entry has been running for [`VIEW_LOAD_TIMEOUT`].
     ///
     /// # Errors
     /// `Closed` if the caller goes away.
     async fn wait_for_view(&self, exchange: &mut ServerExchange<'_>) -> Result<(), HttpFault> {
         let left = VIEW_LOAD_TIMEOUT.saturating_sub(self.started_at.elapsed());
-        if self.view.is_loaded() || left.is_zero() {
+        let quarantine = &self.view.quarantine;
+        if self.view.is_loaded() && quarantine.is_restored() || left.is_zero() {
             return Ok(());
         }
+        let loaded = async {
+            self.view.wait_until_loaded().await;
+            quarantine.wait_until_restored().await;
+        };
         monoio::select! {
             // After the timeout the request is handled with what has been loaded.
-            _ = monoio::time::timeout(left, self.view.wait_until_loaded()) => Ok(()),
+            _ = monoio::time::timeout(left, loaded) => Ok(()),
             () = exchange.closed() => Err(HttpFault::Closed),
         }
     }
--- a/crates/serving/src/entry/entry_node.rs
+++ b/crates/serving/src/entry/entry_node.rs
@@ -33,6 +33,7 @@
 use crate::entry::ready_handler::ReadyHandler;
 use crate::entry::reservation_client::ReservationClient;
 use crate::internal_handler::InternalHandler;
+use crate::keeper::load_quarantines;
 use crate::load_listener::start_load_listener;
 use crate::peer_sync::start_peer_sync;
 
@@ -76,7 +77,10 @@
         let clock = ProcessClock::new();
         let timers = TimerService::start(clock);
         let view = Rc::new(FleetView::new(clock, log.clone(), settings.seed));
-        view.start::<P>(&Rc::new(P::store(settings.store)), &timers);
+        let store = Rc::new(P::store(settings.store));
+        view.start::<P>(&store, &timers);
+        let loading_view = Rc::clone(&view);
+        monoio::spawn(async move { load_quarantines(&loading_view, &*store).await });
         let identity = Rc::new(settings.identity);
         let socket = Rc::new(UdpSocket::bind(identity.internal_address())?);
         let reservations = ReservationClient::new(clock, Rc::clone(&socket), view.random_number());
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -20,3 +20,4 @@
 
 pub use self::keeper_node::KeeperNode;
 pub use self::keeper_node::KeeperSettings;
+pub(crate) use self::stored_quarantines::load_quarantines;
--- a/crates/serving/src/keeper/stored_keys.rs
+++ b/crates/serving/src/keeper/stored_keys.rs
@@ -13,7 +13,7 @@
 const CLOSED_PREFIX: &str = "cv/work/end/";
 
 /// Prefix of the keys of prompt parts in quarantine.
-const QUARANTINE_PREFIX: &str = "cv/work/quarantine/";
+pub(crate) const QUARANTINE_PREFIX: &str = "cv/work/quarantine/";
 
 /// Prefix of the keys of overflow parts: the bytes of a job that do not fit under its own key.
 const OVERFLOW_PREFIX: &str = "cv/rest/";
--- a/crates/serving/src/keeper/stored_quarantines.rs
+++ b/crates/serving/src/keeper/stored_quarantines.rs
@@ -7,16 +7,22 @@
 
 use cv_dispatch::PromptPart;
 
+use crate::CoordinationStore;
+use crate::FleetView;
 use crate::PlatformAdapter;
 use crate::StoreCommit;
 use crate::StoredItem;
 use crate::keeper::keeper_state::KeeperState;
+use crate::keeper::stored_keys::QUARANTINE_PREFIX;
 use crate::keeper::stored_keys::WorkKey;
 use crate::keeper::stored_keys::quarantine_key;
 
 /// Time for which a write is repeated; afterwards the next review makes it again.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Delay before a failed read is retried.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(300);
+
 /// The parts in quarantine according to the store.
 #[derive(Debug, Default)]
 pub(crate) struct StoredQuarantines {
@@ -48,6 +54,24 @@
     }
 }
 
+/// Reads the parts in quarantine from the store and puts them into this process's, which has just
+/// started; retries until that succeeds.
+pub(crate) async fn load_quarantines<S: CoordinationStore>(view: &FleetView, store: &S) {
+    loop {
+        match view.store_health.observe(store.range(QUARANTINE_PREFIX).await) {
+            Ok(snapshot) => {
+                for item in snapshot.items {
+                    if let Some(WorkKey::Quarantine(part)) = WorkKey::parse(&item.key) {
+                        view.quarantine.restore(part);
+                    }
+                }
+                return view.quarantine.finish_restore();
+            }
+            Err(_) => monoio::time::sleep(READ_RETRY_DELAY).await,
+        }
+    }
+}
+
 /// Replaces the stored parts by those of a snapshot. The first one after the start of the process
 /// also puts them into quarantine.
 pub(crate) fn restore_quarantines<P: PlatformAdapter>(
--- a/crates/serving/src/quarantine_desk.rs
+++ b/crates/serving/src/quarantine_desk.rs
@@ -1,5 +1,6 @@
 //! This process's knowledge of the prompt parts that end engines.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -34,9 +35,13 @@
     clock: ProcessClock,
     /// Losses that this process has found out itself, in order of time.
     direct_losses: RefCell<Vec<EngineLoss>>,
+    /// Whether the quarantines from before this process started are restored.
+    is_restored: Cell<bool>,
     log: LineLog,
     /// Notified when other processes should learn of a change at once.
     news: Notify,
+    /// Notified when the quarantines are restored.
+    restored: Notify,
     table: RefCell<QuarantineTable>,
 }
 
@@ -46,8 +51,10 @@
         Rc::new(Self {
             clock,
             direct_losses: RefCell::default(),
+            is_restored: Cell::new(false),
             log,
             news: Notify::new(),
+            restored: Notify::new(),
             table: RefCell::default(),
         })
     }
@@ -135,13 +142,35 @@
         });
     }
 
-    /// Puts a part back into quarantine that was there before all processes ended.
+    /// Puts a part back into quarantine that was there before this process started.
     pub fn restore(&self, part: PromptPart) {
         let changes = self.table.borrow_mut().restore(part, self.now());
         self.log_changes(&changes, "store");
         self.news.notify_one();
     }
 
+    /// Records that the quarantines from before this process started are restored.
+    pub fn finish_restore(&self) {
+        self.is_restored.set(true);
+        self.restored.notify_waiters();
+    }
+
+    /// Returns whether the quarantines from before this process started are restored.
+    pub fn is_restored(&self) -> bool {
+        self.is_restored.get()
+    }
+
+    /// Waits until the quarantines from before this process started are restored.
+    pub async fn wait_until_restored(&self) {
+        loop {
+            let restored = self.restored.notified();
+            if self.is_restored() {
+                return;
+            }
+            restored.await;
+        }
+    }
+
     /// Merges what another process knows.
     pub fn merge(&self, records: &[QuarantineRecord]) {
         let changes = self.table.borrow_mut().merge(records, self.now());
