Restore quarantines as old as they are

A process that started read the parts in quarantine from the store and told them to the others as begun just now. One that had ended meanwhile, but whose removal from the store was late because the store was away, was thus refused by the whole fleet again for 20 s: an old view acted as a command.

The stored value is now when the quarantine began, and a restored one is that old, so a response that an engine survived since then goes before it. A value that is no time is logged and ignored. The test fails with the age left out. Trials are not stored; the first after a restart is due 20 s after the quarantine began.

--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -67,6 +67,11 @@
         self.quarantined_at.is_some()
     }
 
+    /// Returns since when requests with the part are refused; `None` if they are not.
+    pub fn quarantined_at(&self) -> Option<MonotonicTime> {
+        self.quarantined_at
+    }
+
     /// Returns the losses since the part was last served.
     pub fn losses(&self) -> &[EngineLoss] {
         &self.losses
@@ -135,8 +140,9 @@
     }
 
     /// Puts the part into quarantine after a restart, with the delay after one failed trial.
-    pub fn restore(&mut self, now: MonotonicTime) {
-        self.quarantine(now);
+    pub fn restore(&mut self, since: MonotonicTime, now: MonotonicTime) {
+        self.quarantine(since);
+        self.changed_at = now;
         self.trials = 1;
     }
 
--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -188,13 +188,19 @@
         lifted
     }
 
-    /// Puts a part into quarantine that was there before this process started.
-    pub fn restore(&mut self, part: PromptPart, now: MonotonicTime) -> QuarantineChanges {
+    /// Puts a part into quarantine that has been there since before this process started. Processes
+    /// that know of a later response to the part are not told to refuse it.
+    pub fn restore(
+        &mut self,
+        part: PromptPart,
+        since: MonotonicTime,
+        now: MonotonicTime,
+    ) -> QuarantineChanges {
         let row = self.row_mut(part, now);
         if row.is_in_quarantine() {
             return QuarantineChanges::default();
         }
-        row.restore(now);
+        row.restore(since, now);
         QuarantineChanges { lifted: Vec::new(), quarantined: vec![part] }
     }
 
@@ -204,9 +210,9 @@
         self.get(part).map_or(&[], QuarantineRow::losses)
     }
 
-    /// Returns the parts in quarantine.
-    pub fn quarantined(&self) -> impl Iterator<Item = PromptPart> {
-        self.rows.iter().filter(|row| row.is_in_quarantine()).map(|row| row.part)
+    /// Returns the parts in quarantine, sorted, each with the time since when it is there.
+    pub fn quarantined(&self) -> impl Iterator<Item = (PromptPart, MonotonicTime)> {
+        self.rows.iter().filter_map(|row| Some((row.part, row.quarantined_at()?)))
     }
 
     /// Puts parts into quarantine as long as the evidence suffices for one; returns them.
--- a/crates/serving/src/keeper/stored_quarantines.rs
+++ b/crates/serving/src/keeper/stored_quarantines.rs
@@ -60,11 +60,7 @@
     loop {
         match view.store_health.observe(store.range(QUARANTINE_PREFIX).await) {
             Ok(snapshot) => {
-                for item in snapshot.items {
-                    if let Some(WorkKey::Quarantine(part)) = WorkKey::parse(&item.key) {
-                        view.quarantine.restore(part);
-                    }
-                }
+                snapshot.items.iter().for_each(|item| restore_quarantine(view, item));
                 return view.quarantine.finish_restore();
             }
             Err(_) => monoio::time::sleep(READ_RETRY_DELAY).await,
@@ -72,6 +68,24 @@
     }
 }
 
+/// Puts the part of a stored item into this process's quarantine, if the item is one of a part.
+///
+/// The value is when the quarantine began, so that one whose removal from the store is late does not
+/// undo what other processes have learned since.
+fn restore_quarantine(view: &FleetView, item: &StoredItem) {
+    let Some(WorkKey::Quarantine(part)) = WorkKey::parse(&item.key) else {
+        return;
+    };
+    let began_ms = std::str::from_utf8(&item.value).ok().and_then(|text| text.parse::<u64>().ok());
+    match began_ms {
+        Some(began_ms) => {
+            let age = view.clock.wall_millis().saturating_sub(began_ms);
+            view.quarantine.restore(part, Duration::from_millis(age));
+        }
+        None => log::error!("ignoring quarantine {}: its value is not a time", item.key),
+    }
+}
+
 /// Replaces the stored parts by those of a snapshot. The first one after the start of the process
 /// also puts them into quarantine.
 pub(crate) fn restore_quarantines<P: PlatformAdapter>(
@@ -85,7 +99,7 @@
         if let Some(WorkKey::Quarantine(part)) = WorkKey::parse(&item.key) {
             stored.add(part);
             if is_first {
-                state.view.quarantine.restore(part);
+                restore_quarantine(&state.view, item);
             }
         }
     }
@@ -100,11 +114,19 @@
     }
     let is_responsible = |part: &PromptPart| state.is_owner(&quarantine_key(*part));
     let quarantined = state.view.quarantine.quarantined();
-    let added = quarantined.iter().find(|part| !stored.contains(**part) && is_responsible(part));
+    let is_quarantined =
+        |part: &PromptPart| quarantined.binary_search_by_key(part, |(part, _)| *part).is_ok();
+    let added =
+        quarantined.iter().find(|(part, _)| !stored.contains(*part) && is_responsible(part));
     let parts = stored.parts.borrow();
-    let removed = parts.iter().find(|part| !quarantined.contains(part) && is_responsible(part));
+    let removed = parts.iter().find(|part| !is_quarantined(part) && is_responsible(part));
     let (part, commit) = match (added, removed) {
-        (Some(part), _) => (*part, StoreCommit::put(&quarantine_key(*part), Vec::new(), 0)),
+        (Some((part, age)), _) => {
+            let age_ms = age.as_millis() as u64;
+            let began_ms = state.view.clock.wall_millis().saturating_sub(age_ms);
+            let value = began_ms.to_string().into_bytes();
+            (*part, StoreCommit::put(&quarantine_key(*part), value, 0))
+        }
         (None, Some(part)) => (*part, StoreCommit::remove(&[quarantine_key(*part)])),
         (None, None) => return,
     };
--- a/crates/serving/src/quarantine_desk.rs
+++ b/crates/serving/src/quarantine_desk.rs
@@ -64,9 +64,11 @@
         self.table.borrow().decide(parts, self.now())
     }
 
-    /// Returns the parts in quarantine.
-    pub fn quarantined(&self) -> Vec<PromptPart> {
-        self.table.borrow().quarantined().collect()
+    /// Returns the parts in quarantine, sorted, each with the time for which it has been there.
+    pub fn quarantined(&self) -> Vec<(PromptPart, Duration)> {
+        let now = self.now();
+        let table = self.table.borrow();
+        table.quarantined().map(|(part, since)| (part, now.since(since))).collect()
     }
 
     /// Records that a request with these parts is run as a trial.
@@ -142,9 +144,11 @@
         });
     }
 
-    /// Puts a part back into quarantine that was there before this process started.
-    pub fn restore(&self, part: PromptPart) {
-        let changes = self.table.borrow_mut().restore(part, self.now());
+    /// Puts a part back into quarantine in which it has been for a time, since before this process
+    /// started.
+    pub fn restore(&self, part: PromptPart, age: Duration) {
+        let now = self.now();
+        let changes = self.table.borrow_mut().restore(part, now.before(age), now);
         self.log_changes(&changes, "store");
         self.news.notify_one();
     }
--- a/tests/dispatch/quarantine.rs
+++ b/tests/dispatch/quarantine.rs
@@ -200,6 +200,20 @@
     assert!(is_admitted(&table, &[CRASHING], 7_020));
 }
 
+#[test]
+fn a_quarantine_that_was_stored_long_ago_does_not_undo_its_end() {
+    let mut others = convicted_table();
+    others.record_served(&[COMMON, CRASHING], at(6_800));
+    // A process starts after that and reads the store, from which the part is not removed yet.
+    let mut started = QuarantineTable::default();
+    started.restore(CRASHING, at(800), at(7_000));
+    assert!(!is_admitted(&started, &[CRASHING], 7_010));
+    others.merge(&started.records(at(7_000), true), at(7_010));
+    assert!(is_admitted(&others, &[CRASHING], 7_020), "an old quarantine came back");
+    started.merge(&others.records(at(7_020), false), at(7_030));
+    assert!(is_admitted(&started, &[CRASHING], 7_040));
+}
+
 #[test]
 fn the_loss_of_an_engine_that_ends_again_at_its_first_request_is_noticed() {
     let mut watch = RunWatch::default();
