--- a/crates/http/src/writer.rs
+++ b/crates/http/src/writer.rs
@@ -98,9 +98,7 @@
         status: StatusCode,
         headers: &HeaderMap,
     ) -> Result<(), HttpFault> {
-        let mut head = BytesMut::with_capacity(256);
-        append_status_line(&mut head, status);
-        append_headers(&mut head, headers);
+        let mut head = encode_response_head(status, headers);
         head.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
         self.write(head.freeze()).await
     }
@@ -114,9 +112,7 @@
         status: StatusCode,
         headers: &HeaderMap,
     ) -> Result<(), HttpFault> {
-        let mut head = BytesMut::with_capacity(256);
-        append_status_line(&mut head, status);
-        append_headers(&mut head, headers);
+        let mut head = encode_response_head(status, headers);
         head.extend_from_slice(b"\r\n");
         self.write(head.freeze()).await
     }
@@ -177,6 +173,14 @@
     }
 }
 
+/// Encodes the head of a response up to the headers that tell how its body ends.
+fn encode_response_head(status: StatusCode, headers: &HeaderMap) -> BytesMut {
+    let mut head = BytesMut::with_capacity(256);
+    append_status_line(&mut head, status);
+    append_headers(&mut head, headers);
+    head
+}
+
 /// Appends a status line.
 fn append_status_line(head: &mut BytesMut, status: StatusCode) {
     head.extend_from_slice(b"HTTP/1.1 ");
