--- a/crates/clementinevale/tests/nodes/faulty_responses.rs
+++ b/crates/clementinevale/tests/nodes/faulty_responses.rs
@@ -1,5 +1,6 @@
 //! Engines whose responses are slow, stall, or consist of bytes without end.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -157,3 +158,33 @@
     })
     .expect("the runtime starts");
 }
+
+#[test]
+fn a_refusal_whose_body_does_not_end_does_not_hold_its_request() {
+    let size = NodeFleetSize { engines: 1, entries: 1, keepers: 1 };
+    let mut fleet = NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size);
+    fleet.has_unframed_streams.store(true, Ordering::Relaxed);
+    let entry = fleet.entry_addresses()[0];
+    fleet.nodes[0].kill();
+    // Missing load reports are detected in less than a second.
+    std::thread::sleep(Duration::from_millis(1_500));
+    let (took, outcome) = block_on(async {
+        let occupied: Vec<_> = (0..4)
+            .map(|number| {
+                let id = format!("long{number}");
+                monoio::spawn(async move { request_stream(entry, "hints", &id, 300).await })
+            })
+            .collect();
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        let started_at = Instant::now();
+        let outcome = request_stream(entry, "hints", "s1", 4).await;
+        let took = started_at.elapsed();
+        for stream in occupied {
+            assert_eq!(stream.await, CallerOutcome::Completed);
+        }
+        (took, outcome)
+    })
+    .expect("the runtime starts");
+    assert_eq!(outcome, CallerOutcome::NotRun);
+    assert!(took < Duration::from_millis(500), "refused after {took:?}");
+}
