Do not date what a thawed process hears by its receipt

Records give ages, which were counted back from their receipt. An old service could clear a part in the same way.

A process that notices a freeze by its late tick drops the records that it reads in the next 250 ms; peers repeat what still holds. Delays in the network are estimated from the times of sending (ArrivalDelay) and taken off the ages.

Tried first: the estimate alone. It has no baseline for a peer that told nothing before the freeze, and the test stayed red.

--- a/crates/clementinevale/tests/nodes/crashing_prompts.rs
+++ b/crates/clementinevale/tests/nodes/crashing_prompts.rs
@@ -351,3 +351,31 @@
     );
     check_refused(&fleet, &entries);
 }
+
+#[test]
+fn a_thawed_process_does_not_count_one_loss_several_times() {
+    let mut fleet = crashing_fleet();
+    let entries = fleet.entry_addresses();
+    nodes_with_role(&mut fleet, "entry-51").for_each(|node| node.signal(Signal::STOP));
+    // One request ends two engines, of which the frozen entry hears again and again.
+    send_streams(
+        &entries[..1],
+        "crashing",
+        Duration::from_secs(1),
+        Duration::from_millis(1),
+        |_| format!("a1:100,{CRASHING_PART}:50,c1:250"),
+    );
+    fleet.crash_rule.set_parts(&[]);
+    std::thread::sleep(Duration::from_secs(5));
+    nodes_with_role(&mut fleet, "entry-51").for_each(|node| node.signal(Signal::CONT));
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(fleet.target_log.losses().len(), 2);
+    let calls = send_crashing(&entries, Duration::from_secs(2));
+    let refused = calls.iter().filter(|call| call.outcome != CallerOutcome::Completed).count();
+    assert_eq!(
+        refused,
+        0,
+        "{refused} of {} requests with a part that two engines ended of",
+        calls.len()
+    );
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! and the state of batch jobs. This crate performs no I/O and reads no clock; the serving crate
 //! passes in events and times.
 
+mod arrival_delay;
 mod batch_order;
 mod deferred_removals;
 mod engine_loss;
@@ -29,8 +30,10 @@
 mod sidecar_subscriptions;
 mod slot_queue;
 mod target_table;
+mod thaw_detector;
 mod wait_policy;
 
+pub use crate::arrival_delay::ArrivalDelay;
 pub use crate::batch_order::BatchOrder;
 pub use crate::deferred_removals::DeferredRemovals;
 pub use crate::engine_loss::EngineLoss;
@@ -89,4 +92,5 @@
 pub use crate::target_table::TargetRow;
 pub use crate::target_table::TargetState;
 pub use crate::target_table::TargetTable;
+pub use crate::thaw_detector::ThawDetector;
 pub use crate::wait_policy::WaitPolicy;
--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -175,10 +175,15 @@
         self.is_in_quarantine() || !self.losses.is_empty()
     }
 
-    /// Merges another process's knowledge; returns whether it is new here.
-    pub fn merge(&mut self, record: &QuarantineRecord, now: MonotonicTime) -> bool {
+    /// Merges what another process knew at `sent_at`; returns whether it is new here.
+    pub fn merge(
+        &mut self,
+        record: &QuarantineRecord,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> bool {
         let before = (self.is_in_quarantine(), self.trials, self.losses.len(), self.was_served());
-        let time = |age: u32| now.before(Duration::from_millis(age.into()));
+        let time = |age: u32| sent_at.before(Duration::from_millis(age.into()));
         self.position = self.position.max(record.position);
         for (engine, age) in &record.losses {
             self.record_loss(EngineLoss { at: time(*age), engine: *engine });
--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -140,13 +140,18 @@
         }
     }
 
-    /// Merges what another process knows.
-    pub fn merge(&mut self, records: &[QuarantineRecord], now: MonotonicTime) -> QuarantineChanges {
+    /// Merges what another process knew when it sent the records.
+    pub fn merge(
+        &mut self,
+        records: &[QuarantineRecord],
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> QuarantineChanges {
         let mut changes = QuarantineChanges::default();
         for record in records {
             let row = self.row_mut(record.part, now);
             let was_in_quarantine = row.is_in_quarantine();
-            row.merge(record, now);
+            row.merge(record, sent_at, now);
             match (was_in_quarantine, row.is_in_quarantine()) {
                 (true, false) => changes.lifted.push(record.part),
                 (false, true) => changes.quarantined.push(record.part),
--- a/crates/serving/src/quarantine_desk.rs
+++ b/crates/serving/src/quarantine_desk.rs
@@ -175,9 +175,10 @@
         }
     }
 
-    /// Merges what another process knows.
-    pub fn merge(&self, records: &[QuarantineRecord]) {
-        let changes = self.table.borrow_mut().merge(records, self.now());
+    /// Merges what another process knew when it sent records that were under way for `delay`.
+    pub fn merge(&self, records: &[QuarantineRecord], delay: Duration) {
+        let now = self.now();
+        let changes = self.table.borrow_mut().merge(records, now.before(delay), now);
         self.log_changes(&changes, "peer");
     }
 
--- a/tests/dispatch/quarantine.rs
+++ b/tests/dispatch/quarantine.rs
@@ -4,11 +4,13 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use cv_dispatch::ArrivalDelay;
 use cv_dispatch::EngineLoss;
 use cv_dispatch::PromptPart;
 use cv_dispatch::QuarantineDecision;
 use cv_dispatch::QuarantineTable;
 use cv_dispatch::RunWatch;
+use cv_dispatch::ThawDetector;
 use cv_dispatch::WatchedRunId;
 use cv_policy::MonotonicTime;
 use cv_policy::SeededRandom;
@@ -143,9 +145,9 @@
     }
     let mut table = QuarantineTable::default();
     for (index, other) in tables.iter().enumerate() {
-        table.merge(&other.records(at(700), false), at(700));
+        table.merge(&other.records(at(700), false), at(700), at(700));
         // What is told twice counts once.
-        table.merge(&other.records(at(720), false), at(720));
+        table.merge(&other.records(at(720), false), at(720), at(720));
         assert_eq!(is_admitted(&table, &[CRASHING], 730), index < 3);
     }
     assert!(is_admitted(&table, &[COMMON], 730));
@@ -160,11 +162,54 @@
     assert!(is_admitted(&table, &[CRASHING], 700));
 }
 
+#[test]
+fn a_loss_that_is_heard_of_late_and_often_counts_once() {
+    let mut witness = QuarantineTable::default();
+    lose(&mut witness, 1, 0, &[&[CRASHING]]);
+    let mut frozen = QuarantineTable::default();
+    let mut delay = ArrivalDelay::new(1, at(0), at(50));
+    let told: Vec<_> = [0, 500, 1_000, 1_500, 1_900]
+        .map(|sent| (sent, witness.records(at(sent), true)))
+        .into_iter()
+        .collect();
+    // All messages are read at once, six seconds later.
+    for (sent, records) in told {
+        let delay = delay.record(1, at(sent), at(6_050));
+        frozen.merge(&records, at(6_050).before(delay), at(6_050));
+    }
+    assert_eq!(frozen.losses(CRASHING), [loss(1, 50)]);
+}
+
+#[test]
+fn messages_that_came_during_a_freeze_are_told_from_those_after_it() {
+    let mut detector = ThawDetector::default();
+    assert!(!detector.may_read_backlog(at(0)), "nothing is known yet");
+    for tick in [0, 500, 1_000] {
+        detector.tick(at(tick));
+        assert!(!detector.may_read_backlog(at(tick + 400)));
+    }
+    // Thawed at 6 s; the socket may be read before or after the tick.
+    assert!(detector.may_read_backlog(at(6_000)));
+    detector.tick(at(6_001));
+    assert!(detector.may_read_backlog(at(6_100)));
+    assert!(!detector.may_read_backlog(at(6_300)));
+}
+
+#[test]
+fn a_message_of_a_new_process_starts_a_new_estimate() {
+    let mut delay = ArrivalDelay::new(1, at(0), at(10));
+    assert_eq!(delay.record(1, at(100), at(310)), Duration::from_millis(200));
+    assert_eq!(delay.record(1, at(200), at(205)), Duration::ZERO, "it was faster than the first");
+    assert_eq!(delay.record(2, at(0), at(9_000)), Duration::ZERO);
+    assert_eq!(delay.record(2, at(10), at(9_030)), Duration::from_millis(20));
+}
+
 #[test]
 fn a_process_that_has_just_started_refuses_what_the_others_refuse() {
     let table = convicted_table();
     let mut started = QuarantineTable::default();
-    started.merge(&table.records(at(9_000), true), MonotonicTime::from_millis(90_000_000));
+    let now = MonotonicTime::from_millis(90_000_000);
+    started.merge(&table.records(at(9_000), true), now, now);
     let decision = started.decide(&[CRASHING], MonotonicTime::from_millis(90_000_100));
     assert_ne!(decision, QuarantineDecision::Admit);
 }
@@ -181,7 +226,7 @@
     // Other processes learn of the trial.
     table.begin_trial(&[CRASHING], at(26_100));
     let mut other = convicted_table();
-    other.merge(&table.records(at(26_110), false), at(26_120));
+    other.merge(&table.records(at(26_110), false), at(26_120), at(26_120));
     assert!(matches!(other.decide(&[CRASHING], at(26_130)), QuarantineDecision::Refuse(..)));
 }
 
@@ -193,10 +238,10 @@
     let changes = table.record_served(&[COMMON, CRASHING], at(6_800));
     assert_eq!(changes.lifted, [CRASHING]);
     assert!(is_admitted(&table, &[CRASHING], 6_810));
-    other.merge(&table.records(at(6_900), false), at(6_910));
+    other.merge(&table.records(at(6_900), false), at(6_910), at(6_910));
     assert!(is_admitted(&other, &[CRASHING], 6_920));
     // A process that missed the news cannot bring the quarantine back.
-    table.merge(&convicted_table().records(at(7_000), true), at(7_010));
+    table.merge(&convicted_table().records(at(7_000), true), at(7_010), at(7_010));
     assert!(is_admitted(&table, &[CRASHING], 7_020));
 }
 
@@ -208,9 +253,9 @@
     let mut started = QuarantineTable::default();
     started.restore(CRASHING, at(800), at(7_000));
     assert!(!is_admitted(&started, &[CRASHING], 7_010));
-    others.merge(&started.records(at(7_000), true), at(7_010));
+    others.merge(&started.records(at(7_000), true), at(7_010), at(7_010));
     assert!(is_admitted(&others, &[CRASHING], 7_020), "an old quarantine came back");
-    started.merge(&others.records(at(7_020), false), at(7_030));
+    started.merge(&others.records(at(7_020), false), at(7_030), at(7_030));
     assert!(is_admitted(&started, &[CRASHING], 7_040));
 }
 
@@ -305,7 +350,7 @@
         let others = if from < ENTRIES { ENTRIES..ENTRIES + ENGINES } else { 0..ENTRIES };
         for other in others {
             if self.random.fraction() > 0.1 {
-                self.tables[other].merge(&records, at(now + 2));
+                self.tables[other].merge(&records, at(now), at(now + 2));
             }
         }
     }
