Let sidecars grant permits while no keeper replies

With the keepers gone each entry used a quarter of a plain service's limit for itself: ten entries sent 20 requests in 4 s where 17 are allowed, and 58 would send far more. The keepers are few and stand together on the store's machines, so losing all of them is no rarity.

An entry now asks two keepers and then two sidecars of other targets, in an order that all entries share for the target, and does not ask one again for a second that has not replied. Only an entry to which none of the four replies decides alone. The process test fails without the change.

--- a/crates/clementinevale/tests/nodes/request_limits.rs
+++ b/crates/clementinevale/tests/nodes/request_limits.rs
@@ -8,6 +8,7 @@
 use cv_runtime::block_on;
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
+use cv_tests::NodeProcess;
 use cv_tests::node_caller::CallerOutcome;
 use cv_tests::node_caller::request_plain;
 use cv_tests::node_caller::request_stream;
@@ -30,7 +31,12 @@
 
 /// Starts a fleet of one engine and one plain service, both with the limit.
 fn limited_fleet() -> NodeFleet {
-    let size = NodeFleetSize { engines: 1, entries: 3, keepers: 2 };
+    limited_fleet_of(3)
+}
+
+/// Starts a fleet with the limit and a number of entries.
+fn limited_fleet_of(entries: u8) -> NodeFleet {
+    let size = NodeFleetSize { engines: 1, entries, keepers: 2 };
     let fleet = NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size);
     fleet.request_limit.store((LIMIT * 100.0) as u32, Ordering::Relaxed);
     // Waits until the sidecar has sent its first load reports.
@@ -103,6 +109,15 @@
     check_limit(&fleet, "plain-0");
 }
 
+#[test]
+fn without_keepers_a_plain_service_gets_no_more_requests_than_it_takes() {
+    let mut fleet = limited_fleet_of(10);
+    let keepers = fleet.nodes.iter_mut().filter(|node| node.name.starts_with("keeper"));
+    keepers.for_each(NodeProcess::kill);
+    check_outcomes(&send_requests(&fleet.entry_addresses(), false));
+    check_limit(&fleet, "plain-0");
+}
+
 #[test]
 fn an_engine_without_a_sidecar_gets_no_more_requests_than_it_takes() {
     let mut fleet = limited_fleet();
--- a/crates/serving/src/entry/direct_send.rs
+++ b/crates/serving/src/entry/direct_send.rs
@@ -7,6 +7,8 @@
 use cv_timeline::LinePriority;
 
 use crate::entry::entry_handler::EntryHandler;
+use crate::entry::permit_client::PermitGranters;
+use crate::load_listener::directory_peers;
 
 /// Shortest time for which a target without a permit gets no requests.
 const MIN_REST: Duration = Duration::from_millis(5);
@@ -28,8 +30,9 @@
         let Some(limit) = limit else {
             return true;
         };
-        let keepers = view.keepers();
-        let permit = self.handler.permits.request(choice.address, limit, &keepers).await;
+        let peers = directory_peers(view, &self.handler.identity);
+        let granters = PermitGranters { keepers: &peers.keepers, sidecars: &peers.sidecars };
+        let permit = self.handler.permits.request(choice.address, limit, granters).await;
         let Err(wait) = permit else {
             return true;
         };
--- a/crates/serving/src/entry/permit_client.rs
+++ b/crates/serving/src/entry/permit_client.rs
@@ -1,7 +1,8 @@
-//! Asks keepers for permits to send requests to targets with a limit and without a sidecar.
+//! Asks other processes for permits to send requests to targets with a limit and without a sidecar.
 //!
 //! A limit is for all entries together, and without a sidecar no process sees all requests. The same
-//! keeper grants the permits for a target to all entries.
+//! keeper grants the permits for a target to all entries, or the same sidecar of another target while
+//! the keepers are silent.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -9,9 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cv_dispatch::KeeperSet;
 use cv_dispatch::RequestBucket;
-use cv_policy::stable_hash;
+use cv_policy::MonotonicTime;
 use cv_timer::ProcessClock;
 use monoio::net::udp::UdpSocket;
 use monoio::time::timeout;
@@ -21,13 +21,17 @@
 use crate::permit_message::PermitRequest;
 use crate::permit_message::PermitTarget;
 
-/// Longest wait for a keeper's reply, which takes a round trip.
+/// Longest wait for a reply, which takes a round trip.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// Keepers that are asked for one permit before the entry decides by itself.
-const MAX_KEEPERS: usize = 2;
+/// Keepers, and then sidecars, that are asked for one permit before the entry decides by itself.
+const MAX_GRANTERS: usize = 2;
 
-/// Share of a limit that an entry uses while it reaches no keeper.
+/// Time for which a process that has not replied is not asked again.
+const SILENCE_TIME: Duration = Duration::from_secs(1);
+
+/// Share of a limit that an entry uses while no other process replies, most likely because this one
+/// is cut off.
 const LONE_SHARE: f64 = 0.25;
 
 /// Asks for the permits of one entry.
@@ -38,9 +42,20 @@
     next_id: Cell<u64>,
     /// Requests without a reply, sorted by id.
     pending: RefCell<Vec<(u64, Rc<PendingPermit>)>>,
+    /// Processes that have not replied, with the time until which they are not asked.
+    silent_until: RefCell<Vec<(SocketAddr, MonotonicTime)>>,
     socket: Rc<UdpSocket>,
 }
 
+/// The processes that may grant permits.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PermitGranters<'a> {
+    /// Addresses of the keepers.
+    pub keepers: &'a [SocketAddr],
+    /// Addresses of the sidecars.
+    pub sidecars: &'a [SocketAddr],
+}
+
 /// A request without a reply.
 #[derive(Debug, Default)]
 struct PendingPermit {
@@ -56,11 +71,13 @@
             lone_buckets: RefCell::default(),
             next_id: Cell::new(first_id),
             pending: RefCell::default(),
+            silent_until: RefCell::default(),
             socket,
         })
     }
 
-    /// Asks whether a request may be sent to a target with a limit, in requests a second.
+    /// Asks whether a request may be sent to a target with a limit, in requests a second. All entries
+    /// ask the same of the keepers, or of the sidecars if no keeper replies.
     ///
     /// # Errors
     /// The time until the next request may be sent.
@@ -68,24 +85,39 @@
         &self,
         address: SocketAddr,
         limit: f64,
-        keepers: &KeeperSet,
+        granters: PermitGranters<'_>,
     ) -> Result<(), Duration> {
         let target = PermitTarget::at(address);
-        let mut ranked: Vec<(u64, SocketAddr)> = keepers
-            .keepers()
-            .iter()
-            .map(|keeper| (stable_hash(&[&address.to_string(), &keeper.name]), keeper.address))
-            .collect();
-        ranked.sort_unstable();
-        for (_, keeper) in ranked.into_iter().take(MAX_KEEPERS) {
-            if let Some(reply) = self.ask(keeper, target, limit).await {
-                return reply.wait.map_or(Ok(()), Err);
+        for group in [granters.keepers, granters.sidecars] {
+            for granter in target.rank(group).into_iter().take(MAX_GRANTERS) {
+                if self.is_silent(granter) {
+                    continue;
+                }
+                match self.ask(granter, target, limit).await {
+                    Some(reply) => return reply.wait.map_or(Ok(()), Err),
+                    None => self.record_silence(granter),
+                }
             }
         }
         self.decide_alone(target, limit)
     }
 
-    /// Handles a datagram if it is a keeper's reply.
+    /// Returns whether a process has not replied recently.
+    fn is_silent(&self, granter: SocketAddr) -> bool {
+        let now = self.clock.now();
+        let silent = self.silent_until.borrow();
+        silent.iter().any(|(address, until)| *address == granter && *until > now)
+    }
+
+    /// Records that a process has not replied, and forgets those that may reply again.
+    fn record_silence(&self, granter: SocketAddr) {
+        let now = self.clock.now();
+        let mut silent = self.silent_until.borrow_mut();
+        silent.retain(|(address, until)| *address != granter && *until > now);
+        silent.push((granter, now + SILENCE_TIME));
+    }
+
+    /// Handles a datagram if it is a reply.
     pub fn handle_reply(&self, datagram: &[u8]) {
         let Some(reply) = PermitReply::decode(datagram) else {
             return;
@@ -97,10 +129,10 @@
         }
     }
 
-    /// Asks one keeper; returns `None` if it does not reply in time.
+    /// Asks one process; returns `None` if it does not reply in time.
     async fn ask(
         &self,
-        keeper: SocketAddr,
+        granter: SocketAddr,
         target: PermitTarget,
         limit: f64,
     ) -> Option<PermitReply> {
@@ -109,12 +141,12 @@
         let guard = PendingGuard::begin(self, id);
         let request = PermitRequest { id, limit: limit as f32, target };
         // A lost datagram has no reply.
-        let _ = self.socket.send_to(request.encode(), keeper).await;
+        let _ = self.socket.send_to(request.encode(), granter).await;
         timeout(REPLY_TIMEOUT, guard.permit.replied.notified()).await.ok()?;
         guard.permit.reply.get()
     }
 
-    /// Decides on a request while no keeper replies.
+    /// Decides on a request while no other process replies.
     fn decide_alone(&self, target: PermitTarget, limit: f64) -> Result<(), Duration> {
         let now = self.clock.now();
         let mut buckets = self.lone_buckets.borrow_mut();
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -39,11 +39,11 @@
 use crate::keeper::keeper_registration::maintain_registration;
 use crate::keeper::keeper_registration::watch_isolation;
 use crate::keeper::keeper_state::KeeperState;
-use crate::keeper::permit_desk::PermitDesk;
 use crate::keeper::progress_replication::start_replication;
 use crate::keeper::stored_quarantines::StoredQuarantines;
 use crate::load_listener::start_load_listener;
 use crate::peer_sync::start_peer_sync;
+use crate::permit_desk::PermitDesk;
 
 /// Minimum time between two watches of the operator's requests to retire instances.
 const RETIRE_WATCH_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -11,7 +11,6 @@
 mod keeper_node;
 mod keeper_registration;
 mod keeper_state;
-mod permit_desk;
 mod progress_replication;
 mod result_commits;
 mod stored_keys;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,7 @@
 mod load_listener;
 mod node_identity;
 mod peer_sync;
+mod permit_desk;
 mod permit_message;
 mod platform_adapter;
 mod prefix_watcher;
--- a/crates/serving/src/load_listener.rs
+++ b/crates/serving/src/load_listener.rs
@@ -77,7 +77,7 @@
 }
 
 /// Returns the sidecars and the other keepers.
-fn directory_peers(view: &FleetView, identity: &NodeIdentity) -> DirectoryPeers {
+pub(crate) fn directory_peers(view: &FleetView, identity: &NodeIdentity) -> DirectoryPeers {
     let sidecars = listed_sidecars(view, identity);
     let keepers = view.keepers();
     let keepers = keepers.keepers().iter().map(|keeper| keeper.address);
--- a/crates/serving/src/keeper/permit_desk.rs
+++ b/crates/serving/src/permit_desk.rs
@@ -29,17 +29,18 @@
         Rc::new(Self { buckets: RefCell::default(), clock, socket })
     }
 
-    /// Handles a datagram of the entry at an address, if it asks for a permit.
-    pub fn handle(self: &Rc<Self>, entry: SocketAddr, datagram: &[u8]) {
+    /// Handles a datagram of the entry at an address; returns whether it asked for a permit.
+    pub fn handle(self: &Rc<Self>, entry: SocketAddr, datagram: &[u8]) -> bool {
         let Some(request) = PermitRequest::decode(datagram) else {
-            return;
+            return false;
         };
         let reply = self.decide(&request);
         let desk = Rc::clone(self);
         monoio::spawn(async move {
-            // A lost reply is like none: the entry asks another keeper.
+            // A lost reply is like none: the entry asks another process.
             let _ = desk.socket.send_to(reply.encode(), entry).await;
         });
+        true
     }
 
     /// Decides on a request by the limit that its sender last heard of.
--- a/crates/serving/src/permit_message.rs
+++ b/crates/serving/src/permit_message.rs
@@ -1,4 +1,4 @@
-//! Datagrams by which entries ask keepers for permits to send requests to targets with a limit.
+//! Datagrams by which entries ask other processes for permits to send requests to targets with a limit.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -21,6 +21,19 @@
     pub fn at(address: SocketAddr) -> Self {
         Self(stable_hash(&[&address.to_string()]))
     }
+
+    /// Returns the processes in the order in which they are asked for permits for the target, the
+    /// same for all that know the same processes. Each target has another order.
+    #[must_use]
+    pub fn rank(self, processes: &[SocketAddr]) -> Vec<SocketAddr> {
+        let target = self.0.to_string();
+        let hash = |process: &SocketAddr| stable_hash(&[&target, &process.to_string()]);
+        let mut ranked: Vec<(u64, SocketAddr)> =
+            processes.iter().map(|process| (hash(process), *process)).collect();
+        ranked.sort_unstable();
+        ranked.dedup();
+        ranked.into_iter().map(|(_, process)| process).collect()
+    }
 }
 
 /// Asks for a permit to send one request.
--- a/crates/serving/src/sidecar/load_reporter.rs
+++ b/crates/serving/src/sidecar/load_reporter.rs
@@ -17,6 +17,7 @@
 
 use crate::encode_load_report;
 use crate::internal_headers::TARGET_DRAINING;
+use crate::permit_desk::PermitDesk;
 use crate::quarantine_exchange::MAX_DATAGRAM_BYTES;
 use crate::quarantine_exchange::QuarantineExchange;
 use crate::reservation_message::ReservationMessage;
@@ -45,6 +46,8 @@
     /// Receives records of prompt parts, which come to the same socket.
     exchange: Rc<QuarantineExchange>,
     log: LineLog,
+    /// Receives requests for permits, which come to the same socket.
+    permits: Rc<PermitDesk>,
     /// Receives reservations, which come to the same socket.
     desk: Rc<ReservationDesk>,
     socket: Rc<UdpSocket>,
@@ -70,6 +73,7 @@
             draining_until: Cell::default(),
             exchange,
             log,
+            permits: PermitDesk::new(clock, Rc::clone(&socket)),
             desk: Rc::clone(&desk),
             socket,
             subscribers: RefCell::default(),
@@ -111,6 +115,9 @@
             if self.exchange.handle(address, &datagram).await {
                 continue;
             }
+            if self.permits.handle(address, &datagram) {
+                continue;
+            }
             self.exchange.note_peer(address).await;
             let now = self.clock.now();
             self.apply_target_state(now, &datagram);
--- a/tests/adapter/prompts_and_limits.rs
+++ b/tests/adapter/prompts_and_limits.rs
@@ -67,6 +67,26 @@
     assert!(!GrowersPlatform::response_headers(&headers).contains_key("server-limit"));
 }
 
+#[test]
+fn entries_ask_the_same_process_for_permits_in_whatever_order_they_know_them() {
+    let address = |number: u8| SocketAddr::from(([10, 0, 0, number], 80));
+    let processes: Vec<SocketAddr> = (1..=9).map(address).collect();
+    let reversed: Vec<SocketAddr> = processes.iter().rev().copied().collect();
+    let firsts: Vec<SocketAddr> = (20..60)
+        .map(|target| {
+            let ranked = PermitTarget::at(address(target)).rank(&processes);
+            assert_eq!(ranked, PermitTarget::at(address(target)).rank(&reversed));
+            // A process that leaves changes nothing for the targets of the others.
+            let without_last = &processes[..8];
+            if ranked[0] != processes[8] {
+                assert_eq!(PermitTarget::at(address(target)).rank(without_last)[0], ranked[0]);
+            }
+            ranked[0]
+        })
+        .collect();
+    assert!(processes.iter().filter(|process| firsts.contains(process)).count() >= 6, "{firsts:?}");
+}
+
 #[test]
 fn permits_are_read_as_they_were_written() {
     let address: SocketAddr = "10.0.0.1:80".parse().expect("an address");
