Test suspects, the choice of trials, and an entry that starts without the store

Decisions of the quarantine that only a simulation or real processes had shown, each by itself. They pass as the code is; no logic has changed.

--- a/crates/clementinevale/tests/nodes/crashing_prompts.rs
+++ b/crates/clementinevale/tests/nodes/crashing_prompts.rs
@@ -379,3 +379,18 @@
         calls.len()
     );
 }
+
+#[test]
+fn an_entry_that_starts_without_the_store_does_not_end_more_engines() {
+    let mut fleet = crashing_fleet();
+    let entries = fleet.entry_addresses();
+    find_out_crashing_part(&entries);
+    for node in nodes_with_role(&mut fleet, "entry-51") {
+        node.store_proxy.set_mode(FaultMode::Disconnect);
+        node.kill();
+        node.start();
+    }
+    // Its view comes from another entry.
+    assert!(fleet.wait_for(Duration::from_secs(10), |fleet| fleet.is_ready(1)));
+    check_refused(&fleet, &entries[1..]);
+}
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -5,6 +5,7 @@
 use cv_dispatch::LoadReport;
 use cv_dispatch::PlacementPolicy;
 use cv_dispatch::PlacementRequest;
+use cv_dispatch::PromptPart;
 use cv_dispatch::RunSchedule;
 use cv_dispatch::TargetRecord;
 use cv_dispatch::TargetState;
@@ -343,3 +344,28 @@
     assert_eq!((choices.len(), addresses.len()), (4, 4));
     assert!(choices.iter().all(|choice| choice.id != "t6"), "its sidecar is silent");
 }
+
+#[test]
+fn all_processes_send_the_trials_of_a_part_to_the_same_target() {
+    let table = |ids: &[u8]| {
+        let mut targets = TargetTable::default();
+        for last in ids {
+            targets.upsert(record(&format!("t{last}"), "a", *last), MonotonicTime::ZERO);
+        }
+        targets
+    };
+    let choose = |targets: &TargetTable, part: u64, now: MonotonicTime| {
+        let choice = PlacementPolicy.choose_for_trial(targets, now, "llm", PromptPart(part));
+        choice.map(|choice| choice.id)
+    };
+    let (mut targets, other) = (table(&[1, 2, 3, 4, 5, 6]), table(&[6, 4, 2, 5, 3, 1]));
+    for part in 0..50 {
+        let chosen = choose(&targets, part, at(0));
+        assert!(chosen.is_some() && chosen == choose(&other, part, at(0)), "part {part}");
+    }
+    let chosen = choose(&targets, 7, at(0)).expect("a target");
+    targets.get_mut(&chosen).expect("the target").bypass_sidecar(at(0), Duration::from_secs(1));
+    assert_ne!(choose(&targets, 7, at(10)), Some(chosen), "without its sidecar it runs no trials");
+    // Without any sidecar nobody coordinates the trials, so there are none.
+    assert_eq!(choose(&targets, 7, at(60_000)), None);
+}
--- a/tests/dispatch/quarantine.rs
+++ b/tests/dispatch/quarantine.rs
@@ -259,6 +259,26 @@
     assert!(is_admitted(&started, &[CRASHING], 7_040));
 }
 
+#[test]
+fn runs_that_began_long_ago_are_not_blamed_for_the_loss_of_their_engine() {
+    let mut watch = RunWatch::default();
+    let old = watch.begin("old", &[PromptPart(1)], at(0));
+    let done = watch.begin("done", &[PromptPart(2)], at(0));
+    watch.answer(old, at(50));
+    watch.answer(done, at(350));
+    watch.end(done, at(380), true);
+    let fresh = watch.begin("fresh", &[PromptPart(3)], at(390));
+    watch.begin("waiting", &[PromptPart(4)], at(0));
+    watch.answer(fresh, at(450));
+    let suspects = watch.suspects(at(500));
+    let ids: Vec<&str> = suspects.iter().map(|run| run.request_id.as_str()).collect();
+    assert_eq!(ids, ["fresh", "waiting", "done"]);
+    // The engine has survived the complete run only after a while.
+    assert!(watch.take_survived(at(600)).is_empty());
+    let survived = watch.take_survived(at(700));
+    assert_eq!(survived.iter().map(|run| run.request_id.as_str()).collect::<Vec<_>>(), ["done"]);
+}
+
 #[test]
 fn the_loss_of_an_engine_that_ends_again_at_its_first_request_is_noticed() {
     let mut watch = RunWatch::default();
