--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -369,3 +369,31 @@
     // Without any sidecar nobody coordinates the trials, so there are none.
     assert_eq!(choose(&targets, 7, at(60_000)), None);
 }
+
+#[test]
+fn a_target_at_its_limit_gets_requests_again_when_it_takes_the_next() {
+    let mut targets = table_of_two();
+    let rest = Duration::from_millis(400);
+    targets.get_mut("near").expect("the target").rest(at(0), rest);
+    assert_eq!(choose(&targets, at(10), &[]).as_deref(), Some("far"));
+    assert_eq!(targets.shortest_rest("llm", at(100)), Some(Duration::from_millis(300)));
+    targets.get_mut("far").expect("the target").rest(at(100), rest);
+    assert_eq!(choose(&targets, at(110), &[]), None);
+    assert_eq!(targets.shortest_rest("llm", at(110)), Some(Duration::from_millis(290)));
+    assert_eq!(choose(&targets, at(400), &[]).as_deref(), Some("near"));
+    // One that is ejected is not waited for.
+    targets.get_mut("far").expect("the target").eject(at(400), Duration::from_secs(1));
+    assert_eq!(targets.shortest_rest("llm", at(410)), None);
+}
+
+#[test]
+fn keepers_start_no_items_past_the_sidecar_at_a_target_with_a_limit() {
+    let mut targets = table_of_two();
+    let late = at(60_000);
+    let schedule = RunSchedule::default();
+    targets.get_mut("near").expect("the target").request_limit = Some(2.0);
+    let choice = schedule.choose_target(&targets, late, &request(&[])).expect("a target");
+    assert_eq!((choice.id.as_str(), choice.through_sidecar), ("far", false));
+    targets.get_mut("far").expect("the target").request_limit = Some(2.0);
+    assert!(schedule.choose_target(&targets, late, &request(&[])).is_none());
+}
