--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -22,8 +22,6 @@
     pub abandon_after: Duration,
     /// Time after a job's submission by which all results are due.
     pub due_after: Duration,
-    /// Time without an event after which callers of a stream go away, also before the first event.
-    pub event_patience: Duration,
     /// Host that requests name.
     pub host: String,
     /// Kind of the requests.
--- a/crates/dispatch/src/wait_policy.rs
+++ b/crates/dispatch/src/wait_policy.rs
@@ -11,9 +11,6 @@
 /// Time reserved for the run itself when a request waits in a queue.
 const RUN_RESERVE: Duration = Duration::from_millis(1_500);
 
-/// Time reserved for the first event of a stream that has got a slot, before its caller goes away.
-const FIRST_EVENT_RESERVE: Duration = Duration::from_millis(300);
-
 /// Decides how long an online request may wait in a target's queue.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WaitPolicy;
@@ -48,16 +45,9 @@
     /// Returns the time after which an admitted request leaves the queue without a slot.
     ///
     /// It does not leave earlier: once its objective is missed, it gets a slot sooner in this queue
-    /// than at the end of another one. But its caller goes away if no event comes for
-    /// `event_patience`, of which `elapsed` have passed; a request that leaves before may come back.
+    /// than at the end of another one.
     #[must_use]
-    pub fn queue_timeout(
-        self,
-        left: Duration,
-        event_patience: Duration,
-        elapsed: Duration,
-    ) -> Duration {
-        let until_caller_leaves = event_patience.saturating_sub(elapsed + FIRST_EVENT_RESERVE);
-        left.saturating_sub(RUN_RESERVE).min(until_caller_leaves)
+    pub fn queue_timeout(self, left: Duration) -> Duration {
+        left.saturating_sub(RUN_RESERVE)
     }
 }
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -360,7 +360,7 @@
         let terms = ReservationTerms {
             max_expected_wait: self.max_expected_wait(),
             objective_left: self.objective_left(),
-            queue_timeout: self.queue_timeout(),
+            queue_timeout: WaitPolicy.queue_timeout(self.time_left()),
             queues: choices.len() as u8,
         };
         self.handler.reservations.place(sidecars.collect(), terms).await
@@ -532,7 +532,7 @@
                 expected_run: Duration::ZERO,
                 objective_left: self.objective_left(),
                 slots: choice.slots,
-                queue_timeout: self.queue_timeout(),
+                queue_timeout: WaitPolicy.queue_timeout(self.time_left()),
                 reservation,
                 is_trial,
             };
@@ -557,15 +557,6 @@
         WaitPolicy.objective_left(self.route.objective, self.received_at.elapsed())
     }
 
-    /// Returns the time after which the request leaves a queue without a slot.
-    fn queue_timeout(&self) -> Duration {
-        let patience = match self.route.kind {
-            RouteKind::Streaming => self.route.event_patience,
-            _ => Duration::MAX,
-        };
-        WaitPolicy.queue_timeout(self.time_left(), patience, self.received_at.elapsed())
-    }
-
     /// Returns the longest wait for the head of a response.
     fn response_timeout(&self) -> Duration {
         let time_left = self.time_left();
@@ -574,7 +565,9 @@
             return time_left;
         }
         match self.route.kind {
-            RouteKind::Streaming => time_left.min(self.queue_timeout() + FIRST_EVENT_TIMEOUT),
+            RouteKind::Streaming => {
+                time_left.min(WaitPolicy.queue_timeout(time_left) + FIRST_EVENT_TIMEOUT)
+            }
             _ => time_left.mul_f64(ATTEMPT_TIME_SHARE),
         }
     }
