--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -5,13 +5,18 @@
 mod entry_handler;
 mod entry_metrics;
 mod entry_node;
+mod in_flight_guard;
 mod job_relay;
 mod online_request;
 mod permit_client;
 mod placed_reservations;
 mod ready_handler;
+mod request_conclusion;
+mod request_context;
 mod reservation_client;
 mod response_relay;
+mod slot_search;
+mod target_attempt;
 
 pub use self::entry_node::EntryNode;
 pub use self::entry_node::EntrySettings;
--- /dev/null
+++ b/crates/serving/src/entry/request_context.rs
@@ -0,0 +1,115 @@
+//! A caller's online request, and what has been tried for it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use cv_dispatch::PromptPart;
+use cv_dispatch::QuarantineDecision;
+use cv_dispatch::RouteRule;
+use cv_dispatch::WaitPolicy;
+use cv_http::ServerExchange;
+use http::HeaderMap;
+use http::Method;
+
+use crate::PlatformAdapter;
+use crate::RequestOptions;
+use crate::entry::attempt_recorder::AttemptRecorder;
+use crate::entry::entry_handler::EntryHandler;
+
+/// Time before the caller's deadline at which the final response is sent.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(25);
+
+/// Deadline of a request that sets none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// A caller's online request, and what has been tried for it.
+pub(crate) struct RequestContext<'a, P> {
+    /// Attempts that a target may have run.
+    pub attempts: u32,
+    /// The request body.
+    pub body: Bytes,
+    /// When the final response is due.
+    pub deadline: Instant,
+    /// The entry.
+    pub handler: &'a EntryHandler<P>,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// Whether the caller has probably been refused before.
+    pub is_retry: bool,
+    /// The request method.
+    pub method: Method,
+    /// The options in the caller's headers.
+    pub options: RequestOptions,
+    /// The shared parts of the prompt, in order.
+    pub parts: Vec<PromptPart>,
+    /// The request target with its query.
+    pub path: String,
+    /// When the whole request had been received.
+    pub received_at: Instant,
+    /// The route of the request.
+    pub route: &'a RouteRule,
+    /// Ids of the targets that get the request no more.
+    pub tried_targets: Vec<String>,
+}
+
+impl<'a, P: PlatformAdapter> RequestContext<'a, P> {
+    /// Creates the state of an exchange's request; `body` has been read from it already.
+    pub fn new(
+        handler: &'a EntryHandler<P>,
+        route: &'a RouteRule,
+        exchange: &ServerExchange<'_>,
+        body: Bytes,
+        received_at: Instant,
+    ) -> Self {
+        let headers = exchange.head().headers.clone();
+        let options = P::request_options(&headers);
+        let limit = options.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+        Self {
+            received_at,
+            body,
+            deadline: received_at + limit.saturating_sub(RESPONSE_MARGIN),
+            handler,
+            is_retry: handler.is_retry(route, options.deadline),
+            parts: P::prompt_parts(&headers),
+            headers,
+            method: exchange.head().method.clone(),
+            path: exchange.head().uri.to_string(),
+            route,
+            attempts: 0,
+            options,
+            tried_targets: Vec::new(),
+        }
+    }
+
+    /// Returns the request's id for logs, or an empty text without one.
+    pub fn subject(&self) -> &str {
+        self.options.request_id.as_deref().unwrap_or_default()
+    }
+
+    /// Decides whether the parts of the prompt allow the request to be handed over.
+    pub fn decide_quarantine(&self) -> QuarantineDecision {
+        self.handler.view.quarantine.decide(&self.parts)
+    }
+
+    /// Returns the longest expected wait at which the request enters a sidecar's queue.
+    pub fn max_expected_wait(&self) -> Duration {
+        let is_retry = self.is_retry || self.attempts > 0;
+        WaitPolicy.max_expected_wait(self.route.objective, self.time_left(), is_retry)
+    }
+
+    /// Returns the time in which the request has to start to meet its latency objective.
+    pub fn objective_left(&self) -> Duration {
+        WaitPolicy.objective_left(self.route.objective, self.received_at.elapsed())
+    }
+
+    /// Returns the recorder of this request's failed attempts.
+    pub fn recorder(&self) -> AttemptRecorder<'_> {
+        AttemptRecorder { parts: &self.parts, request: self.subject(), view: &self.handler.view }
+    }
+
+    /// Returns the time left until the final response is due.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
