--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -46,8 +46,11 @@
         self.started = time.monotonic()
         self.rows = []
 
+    def now(self):
+        return round(time.monotonic() - self.started, 3)
+
     def write(self, what, **fields):
-        row = {"t": round(time.monotonic() - self.started, 3), "what": what, **fields}
+        row = {"t": self.now(), "what": what, **fields}
         self.rows.append(row)
         details = " ".join(f"{name}={value}" for name, value in fields.items())
         self.file.write(f"{row['t']:8.3f} {what} {details}\n")
@@ -270,6 +273,20 @@
         self.fleet.record.write("answered", job=job, entry=entry, status=status)
         return status
 
+    async def end(self, job, limit=4.0):
+        """Ends a job, again at the other entry after a failure; returns whether it got a 200."""
+        ends, entry = time.monotonic() + limit, 0
+        while time.monotonic() < ends:
+            address = self.fleet.entry(entry)
+            answer = await call(address, "DELETE", f"/lots/{job}", {"Host": HOST}, timeout=4)
+            status = answer.status if answer else None
+            self.fleet.record.write("ended", job=job, entry=entry, status=status)
+            if status == 200:
+                return True
+            entry = 1 - entry
+            await asyncio.sleep(0.1)
+        return False
+
     async def read(self, job, entry, after=0):
         """Reads results; returns them with the total, or None without a 200."""
         headers = {"Host": HOST, "Wait-Ms": "500"}
@@ -302,11 +319,15 @@
 
     async def play():
         fleet = None
+        # A signal ends the case's processes, too.
+        stop = asyncio.current_task().cancel
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, stop)
         try:
             async with asyncio.timeout(110):
                 fleet = case.make_fleet(record)
                 return await case.play(fleet, trouble)
-        except (CannotRun, TimeoutError) as fault:
+        except (CannotRun, TimeoutError, asyncio.CancelledError) as fault:
             record.write("cannot_run", why=repr(fault))
             return 2
         finally:
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -29,6 +29,7 @@
         self.next_lease = 1000
         self.changed = asyncio.Condition()
         self.refusals = {}
+        self.renewals = {}
         self.writers = {}
         self.servers = []
 
@@ -53,6 +54,12 @@
             for writer in list(self.writers[machine]):
                 writer.transport.abort()
 
+    async def wait_for_renewal(self, machine):
+        """Waits until a machine renews its lease."""
+        before = self.renewals.get(machine, 0)
+        while self.renewals.get(machine, 0) == before:
+            await asyncio.sleep(0.01)
+
     async def serve(self, machine, reader, writer):
         self.writers[machine].add(writer)
         try:
@@ -69,6 +76,8 @@
                     status, answer = 503, {}
                 else:
                     status, answer = await self.execute(request)
+                    if request.target.startswith("/kv-keep/") and status == 200:
+                        self.renewals[machine] = self.renewals.get(machine, 0) + 1
                 body = json.dumps(answer).encode()
                 writer.write(encode_response(status, {"Content-Type": "application/json"}, body))
                 await writer.drain()
