--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,7 @@
-"""A request that may run once runs twice after a replica sends a refusal twice."""
+"""A keeper gives up the items of a job whose route it doesn't know yet."""
 
 import asyncio
-import collections
 import os
-import random
 import sys
 import time
 
@@ -12,123 +10,91 @@
 
 from fleet import Caller
 from fleet import Fleet
-from fleet import HOST
 from fleet import run_case
-from replica import Replica
-from wire import call
-from wire import encode_response
-from wire import read_request
-
-# Share of a faulty replica's answers that come twice, and share of the replicas that are faulty,
-# as the site file's list of troubles names them.
-EXTRA_SHARE = 0.03
-FAULTY = 4
-ENGINES = 8
-
-# Length of one disruption, and of the calm after it, in seconds.
-GARBLE_TIME = 5
-CALM_TIME = 1
-
-# Length of the load in seconds, and streams a second.
-LENGTH = 80
-RATE = 60
-
-
-class RepeatingReplica(Replica):
-    """A replica that sends a second copy of some answers where the next answer is expected."""
-
-    extra_share = 0.0
-
-    async def serve(self, reader, writer):
-        extra = b""
-        try:
-            while True:
-                request = await read_request(reader)
-                if request is None:
-                    return
-                if extra:
-                    self.record.write("extra_answer", replica=self.name)
-                    writer.write(extra)
-                    extra = b""
-                refused = self.running >= self.slots and request.method == "POST"
-                await self.answer(request, reader, writer)
-                if refused and random.random() < self.extra_share:
-                    identity = request.headers.get("request-id", "")
-                    extra = encode_response(503, {"Request-Id": identity, "Not-Run": "1"})
-        except ConnectionError:
-            pass
-        finally:
-            writer.close()
+
+# Rounds, each with a new route.
+ROUNDS = 18
+
+# Time for which the store turns one keeper away, in seconds.
+REFUSAL_TIME = 1.4
+
+# Time after the operator's write at which the store serves the keeper again, in seconds.
+SERVED_AFTER = 0.25
+
+# Jobs submitted in a round, and the pause between two, in seconds.
+JOBS = 24
+PAUSE = 0.05
+
+# Time in which the results of a round are read, in seconds.
+READ_TIME = 6
 
 
 def make_fleet(record):
-    fleet = Fleet(record, entries=2, keepers=1, engines=ENGINES, slots=4, event_time=0.02)
-    fleet.engine_class = RepeatingReplica
-    return fleet
-
-
-async def stream(fleet, number, outcomes):
-    """Sends a stream that may run once, without another attempt."""
-    identity = f"{number:016x}"
-    headers = {
-        "Host": HOST, "Request-Id": identity, "Deadline-Ms": "5000", "Model": "m",
-        "Token-Count": "100,10", "Prompt-Prefix": f"{identity}:100",
-    }
-    entry = number % 2
-    answer = await call(fleet.entry(entry), "POST", f"/hints/{number}", headers, b"x", timeout=6)
-    status = answer.status if answer else None
-    outcomes[identity] = status
-    fleet.record.write("answered", id=identity, entry=entry, status=status)
-
-
-async def garble_in_turns(fleet, ends):
-    """Makes the same replicas faulty for a time, again and again."""
-    while time.monotonic() + GARBLE_TIME + CALM_TIME <= ends:
-        for share, length in ((EXTRA_SHARE, GARBLE_TIME), (0.0, CALM_TIME)):
-            fleet.record.write("garble", share=share, replicas=FAULTY)
-            for index in range(FAULTY):
-                fleet.replicas[f"engine-{index}"].extra_share = share
-            await asyncio.sleep(length)
-
-
-async def submit_jobs(fleet, ends):
-    """Keeps the slots that online requests leave free filled with batch items."""
-    caller = Caller(fleet, seed=3)
+    return Fleet(record, entries=2, keepers=3, engines=2)
+
+
+def batch_route(fleet, name):
+    return fleet.route(name, "batch", "llm", sloMs=400, runSloMs=18000, maxQueueS=60,
+                       maxQueuedTokens=0, resumable=True, priority=2)
+
+
+async def submit_until_accepted(caller, job):
+    """Submits as a client does: again, at another entry, after each refusal."""
+    ends = time.monotonic() + 4
+    entry = 0
     while time.monotonic() < ends:
-        job = caller.new_job("plans", items=18, events=100, tokens=200)
-        await caller.submit(job, 0)
-        await asyncio.sleep(1.0)
+        status = await caller.submit(job, entry)
+        if status == 202:
+            return True
+        entry = 1 - entry
+        await asyncio.sleep(0.1)
+    return False
+
+
+async def play_round(fleet, caller, number, trouble):
+    """Adds a batch route while the store turns a keeper away; returns the items given up."""
+    keeper = fleet.keeper(number % 3)
+    if trouble:
+        fleet.record.write("store_turns_away", machine=keeper.name)
+        fleet.store.turn_away(keeper.name, "busy")
+    await asyncio.sleep(REFUSAL_TIME - SERVED_AFTER)
+    name = f"plans{number}"
+    await fleet.configure(fleet.routes + [batch_route(fleet, name)])
+
+    async def serve_again():
+        await asyncio.sleep(SERVED_AFTER)
+        fleet.store.turn_away(keeper.name, None)
+        fleet.record.write("store_serves_again", machine=keeper.name)
+
+    serving = asyncio.create_task(serve_again())
+    # The entries have the route: other callers' requests show it within this time.
+    await asyncio.sleep(0.1)
+    submissions = []
+    for _ in range(JOBS):
+        job = caller.new_job(name, items=1, events=20, tokens=200)
+        task = asyncio.create_task(submit_until_accepted(caller, job))
+        submissions.append((job, task))
+        await asyncio.sleep(PAUSE)
+    await serving
+    accepted = [job for job, task in submissions if await task]
+    reads = [caller.read_all(job, index % 2, READ_TIME) for index, job in enumerate(accepted)]
+    results = await asyncio.gather(*reads)
+    given_up = [row["id"] for rows in results for row in rows if row["state"] == "dead_letter"]
+    listed = sum(len(rows) for rows in results)
+    fleet.record.write("round", number=number, accepted=len(accepted), listed=listed,
+                       given_up=len(given_up))
+    return given_up
 
 
 async def play(fleet, trouble):
-    await fleet.start([
-        fleet.route("hints", "streaming", "llm", maxAttempts=1),
-        fleet.route("plans", "batch", "llm", sloMs=400, runSloMs=18000, maxQueueS=60,
-                    maxQueuedTokens=0, resumable=True, priority=2),
-    ])
-    ends = time.monotonic() + LENGTH
-    jobs = asyncio.create_task(submit_jobs(fleet, ends))
-    garbling = asyncio.create_task(garble_in_turns(fleet, ends)) if trouble else None
-    outcomes, tasks, number = {}, [], 0
-    while time.monotonic() < ends:
-        number += 1
-        tasks.append(asyncio.create_task(stream(fleet, number, outcomes)))
-        await asyncio.sleep(1 / RATE)
-    await asyncio.gather(*tasks)
-    await jobs
-    if garbling is not None:
-        await garbling
-    started = collections.Counter(row["id"] for row in fleet.record.find("run"))
-    runs = {identity: started[identity] for identity in outcomes}
-    twice = [identity for identity, count in runs.items() if count > 1]
-    refused = [i for i, status in outcomes.items() if status in (408, 421, 429, 503) and runs[i]]
-    for identity in twice:
-        fleet.record.write("ran_twice", id=identity, runs=runs[identity], status=outcomes[identity])
-    extra = len(fleet.record.find("extra_answer"))
-    refusals = len(fleet.record.find("refused"))
-    fleet.record.write("verdict", requests=len(outcomes), refusals=refusals, extra_answers=extra,
-                       ran_twice=len(twice), refused_but_run=len(refused))
-    return 1 if twice or refused else 0
+    await fleet.start([batch_route(fleet, "plans")])
+    caller = Caller(fleet, seed=1)
+    given_up = []
+    for number in range(ROUNDS):
+        given_up += await play_round(fleet, caller, number, trouble)
+    # No replica has failed on an item, no job was ended, and no route was removed.
+    fleet.record.write("verdict", given_up=len(given_up))
+    return 1 if given_up else 0
 
 
 if __name__ == "__main__":
