--- a/review/standin/replica.py
+++ b/review/standin/replica.py
@@ -6,6 +6,10 @@
 from wire import read_request
 
 
+# Requests that wait at a full replica; it refuses more.
+QUEUE_LENGTH = 4
+
+
 class Replica:
     """A replica that follows PROTOCOL.md. Subclasses and hooks add the trouble of a case."""
 
@@ -15,6 +19,7 @@
         self.slots = slots
         self.event_time = event_time
         self.running = 0
+        self.waiting = 0
         self.server = None
         self.writers = set()
 
@@ -52,10 +57,22 @@
         if expected != self.name:
             writer.write(encode_response(421, {"Request-Id": identity}))
             return await writer.drain()
-        if self.running >= self.slots:
+        if self.running >= self.slots and self.waiting >= QUEUE_LENGTH:
             return await self.refuse(request, writer)
+        await self.wait_for_slot(reader, writer)
         await self.run(request, reader, writer)
 
+    async def wait_for_slot(self, reader, writer):
+        """Waits until a slot is free; ends if the caller closes the connection."""
+        self.waiting += 1
+        try:
+            while self.running >= self.slots:
+                await asyncio.sleep(0.002)
+                if reader.at_eof() or writer.transport.is_closing():
+                    raise ConnectionResetError
+        finally:
+            self.waiting -= 1
+
     async def refuse(self, request, writer):
         """Refuses a request because all slots are taken."""
         identity = request.headers.get("request-id", "")
