--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,123 +1,102 @@
-"""A job that was refused with 429 at each attempt runs after its keeper was frozen."""
+"""Batch jobs of one service wait forever while another service has no replica."""
 
 import asyncio
 import os
-import signal
 import sys
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standin"))
 
-from fleet import CannotRun
 from fleet import Caller
 from fleet import Fleet
 from fleet import run_case
 
-# Tokens that may wait on the route.
-QUOTA = 40_000
+# Time after the end of the traffic in which accepted jobs have to be done: `finishS`.
+FINISH_TIME = 18
 
-# Items of a job and tokens of an item.
-ITEMS = 4
-TOKENS = 1_000
+# Time before its end that the rule looks at, in seconds.
+CALM_TIME = 5
 
-# Time for which the keeper's process is stopped, in seconds; `fleetbench kinds` names 5.
-FREEZE_TIME = 4.5
+# Length of the traffic, and when the only replica of the second service crashes, in seconds.
+LENGTH = 20
+CRASH_AT = 8
 
-# Jobs that one keeper accepts in a row while others are refused, before it is frozen.
-ACCEPTED_IN_A_ROW = 5
-
-# Jobs submitted at the start of the freeze.
-JOBS = 16
-
-# A client's deadline for a submission, in seconds; it tries again once.
-DEADLINE = 4.0
-
-# Time after the freeze in which runs are observed, in seconds.
-OBSERVED = 8
+# Time after which the platform removes the entry of a silent replica: three heartbeats, in seconds.
+REMOVED_AFTER = 3.6
 
 
 def make_fleet(record):
-    return Fleet(record, entries=2, keepers=3, engines=2, event_time=0.005)
-
-
-def batch_route(fleet, quota):
-    return fleet.route("plans", "batch", "llm", sloMs=400, runSloMs=18000, maxQueueS=60,
-                       maxQueuedTokens=quota, resumable=True, priority=2)
-
-
-async def submit_twice(caller, job):
-    """Submits a job, and once more at the other entry unless it is accepted; returns the answers."""
-    ends = time.monotonic() + DEADLINE
-    statuses = [await caller.submit(job, 0, DEADLINE)]
-    left = ends - time.monotonic() - 0.05
-    if statuses[0] != 202 and left > 0:
-        await asyncio.sleep(0.05)
-        statuses.append(await caller.submit(job, 1, left))
-    return statuses
-
-
-async def keeper_that_accepted(fleet, job):
-    """Returns the keeper whose log says that it accepted a job; the log is written with a delay."""
-    for _ in range(30):
-        for node in fleet.nodes.values():
-            with open(node.log, encoding="utf-8", errors="replace") as log:
-                if any("job_accepted" in line and job in line for line in log):
-                    return node
-        await asyncio.sleep(0.1)
-    raise CannotRun("no log tells which keeper accepted a job")
-
-
-async def find_accepting_keeper(fleet, caller):
-    """Submits jobs, each once the one before is done, until one keeper alone accepts them.
-
-    Returns that keeper. Nothing waits on the route by then.
-    """
-    in_a_row, refused, refused_in_a_row, quota = [], 0, 0, QUOTA
-    for _ in range(100):
-        job = caller.new_job("plans", ITEMS, events=5, tokens=TOKENS)
-        statuses = await submit_twice(caller, job)
-        if 202 not in statuses:
-            refused += 1
-            refused_in_a_row += 1
-            if refused_in_a_row == 8:
-                # All refuse: the operator raises the limit until one of them accepts again.
-                refused_in_a_row, quota = 0, quota + TOKENS
-                await fleet.configure([batch_route(fleet, quota)])
-                await asyncio.sleep(0.5)
-            continue
-        refused_in_a_row = 0
-        await caller.read_all(job, 0, 5)
-        keeper = await keeper_that_accepted(fleet, job)
-        in_a_row = in_a_row + [keeper] if keeper in in_a_row[-1:] else [keeper]
-        if refused >= 3 and len(in_a_row) >= ACCEPTED_IN_A_ROW:
-            return keeper
-    raise CannotRun("no keeper is the only one that accepts jobs")
+    fleet = Fleet(record, entries=2, keepers=3, engines=3, slots=4, event_time=0.02)
+    fleet.services.append({"name": "nightly", "engine": {"slots": 4}})
+    fleet.engine_services[2] = "nightly"
+    return fleet
+
+
+async def submit_jobs(caller, route, pause, ends, jobs):
+    """Submits a job of two short items again and again."""
+    number = 0
+    while time.monotonic() < ends:
+        number += 1
+        job = caller.new_job(route, items=2, events=20, tokens=200)
+        status = await caller.submit(job, number % 2)
+        if status == 202:
+            jobs.append(job)
+        await asyncio.sleep(pause)
+
+
+async def crash(fleet):
+    """Ends the second service's only replica for good."""
+    await asyncio.sleep(CRASH_AT)
+    fleet.replicas["engine-2"].crash()
+    await asyncio.sleep(REMOVED_AFTER)
+    await fleet.store.delete("servers/engine-2")
+    fleet.record.write("entry_removed", replica="engine-2")
+
+
+def has_run_since(fleet, job, since):
+    """Returns whether a replica had an item of the job after a time."""
+    items = set(fleet.callers_jobs[job]["items"])
+    last = {}
+    for row in fleet.record.rows:
+        if row["what"] in ("run", "run_ended") and row["id"] in items:
+            last[row["id"], row["replica"]] = row
+    return any(row["what"] == "run" or row["t"] > since for row in last.values())
 
 
 async def play(fleet, trouble):
-    await fleet.start([batch_route(fleet, QUOTA)])
-    caller = Caller(fleet, seed=int.from_bytes(os.urandom(4), "big"))
-    keeper = await find_accepting_keeper(fleet, caller)
+    batch = {"sloMs": 400, "maxQueuedTokens": 0, "resumable": True, "priority": 2}
+    await fleet.start([
+        fleet.route("plans", "batch", "llm", runSloMs=18000, maxQueueS=60, **batch),
+        fleet.route("reports", "batch", "nightly", runSloMs=60000, maxQueueS=90, **batch),
+    ])
+    caller = Caller(fleet, seed=6)
+    fleet.callers_jobs = caller.jobs
+    plans, reports = [], []
+    ends = time.monotonic() + LENGTH
+    tasks = [submit_jobs(caller, "plans", 1.0, ends, plans)]
+    tasks.append(submit_jobs(caller, "reports", 2.0, ends, reports))
     if trouble:
-        keeper.signal(signal.SIGSTOP)
-        fleet.record.write("freeze_begins", machine=keeper.name)
-    frozen_at = time.monotonic()
-    jobs = [caller.new_job("plans", ITEMS, events=5, tokens=TOKENS) for _ in range(JOBS)]
-    tasks = [asyncio.create_task(submit_twice(caller, job)) for job in jobs]
-    await asyncio.sleep(FREEZE_TIME - (time.monotonic() - frozen_at))
-    keeper.signal(signal.SIGCONT)
-    fleet.record.write("freeze_ends", machine=keeper.name)
-    answers = await asyncio.gather(*tasks)
-    await asyncio.sleep(OBSERVED)
-    broken = 0
-    for job, statuses in zip(jobs, answers):
-        runs = [row for item in caller.jobs[job]["items"] for row in fleet.record.find("run", id=item)]
-        was_refused = all(status in (408, 421, 429, 503) for status in statuses)
-        fleet.record.write("job", id=job, answers=statuses, runs=len(runs))
-        broken += was_refused and len(runs) > 0
-    fleet.record.write("verdict", refused_but_run=broken)
-    return 1 if broken else 0
+        tasks.append(crash(fleet))
+    await asyncio.gather(*tasks)
+    fleet.record.write("traffic_ended", plans=len(plans), reports=len(reports))
+    await asyncio.sleep(FINISH_TIME - CALM_TIME)
+    calm_since, busy = fleet.record.now(), 0
+    for _ in range(CALM_TIME * 10):
+        await asyncio.sleep(0.1)
+        busy = max(busy, fleet.replicas["engine-0"].running + fleet.replicas["engine-1"].running)
+    finished = [row for row in fleet.record.find("run_ended") if row["t"] > calm_since]
+    read = await asyncio.gather(*[caller.read_all(job, 0, 2) for job in plans + reports])
+    missing = {job: 2 - len(rows) for job, rows in zip(plans + reports, read) if len(rows) < 2}
+    # The rule excuses a job that a replica works on, full replicas, and progress that isn't slow.
+    is_calm = busy < fleet.slots and len(finished) * 10 < sum(missing.values())
+    lost = [job for job in plans if job in missing and not has_run_since(fleet, job, calm_since)]
+    for job in lost:
+        fleet.record.write("lost", job=job, missing=missing[job])
+    waiting = sum(missing.values())
+    fleet.record.write("verdict", plans=len(plans), lost=len(lost), waiting=waiting,
+                       finished_lately=len(finished), busy=busy, slots=2 * fleet.slots)
+    return 1 if lost and is_calm else 0
 
 
 if __name__ == "__main__":
--- a/review/standin/replica.py
+++ b/review/standin/replica.py
@@ -16,11 +16,20 @@
         self.event_time = event_time
         self.running = 0
         self.server = None
+        self.writers = set()
 
     async def listen(self, ip, port):
         self.server = await asyncio.start_server(self.serve, ip, port)
 
+    def crash(self):
+        """Ends the replica: nothing listens any more, and all connections are reset."""
+        self.record.write("crash", replica=self.name)
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -30,6 +39,7 @@
         except ConnectionError:
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, request, reader, writer):
@@ -61,6 +71,7 @@
         self.running += 1
         try:
             await self.respond(request, reader, writer, identity, after)
+            self.record.write("run_ended", id=identity, replica=self.name)
         finally:
             self.running -= 1
 
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -171,6 +171,12 @@
         self.put(key, base64.b64encode(json.dumps(value).encode()).decode(), 0)
         await self.notify()
 
+    async def delete(self, key):
+        """Removes a key as the platform does when a replica is gone."""
+        self.revision += 1
+        self.remove(key)
+        await self.notify()
+
     def put(self, key, value, lease):
         created = self.items.get(key, {"created": self.revision})["created"]
         row = {"key": key, "value": value, "revision": self.revision, "created": created}
