Give items up only under the store's configuration

Cause: the watchers of a process recover from failed calls one by one. A keeper whose configuration was older than that of the entry took the missing route of a job for one that had ended, which is a limit of zero. The token limit was skipped for such a job as well.

Change: items are given up only after a read of the configuration from the store. Submissions carry the version by which they were routed, and a keeper with an older one, or without the route, reads the configuration before it accepts the job.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -7,3 +7,4 @@
 mod keeper_matrix;
 mod online_requests;
 mod request_limits;
+mod stale_views;
--- a/crates/serving/src/entry/job_relay.rs
+++ b/crates/serving/src/entry/job_relay.rs
@@ -17,6 +17,7 @@
 
 use crate::FleetView;
 use crate::internal_headers::strip_hop_by_hop;
+use crate::internal_headers::write_config_version;
 
 /// Longest time to connect to a keeper.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -47,7 +48,10 @@
         body: Bytes,
         is_submission: bool,
     ) -> Result<(), HttpFault> {
-        let request = keeper_request(exchange, body);
+        let mut request = keeper_request(exchange, body);
+        if let Some(routes) = self.view.routes().filter(|_| is_submission) {
+            write_config_version(&mut request.headers, routes.version);
+        }
         let keepers = self.view.keepers();
         let mut is_ambiguous = false;
         for keeper in keepers.ranking_for(job) {
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -22,9 +22,12 @@
 use cv_timer::TimerService;
 use tokio::sync::Notify;
 
+use crate::CoordinationStore;
+use crate::DecodeFault;
 use crate::PlatformAdapter;
 use crate::PrefixWatcher;
 use crate::StoreChange;
+use crate::StoreFault;
 use crate::StoreHealth;
 use crate::StoreUpdate;
 use crate::StoredItem;
@@ -115,7 +118,7 @@
     }
 
     /// Starts a task that passes all updates of the keys with `prefix` to `apply`.
-    pub(crate) fn watch_prefix<S: crate::CoordinationStore>(
+    pub(crate) fn watch_prefix<S: CoordinationStore>(
         self: &Rc<Self>,
         store: &Rc<S>,
         prefix: &'static str,
@@ -213,7 +216,8 @@
             format!("peer={peer} targets={targets} keepers={keepers}")
         });
         if let Some(value) = &snapshot.config {
-            self.apply_config::<P>(value);
+            // One that cannot be decoded has been logged, and the active one stays.
+            let _ = self.apply_config::<P>(value);
         }
         let known_ids = self.with_targets(|targets| {
             targets.rows().iter().map(|row| row.record.id.clone()).collect::<Vec<_>>()
@@ -259,19 +263,45 @@
             if item.key != P::CONFIG_KEY {
                 continue;
             }
-            self.apply_config::<P>(&item.value);
+            // One that cannot be decoded has been logged, and the active one stays.
+            let _ = self.apply_config::<P>(&item.value);
         }
     }
 
+    /// Reads the configuration from the store and applies it.
+    ///
+    /// Afterwards the active configuration is at least as new as any that another process had
+    /// received before the call, which cannot be said of a watch that is about to resume.
+    ///
+    /// # Errors
+    /// Faults of the store; `Invalid` if there is no configuration or it cannot be decoded.
+    pub(crate) async fn refresh_config<P: PlatformAdapter>(
+        &self,
+        store: &P::Store,
+    ) -> Result<(), StoreFault> {
+        let item = self.store_health.observe(store.get(P::CONFIG_KEY).await)?;
+        let Some(item) = item else {
+            return Err(StoreFault::Invalid(format!("{} does not exist", P::CONFIG_KEY)));
+        };
+        self.apply_config::<P>(&item.value).map_err(|fault| StoreFault::Invalid(fault.0))
+    }
+
     /// Decodes and applies a configuration as the operator wrote it.
-    fn apply_config<P: PlatformAdapter>(&self, value: &[u8]) {
+    ///
+    /// # Errors
+    /// The configuration cannot be decoded; the active one stays.
+    fn apply_config<P: PlatformAdapter>(&self, value: &[u8]) -> Result<(), DecodeFault> {
         match P::decode_routes(value) {
             Ok(table) => {
                 if self.apply_routes(table) {
                     self.config.replace(Some(value.to_vec()));
                 }
+                Ok(())
+            }
+            Err(fault) => {
+                self.log_rejected(P::CONFIG_KEY, &fault.to_string());
+                Err(fault)
             }
-            Err(fault) => self.log_rejected(P::CONFIG_KEY, &fault.to_string()),
         }
     }
 
--- a/crates/serving/src/internal_headers.rs
+++ b/crates/serving/src/internal_headers.rs
@@ -9,6 +9,9 @@
 use http::HeaderName;
 use http::HeaderValue;
 
+/// Version of the configuration by which an entry has routed a job's submission.
+const CONFIG_VERSION: HeaderName = HeaderName::from_static("cv-config-version");
+
 /// Prefix of all headers that only the system's own processes exchange.
 const INTERNAL_PREFIX: &str = "cv-";
 
@@ -158,6 +161,18 @@
     }
 }
 
+/// Adds the version of the configuration by which a submission has been routed.
+pub(crate) fn write_config_version(headers: &mut HeaderMap, version: u64) {
+    headers.insert(CONFIG_VERSION, HeaderValue::from(version));
+}
+
+/// Reads the version of the configuration by which a submission has been routed; 0 if it is not
+/// given.
+pub(crate) fn read_config_version(headers: &HeaderMap) -> u64 {
+    let value = headers.get(CONFIG_VERSION);
+    value.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0)
+}
+
 /// Removes the headers that only the system's own processes exchange.
 pub fn strip_internal_headers(headers: &mut HeaderMap) {
     let internal = headers.keys().filter(|name| name.as_str().starts_with(INTERNAL_PREFIX));
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -15,6 +15,7 @@
 use crate::StoreCommit;
 use crate::StoreFault;
 use crate::StoreUpdate;
+use crate::keeper::item_expiry::start_expiry;
 use crate::keeper::item_run::ItemRun;
 use crate::keeper::job_record::JobRecord;
 use crate::keeper::keeper_state::KeeperState;
@@ -163,7 +164,7 @@
 }
 
 /// Updates the ownership of all jobs. Of owned jobs, loads the results, purges those past their
-/// retention and dead-letters items past their limit.
+/// retention and gives up the items past their limit.
 fn review_jobs<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
     let keeper_set = state.view.keepers();
     for job in state.jobs.all() {
@@ -191,8 +192,9 @@
             monoio::spawn(async move { load_results(&state, &job).await });
             continue;
         }
-        expire_items(state, &job);
+        start_commits_if_needed(state, &job);
     }
+    start_expiry(state);
 }
 
 /// Withdraws runs that wait at their target while another has room; their items restart there.
@@ -208,30 +210,11 @@
     }
 }
 
-/// Dead-letters the waiting items of a job that is past its route's limit or has no route any more.
-fn expire_items<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job: &Rc<TrackedJob>) {
-    if job.results_state.get() != ResultsState::Loaded || job.tracker.borrow().is_closed() {
-        return;
-    }
-    if state.view.routes().is_none() {
-        return;
-    }
-    let age = state.job_age(job);
-    let limit = state.with_route(job, |route| route.abandon_after).unwrap_or_default();
-    if age <= limit {
-        start_commits_if_needed(state, job);
-        return;
-    }
-    let waiting: Vec<usize> = job.tracker.borrow().waiting_items().collect();
-    for item in waiting {
-        job.tracker.borrow_mut().dead_letter(item);
-    }
-    start_commits_if_needed(state, job);
-}
-
 /// Starts a commit if the job has results that are not listed yet.
 fn start_commits_if_needed<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job: &Rc<TrackedJob>) {
-    if job.tracker.borrow().has_unlisted() {
+    let is_loaded = job.results_state.get() == ResultsState::Loaded;
+    let tracker = job.tracker.borrow();
+    if is_loaded && !tracker.is_closed() && tracker.has_unlisted() {
         start_commits(state, job);
     }
 }
--- a/crates/serving/src/keeper/job_requests.rs
+++ b/crates/serving/src/keeper/job_requests.rs
@@ -41,15 +41,17 @@
     (status, Bytes::new())
 }
 
-/// Accepts a job; repeated submissions of the same id are idempotent.
+/// Accepts a job that an entry has routed by the configuration of a version; repeated submissions of
+/// the same id are idempotent.
 pub(crate) async fn submit_job<P: PlatformAdapter>(
     state: &Rc<KeeperState<P>>,
     spec: JobSpec,
+    config_version: u64,
 ) -> CallResponse {
     if state.jobs.get(&spec.id).is_some() {
         return empty_response(StatusCode::ACCEPTED);
     }
-    if state.is_draining.get() || state.view.routes().is_none() {
+    if state.is_draining.get() || !knows_route(state, &spec, config_version).await {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
     if !fits_token_limit(state, &spec) {
@@ -248,6 +250,31 @@
     }
 }
 
+/// Returns whether a job's route is known, from a configuration at least as new as `config_version`.
+/// Reads the configuration from the store if the active one is older or lacks the route.
+async fn knows_route<P: PlatformAdapter>(
+    state: &KeeperState<P>,
+    spec: &JobSpec,
+    config_version: u64,
+) -> bool {
+    let is_current = || {
+        state.view.routes().is_some_and(|routes| {
+            let has_route = routes.find(&spec.host, &spec.path).is_some();
+            has_route && routes.version >= config_version
+        })
+    };
+    if is_current() {
+        return true;
+    }
+    if let Err(fault) = state.view.refresh_config::<P>(&state.store).await {
+        state.view.log.record(LinePriority::Essential, EventKind::JobRefused, &spec.id, || {
+            format!("outcome=\"not accepted\" route unknown: {fault}")
+        });
+        return false;
+    }
+    is_current()
+}
+
 /// Returns whether a job's tokens and the unfinished tokens of its route stay within the route's
 /// limit, where 0 means no limit.
 fn fits_token_limit<P: PlatformAdapter>(state: &KeeperState<P>, spec: &JobSpec) -> bool {
@@ -255,7 +282,7 @@
         return false;
     };
     let Some(route) = routes.find(&spec.host, &spec.path) else {
-        return true;
+        return false;
     };
     if route.max_queued_tokens == 0 {
         return true;
--- a/crates/serving/src/keeper/keeper_handler.rs
+++ b/crates/serving/src/keeper/keeper_handler.rs
@@ -18,6 +18,7 @@
 use crate::PlatformAdapter;
 use crate::internal_handler::METRICS_PATH;
 use crate::internal_handler::respond_metrics;
+use crate::internal_headers::read_config_version;
 use crate::keeper::job_requests::CallResponse;
 use crate::keeper::job_requests::close_job;
 use crate::keeper::job_requests::read_item;
@@ -102,6 +103,7 @@
             path: exchange.head().uri.path().to_owned(),
             submitted_ms: self.state.view.clock.wall_millis(),
         };
-        submit_job(&self.state, spec).await
+        let config_version = read_config_version(&exchange.head().headers);
+        submit_job(&self.state, spec, config_version).await
     }
 }
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -105,6 +105,7 @@
             is_isolated: Cell::new(false),
             is_known_to_peers: Cell::new(false),
             is_draining: Cell::new(false),
+            is_expiring: Cell::new(false),
             lease: Cell::default(),
             metrics: KeeperMetrics::new().map_err(io::Error::other)?,
             pool: ConnectionPool::new(HttpLimits::default()),
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -49,6 +49,8 @@
     pub is_isolated: Cell<bool>,
     /// Whether all other keepers know of this one, so that none of them claims its jobs.
     pub is_known_to_peers: Cell<bool>,
+    /// Whether a task is giving up overdue items.
+    pub is_expiring: Cell<bool>,
     /// Whether the keeper is shutting down or being retired and accepts no new jobs.
     pub is_draining: Cell<bool>,
     /// The lease that the keeper's registration is bound to.
