Dispatch items of other services while one has no room

Cause: a pass over the waiting items of all jobs ended at the first item for which no target had room, whichever service it belonged to.

Change: a pass remembers the services without room and ends once none of the waiting items' services has any. That decision stands alone as DispatchPass.

--- a/crates/clementinevale/tests/nodes/batch_jobs.rs
+++ b/crates/clementinevale/tests/nodes/batch_jobs.rs
@@ -9,10 +9,12 @@
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
 use cv_tests::node_caller::CallerOutcome;
+use cv_tests::node_caller::DEFAULT_BODY;
 use cv_tests::node_caller::close_job;
 use cv_tests::node_caller::read_results;
 use cv_tests::node_caller::request_stream;
 use cv_tests::node_caller::submit_job;
+use cv_tests::node_caller::submit_job_to_route;
 use cv_tests::node_caller::submit_job_with_body;
 use rstest::rstest;
 
@@ -385,6 +387,29 @@
     );
 }
 
+// Guards against a pass over the waiting items that ends at the first one whose service has no room.
+#[test]
+fn items_run_while_another_service_has_no_target() {
+    let fleet = small_fleet();
+    let entries = fleet.entry_addresses();
+    block_on(async {
+        for job in 0..4 {
+            submit_until_accepted(&entries, &format!("job{job}"), 30, EVENTS_PER_ITEM).await;
+        }
+        // Items that are due later are dispatched first.
+        for job in 0..4 {
+            let id = format!("reports{job}");
+            let outcome =
+                submit_job_to_route(entries[0], "reports", &id, 4, EVENTS_PER_ITEM, DEFAULT_BODY);
+            assert_eq!(outcome.await, CallerOutcome::Completed);
+        }
+        for job in 0..4 {
+            read_all_results(&entries, &format!("job{job}"), 30).await;
+        }
+    })
+    .expect("the runtime starts");
+}
+
 #[test]
 fn a_retired_keeper_hands_over_its_jobs() {
     let fleet = small_fleet();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod arrival_delay;
 mod batch_order;
 mod deferred_removals;
+mod dispatch_pass;
 mod engine_loss;
 mod event_parser;
 mod job_replication;
@@ -36,6 +37,7 @@
 pub use crate::arrival_delay::ArrivalDelay;
 pub use crate::batch_order::BatchOrder;
 pub use crate::deferred_removals::DeferredRemovals;
+pub use crate::dispatch_pass::DispatchPass;
 pub use crate::engine_loss::EngineLoss;
 pub use crate::event_parser::EventParser;
 pub use crate::event_parser::StreamEvent;
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use cv_dispatch::DispatchPass;
 use cv_dispatch::EventParser;
 use cv_dispatch::PlacementPolicy;
 use cv_dispatch::PlacementRequest;
@@ -84,18 +85,19 @@
 }
 
 impl<P: PlatformAdapter> ItemRun<P> {
-    /// Starts a run if any target has room; returns `false` if none has. An item whose job has no
-    /// route or service, or whose prompt ends engines, is skipped, with `true`.
+    /// Starts a run if any target of the item's service has room, and records in the pass if none
+    /// has. An item whose job has no route or service, or whose prompt ends engines, is skipped.
     pub fn start(
         state: &Rc<KeeperState<P>>,
         job: &Rc<TrackedJob>,
         item: usize,
         due_ms: u64,
-    ) -> bool {
+        pass: &mut DispatchPass,
+    ) {
         let random = state.view.random_number();
         let picked = state.with_route(job, |route| route.pick_service(random).map(str::to_owned));
-        let Some(service) = picked.flatten() else {
-            return true;
+        let Some(service) = picked.flatten().filter(|service| pass.may_have_room(service)) else {
+            return;
         };
         let parts = {
             let tracker = job.tracker.borrow();
@@ -120,7 +122,10 @@
             Some(choice)
         });
         let Some(target) = target else {
-            return decision != QuarantineDecision::Admit;
+            if decision == QuarantineDecision::Admit {
+                pass.record_full(&service);
+            }
+            return;
         };
         let is_trial = decision != QuarantineDecision::Admit;
         let id = state.schedule.borrow_mut().begin_run(&target.id, due_ms, now);
@@ -131,7 +136,6 @@
         let (job, state) = (Rc::clone(job), Rc::clone(state));
         let run = Self { job, target, item, due_ms, id, is_trial, parts, state, withdrawn };
         monoio::spawn(async move { run.run().await });
-        true
     }
 
     /// Runs the item until it ends, is stopped or is withdrawn, and applies the outcome.
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cv_dispatch::BatchOrder;
+use cv_dispatch::DispatchPass;
 use cv_policy::MonotonicTime;
 use cv_timeline::EventKind;
 use cv_timeline::LinePriority;
@@ -249,16 +250,22 @@
     });
 }
 
-/// Starts runs of waiting items in batch order, until no target has room.
+/// Starts runs of waiting items in batch order, until no service has room.
 fn dispatch_items<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
     let now_ms = state.view.clock.wall_millis();
     let mut waiting = Vec::new();
+    let mut pass = DispatchPass::default();
     let mut owned = 0;
     for job in state.jobs.all() {
         if !job.is_active() || job.results_state.get() != ResultsState::Loaded {
             continue;
         }
-        let Some(due_after) = state.with_route(&job, |route| route.due_after) else {
+        let due_after = state.with_route(&job, |route| {
+            let shares = route.services.iter().filter(|share| share.weight > 0);
+            shares.for_each(|share| pass.add_service(&share.service));
+            route.due_after
+        });
+        let Some(due_after) = due_after else {
             continue;
         };
         owned += 1;
@@ -282,8 +289,9 @@
     state.metrics.jobs_owned.set(owned);
     waiting.sort_by_key(|(key, ..)| *key);
     for (_, due_ms, job, item) in waiting {
-        if !ItemRun::start(state, &job, item, due_ms) {
+        if pass.is_over() {
             return;
         }
+        ItemRun::start(state, &job, item, due_ms, &mut pass);
     }
 }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod caller_waits;
 mod deferred_removals;
+mod dispatch_pass;
 mod event_parser;
 mod job_replication;
 mod job_tracker;
--- a/tests/support/node_caller.rs
+++ b/tests/support/node_caller.rs
@@ -168,7 +168,7 @@
 }
 
 /// Body of an item whose content does not matter, in base64.
-const DEFAULT_BODY: &str = "q83v";
+pub const DEFAULT_BODY: &str = "q83v";
 
 /// Submits a job whose items each produce `events` events; [`item_id`] gives their ids.
 pub async fn submit_job(address: SocketAddr, job: &str, items: u64, events: u64) -> CallerOutcome {
@@ -182,17 +182,31 @@
     items: u64,
     events: u64,
     body: &str,
+) -> CallerOutcome {
+    submit_job_to_route(address, "plans", job, items, events, body).await
+}
+
+/// Submits a job on the given route, whose items all have the given body, in base64.
+pub async fn submit_job_to_route(
+    address: SocketAddr,
+    route: &str,
+    job: &str,
+    items: u64,
+    events: u64,
+    body: &str,
 ) -> CallerOutcome {
     let rows: Vec<Value> = (0..items)
         .map(|item| {
             json!({
-                "id": item_id(job, item), "path": "/plans/item", "body": body, "tokenCount": 20,
+                "id": item_id(job, item), "path": format!("/{route}/item"), "body": body,
+                "tokenCount": 20,
                 "headers": { "Token-Count": format!("10,{events}"), "Model": "m" },
             })
         })
         .collect();
     let body = json!({ "items": rows }).to_string();
-    match call(address, &build_request(Method::POST, "/plans/job", job, body)).await {
+    let path = format!("/{route}/job");
+    match call(address, &build_request(Method::POST, &path, job, body)).await {
         Ok((StatusCode::ACCEPTED, _)) => CallerOutcome::Completed,
         other => failure_outcome(other),
     }
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -267,7 +267,8 @@
         (0..self.size.entries).map(|index| self.socket_address(50 + index, ENTRY_PORT)).collect()
     }
 
-    /// Writes a configuration with a route of each kind.
+    /// Writes a configuration with a route of each kind, and another batch route, `reports`, whose
+    /// service has no target.
     pub fn write_config(&self, version: u64, max_attempts: u32) {
         let route = |name: &str, kind: &str, service: &str| {
             json!({
@@ -283,12 +284,14 @@
                 route("advice", "streaming", "llm"),
                 route("hints", "streaming", "llm"),
                 route("plans", "batch", "llm"),
+                route("reports", "batch", "nightly"),
                 route("orders", "unsafe", "desk"),
                 route("status", "safe", "desk"),
             ],
             "services": [
                 { "name": "llm", "engine": { "slots": 4 } },
                 { "name": "desk" },
+                { "name": "nightly", "engine": { "slots": 4 } },
             ],
             "limits": { "maxBodyBytes": 8_000_000 },
         });
