Soak: ends jobs, counts refusals, and faults between processes

Change: jobs are closed by their callers, and refused ones are remembered. Checked are now items that reach an engine more than 3 s after the close of their job, items of jobs that were refused at each attempt, and requests that go on at another engine while the one before works on for more than 400 ms. Proxies stand before all processes and between callers and entries; the store turns single processes away with 503; engines queue requests and restart; freezes outlast a keeper's lease; load and limits grow with the size of the fleet. Where a rule holds only for undisturbed machines, a log of disturbances excuses the others. The setting inner_listen lets a proxy stand before a process.

--- a/crates/clementinevale/src/main.rs
+++ b/crates/clementinevale/src/main.rs
@@ -224,7 +224,8 @@
 
 /// Runs the node of the role in the settings.
 async fn serve_node_role(settings: NodeSettings, shutdown: ShutdownSignal) -> std::io::Result<()> {
-    let NodeSettings { grace, internal_address, name, role, seeds, store, zone } = settings;
+    let NodeSettings { grace, internal_address, internal_listen, name, role, seeds, store, zone } =
+        settings;
     let log = LineLog::to_stdout(&name)?;
     // Instances that start together, and an instance that restarts, must not use the same random
     // numbers.
@@ -232,7 +233,7 @@
     let seed = stable_hash(&[&name, &started.unwrap_or_default().as_nanos().to_string()]);
     let (ip, internal_port) = (internal_address.ip(), internal_address.port());
     let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), internal_port)).collect();
-    let identity = NodeIdentity { ip, internal_port, name, seeds, zone };
+    let identity = NodeIdentity { ip, internal_listen, internal_port, name, seeds, zone };
     match role {
         NodeRole::Entry { listen, ready } => {
             let settings = EntrySettings { grace, identity, listen, ready, seed, store };
--- a/crates/clementinevale/tests/soak/fault_schedule.rs
+++ b/crates/clementinevale/tests/soak/fault_schedule.rs
@@ -19,6 +19,9 @@
 /// Upper bound of the duration of a fault, in milliseconds.
 const MAX_FAULT_DURATION_MS: usize = 2_500;
 
+/// Upper bound of the duration of a freeze, in milliseconds; a freeze outlasts a keeper's lease.
+const MAX_FREEZE_MS: usize = 7_000;
+
 /// Time that a process needs after its start to install its signal handlers.
 const SIGNAL_SETUP_TIME: Duration = Duration::from_millis(100);
 
@@ -38,10 +41,31 @@
     StoreUp,
     /// Restore the connection between a process and the store.
     StoreConnection(usize),
+    /// Count a process as undisturbed again.
+    Settle(usize),
+    /// Restore the connections of the other processes to one.
+    NodeConnection(usize),
+    /// Restore the connections of callers to an entry.
+    CallerConnection(usize),
     /// Restore the connection between a sidecar and its engine.
     TargetConnection(usize),
 }
 
+impl FaultUndo {
+    /// Returns the process that the fault disturbs, if it disturbs one itself.
+    fn disturbed_node(self) -> Option<usize> {
+        match self {
+            Self::Continue(node)
+            | Self::Start(node)
+            | Self::Settle(node)
+            | Self::NodeConnection(node)
+            | Self::CallerConnection(node)
+            | Self::TargetConnection(node) => Some(node),
+            Self::Register(_) | Self::StoreUp | Self::StoreConnection(_) => None,
+        }
+    }
+}
+
 /// Generates faults from a seed, injects them and undoes them when they are due.
 #[derive(Debug)]
 pub struct FaultSchedule {
@@ -68,7 +92,7 @@
             std::thread::sleep(Duration::from_millis(
                 self.random.below(MAX_FAULT_INTERVAL_MS) as u64
             ));
-            self.undo_due(fleet, Instant::now());
+            self.undo_due(fleet, Instant::now(), check);
             report_crashes(fleet, check);
             self.inject(fleet, check);
             self.change_responses(fleet);
@@ -76,7 +100,7 @@
         fleet.request_limit.store(0, Ordering::Relaxed);
         fleet.has_unframed_streams.store(false, Ordering::Relaxed);
         let last_due = self.undos.iter().map(|(due, _)| *due).max();
-        self.undo_due(fleet, last_due.unwrap_or(end));
+        self.undo_due(fleet, last_due.unwrap_or(end), check);
     }
 
     /// Changes whether the targets name a limit, and whether their streams end with their
@@ -99,16 +123,20 @@
         let node = self.random.below(fleet.nodes.len());
         let fault_end =
             Instant::now() + Duration::from_millis(self.random.below(MAX_FAULT_DURATION_MS) as u64);
-        match self.random.below(12) {
+        match self.random.below(16) {
             0 | 1 => {
+                check.disturbances.begin(node);
                 fleet.nodes[node].kill();
                 self.undos.push((fault_end, FaultUndo::Start(node)));
             }
             2 | 3 => {
+                check.disturbances.begin(node);
                 fleet.nodes[node].signal(Signal::STOP);
-                self.undos.push((fault_end, FaultUndo::Continue(node)));
+                let freeze = Duration::from_millis(self.random.below(MAX_FREEZE_MS) as u64);
+                self.undos.push((Instant::now() + freeze, FaultUndo::Continue(node)));
             }
             4 if fleet.nodes[node].age() > SIGNAL_SETUP_TIME => {
+                check.disturbances.begin(node);
                 // A stopped process does not handle SIGTERM.
                 fleet.nodes[node].signal(Signal::CONT);
                 if let Err(detail) = fleet.nodes[node].terminate(EXIT_TIMEOUT) {
@@ -138,15 +166,38 @@
             9 => {
                 let mode = self.random_proxy_mode();
                 if let Some(proxy) = &fleet.nodes[node].target_proxy {
+                    check.disturbances.begin(node);
                     proxy.set_mode(mode);
                     self.undos.push((fault_end, FaultUndo::TargetConnection(node)));
                 }
             }
             10 => {
-                let engine = self.random.below(3) as u8;
+                let engine = self.random.below(usize::from(fleet.engine_count())) as u8;
                 fleet.register(&engine_id(engine), "draining");
                 self.undos.push((fault_end, FaultUndo::Register(engine)));
             }
+            11 => {
+                let mode = self.random_proxy_mode();
+                if let Some(proxy) = &fleet.nodes[node].node_proxy {
+                    check.disturbances.begin(node);
+                    proxy.set_mode(mode);
+                    self.undos.push((fault_end, FaultUndo::NodeConnection(node)));
+                }
+            }
+            12 => {
+                let mode = self.random_proxy_mode();
+                if let Some(proxy) = &fleet.nodes[node].caller_proxy {
+                    check.disturbances.begin(node);
+                    proxy.set_mode(mode);
+                    self.undos.push((fault_end, FaultUndo::CallerConnection(node)));
+                }
+            }
+            13 => {
+                let engine = self.random.below(usize::from(fleet.engine_count()));
+                check.disturbances.begin(engine);
+                fleet.restart_target(engine);
+                self.undos.push((fault_end, FaultUndo::Settle(engine)));
+            }
             _ => {
                 self.version += 3;
                 fleet.store.compact();
@@ -157,7 +208,8 @@
 
     /// Returns a random fault mode for a proxy.
     fn random_proxy_mode(&mut self) -> FaultMode {
-        match self.random.below(4) {
+        match self.random.below(5) {
+            4 => FaultMode::TurnAway,
             0 => FaultMode::Disconnect,
             1 => FaultMode::Delay(Duration::from_millis(60)),
             2 => FaultMode::HalfOpen,
@@ -166,11 +218,16 @@
     }
 
     /// Undoes the faults that are due at `now`.
-    fn undo_due(&mut self, fleet: &mut NodeFleet, now: Instant) {
+    fn undo_due(&mut self, fleet: &mut NodeFleet, now: Instant, check: &GuaranteeCheck) {
         let (due, later) = self.undos.drain(..).partition(|(time, _)| *time <= now);
         self.undos = later;
         let due: Vec<(Instant, FaultUndo)> = due;
         for (_, undo) in due {
+            if let Some(node) = undo.disturbed_node()
+                && !self.undos.iter().any(|(_, later)| later.disturbed_node() == Some(node))
+            {
+                check.disturbances.end(node);
+            }
             match undo {
                 FaultUndo::Continue(node) => fleet.nodes[node].signal(Signal::CONT),
                 FaultUndo::Register(engine) => fleet.register(&engine_id(engine), "ready"),
@@ -179,6 +236,17 @@
                 FaultUndo::StoreConnection(node) => {
                     fleet.nodes[node].store_proxy.set_mode(FaultMode::Pass);
                 }
+                FaultUndo::NodeConnection(node) => {
+                    if let Some(proxy) = &fleet.nodes[node].node_proxy {
+                        proxy.set_mode(FaultMode::Pass);
+                    }
+                }
+                FaultUndo::CallerConnection(node) => {
+                    if let Some(proxy) = &fleet.nodes[node].caller_proxy {
+                        proxy.set_mode(FaultMode::Pass);
+                    }
+                }
+                FaultUndo::Settle(_) => {}
                 FaultUndo::TargetConnection(node) => {
                     if let Some(proxy) = &fleet.nodes[node].target_proxy {
                         proxy.set_mode(FaultMode::Pass);
--- a/crates/clementinevale/tests/soak/guarantee_check.rs
+++ b/crates/clementinevale/tests/soak/guarantee_check.rs
@@ -2,17 +2,29 @@
 
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
 
+use cv_adapter_standin::RunRecord;
 use cv_tests::NodeFleet;
 use cv_tests::node_caller::CallerOutcome;
 use cv_tests::node_caller::expected_output;
 use serde_json::Value;
 
-use crate::soak_load::ITEM_EVENTS;
+use crate::disturbance_log::DisturbanceLog;
+use crate::soak_jobs::ITEM_EVENTS;
+
+/// Time after the acknowledged close of a job from which none of its items may start (`cancelMs`).
+const CANCEL_TIME: Duration = Duration::from_secs(3);
+
+/// Time for which two targets may work on the same request after it has moved.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
 
 /// Collects violations of the system's guarantees; shared between threads.
 #[derive(Debug, Default)]
 pub struct GuaranteeCheck {
+    /// When which processes were disturbed.
+    pub disturbances: DisturbanceLog,
     state: Mutex<CheckState>,
 }
 
@@ -25,8 +37,14 @@
     not_run: Vec<String>,
     /// Requests that may run at most once.
     at_most_once: Vec<String>,
+    /// Items of jobs whose close was acknowledged, and when.
+    closed: Vec<(String, Instant)>,
     /// Number of requests with a complete, correct response.
     completed: u64,
+    /// Number of jobs that were accepted, and that were not.
+    jobs: (u64, u64),
+    /// Items of jobs that were refused at each attempt.
+    refused: Vec<String>,
 }
 
 impl GuaranteeCheck {
@@ -49,6 +67,26 @@
         }
     }
 
+    /// Records whether a job was accepted.
+    pub fn record_job(&self, is_accepted: bool) {
+        let jobs = &mut self.lock().jobs;
+        if is_accepted {
+            jobs.0 += 1;
+        } else {
+            jobs.1 += 1;
+        }
+    }
+
+    /// Records the items of a job whose close was acknowledged.
+    pub fn record_closed(&self, items: Vec<String>, at: Instant) {
+        self.lock().closed.extend(items.into_iter().map(|item| (item, at)));
+    }
+
+    /// Records the items of a job that was refused at each attempt.
+    pub fn record_refused(&self, items: Vec<String>) {
+        self.lock().refused.extend(items);
+    }
+
     /// Compares the results of a read with those read before, and new outputs with the expected.
     pub fn compare_results(&self, job: &str, known: &[Value], results: &[Value]) {
         let shared = known.len().min(results.len());
@@ -74,6 +112,7 @@
         let mut state = self.lock();
         state.at_most_once.sort_unstable();
         state.not_run.sort_unstable();
+        state.closed.sort_unstable();
         let mut run_ids: Vec<String> =
             fleet.target_log.runs().into_iter().map(|run| run.request_id).collect();
         run_ids.sort_unstable();
@@ -89,6 +128,25 @@
                     .push(format!("request {id} ran but its caller was told that it had not"));
             }
         }
+        for id in &state.refused {
+            if run_ids.binary_search(id).is_ok() {
+                violations.push(format!("item {id} ran but its job was refused at each attempt"));
+            }
+        }
+        let runs = fleet.target_log.runs();
+        self.check_closed(fleet, &state.closed, &runs, &mut violations);
+        self.check_overlaps(fleet, &runs, &mut violations);
+        println!(
+            "{} requests completed, {} jobs accepted, {} not, {} items refused, {} closed, {} runs, \
+             {} of them active",
+            state.completed,
+            state.jobs.0,
+            state.jobs.1,
+            state.refused.len(),
+            state.closed.len(),
+            runs.len(),
+            runs.iter().filter(|run| run.ended_at.is_none()).count()
+        );
         if state.completed == 0 {
             violations.push("no request was completed".to_owned());
         }
@@ -103,6 +161,68 @@
         violations
     }
 
+    /// Checks that undisturbed sidecars hand over no items of jobs that have been closed.
+    fn check_closed(
+        &self,
+        fleet: &NodeFleet,
+        closed: &[(String, Instant)],
+        runs: &[RunRecord],
+        violations: &mut Vec<String>,
+    ) {
+        for run in runs.iter().filter(|run| !run.is_direct) {
+            let found = closed.binary_search_by(|(item, _)| item.as_str().cmp(&run.request_id));
+            let Ok(position) = found else { continue };
+            let closed_at = closed[position].1;
+            let is_late = run.started_at > closed_at + CANCEL_TIME;
+            if is_late && self.is_sidecar_calm(fleet, run, run.started_at) {
+                violations.push(format!(
+                    "item {} reached {} {:?} after the close of its job",
+                    run.request_id,
+                    run.target_id,
+                    run.started_at - closed_at
+                ));
+            }
+        }
+    }
+
+    /// Checks that a request that goes on at another target is not worked on for long at the one
+    /// before, if the sidecar there was undisturbed.
+    fn check_overlaps(&self, fleet: &NodeFleet, runs: &[RunRecord], violations: &mut Vec<String>) {
+        let mut by_id: Vec<&RunRecord> = runs.iter().collect();
+        by_id.sort_by(|left, right| {
+            (&left.request_id, left.started_at).cmp(&(&right.request_id, right.started_at))
+        });
+        for group in by_id.chunk_by(|left, right| left.request_id == right.request_id) {
+            for (index, run) in group.iter().enumerate().filter(|(_, run)| run.after > 0) {
+                let overlap_end = run.started_at + MAX_OVERLAP;
+                let overlapping = group[..index].iter().find(|earlier| {
+                    let is_active = earlier.ended_at.is_none_or(|end| end > overlap_end);
+                    is_active
+                        && !earlier.is_direct
+                        && earlier.target_id != run.target_id
+                        && self.is_sidecar_calm(fleet, earlier, overlap_end)
+                });
+                if let Some(earlier) = overlapping {
+                    violations.push(format!(
+                        "{} goes on at {} while {} still works on it, {:?} in all",
+                        run.request_id,
+                        run.target_id,
+                        earlier.target_id,
+                        earlier.ended_at.map(|end| end - run.started_at)
+                    ));
+                }
+            }
+        }
+    }
+
+    /// Returns whether the sidecar of a run was undisturbed from the run's start to a later time.
+    fn is_sidecar_calm(&self, fleet: &NodeFleet, run: &RunRecord, to: Instant) -> bool {
+        let index = run.target_id.strip_prefix("engine-").and_then(|index| index.parse().ok());
+        // Sidecars are the first processes of a fleet, in the order of their engines.
+        let node = index.filter(|index: &usize| *index < usize::from(fleet.engine_count()));
+        node.is_some_and(|node| self.disturbances.is_calm(node, run.started_at, to))
+    }
+
     /// Locks the state; ignores poisoning, as each change to it is complete in itself.
     fn lock(&self) -> std::sync::MutexGuard<'_, CheckState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/clementinevale/tests/soak/main.rs
+++ b/crates/clementinevale/tests/soak/main.rs
@@ -4,21 +4,24 @@
 //! Without these variables it runs the seeds that have failed before and two more, 8 seconds each.
 //! `CV_SOAK_SCALE` multiplies the number of processes, up to 6.
 
+mod disturbance_log;
 mod fault_schedule;
 mod guarantee_check;
+mod soak_jobs;
 mod soak_load;
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cv_tests::FleetOptions;
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
 
 use crate::fault_schedule::FaultSchedule;
 use crate::guarantee_check::GuaranteeCheck;
+use crate::soak_jobs::JobLoad;
 use crate::soak_load::run_callers;
-use crate::soak_load::run_jobs;
 
 /// Seeds that have failed before, each with the cause.
 const REGRESSIONS: [(u64, &str); 5] = [
@@ -38,9 +41,15 @@
 /// Largest multiple of the number of processes; the addresses of a fleet allow no more.
 const MAX_SCALE: u8 = 6;
 
-/// Number of concurrent callers.
+/// Number of concurrent callers of a fleet of the smallest size.
 const CALLERS: u64 = 4;
 
+/// Requests that wait at an engine whose slots are taken.
+const ENGINE_QUEUE: u32 = 4;
+
+/// Tokens that may wait on a batch route of a fleet of the smallest size; each item has 20.
+const QUEUED_TOKENS: u64 = 1_200;
+
 #[test]
 fn guarantees_hold_under_random_faults() {
     let seconds = environment_variable("CV_SOAK_SECONDS").and_then(|text| text.parse().ok());
@@ -60,17 +69,25 @@
     let scale = environment_variable("CV_SOAK_SCALE").and_then(|text| text.parse().ok());
     let scale: u8 = scale.unwrap_or(1).clamp(1, MAX_SCALE);
     let size = NodeFleetSize { engines: 3 * scale, entries: 2 * scale, keepers: 2 * scale };
-    let mut fleet = NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size);
+    let options = FleetOptions {
+        engine_queue: ENGINE_QUEUE,
+        has_node_proxies: true,
+        queued_tokens: QUEUED_TOKENS * u64::from(scale),
+        ..FleetOptions::default()
+    };
+    let mut fleet = NodeFleet::start_with(env!("CARGO_BIN_EXE_clementinevale"), size, options);
     let entries = fleet.entry_addresses();
     let check = GuaranteeCheck::default();
     let (is_finished, faults_are_over) = (AtomicBool::new(false), AtomicBool::new(false));
     std::thread::scope(|scope| {
-        for caller in 0..CALLERS {
+        for caller in 0..CALLERS * u64::from(scale) {
             let (entries, check, is_finished) = (&entries, &check, &is_finished);
             scope.spawn(move || run_callers(entries, check, is_finished, seed * 100 + caller));
         }
         let (entries, check, faults_are_over) = (&entries, &check, &faults_are_over);
-        let jobs = scope.spawn(move || run_jobs(entries, check, faults_are_over, seed));
+        let jobs = scope.spawn(move || {
+            JobLoad { check, duration: seconds, entries, faults_are_over, scale, seed }.run()
+        });
         FaultSchedule::new(seed).run(&mut fleet, seconds, check);
         faults_are_over.store(true, Ordering::Relaxed);
         jobs.join().expect("the thread of the jobs finishes");
--- a/crates/serving/src/entry/entry_node.rs
+++ b/crates/serving/src/entry/entry_node.rs
@@ -95,7 +95,7 @@
         let drain = DrainGate::default();
         let limits = HttpLimits::default();
         let inner = InternalHandler { registry: metrics.registry.clone(), view: Rc::clone(&view) };
-        let inner_listener = bind_listener(identity.internal_address())?;
+        let inner_listener = bind_listener(identity.internal_listen)?;
         monoio::spawn(
             HttpServer::new(inner_listener, Rc::new(inner), DrainGate::default(), limits).run(),
         );
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -119,7 +119,7 @@
         });
         let drain = DrainGate::default();
         let handler = KeeperHandler { state: Rc::clone(&state) };
-        let listener = bind_listener(address)?;
+        let listener = bind_listener(state.identity.internal_listen)?;
         let server =
             HttpServer::new(listener, Rc::new(handler), drain.clone(), HttpLimits::default());
         monoio::spawn(server.run());
--- a/crates/serving/src/node_identity.rs
+++ b/crates/serving/src/node_identity.rs
@@ -10,6 +10,8 @@
     pub ip: IpAddr,
     /// Name of the instance.
     pub name: String,
+    /// Address on which requests from the system's own processes are accepted.
+    pub internal_listen: SocketAddr,
     /// Port for requests between the system's own processes, the same on all instances.
     pub internal_port: u16,
     /// Internal addresses of the seed instances, which can be asked before the view is loaded.
--- a/crates/serving/src/sidecar/sidecar_node.rs
+++ b/crates/serving/src/sidecar/sidecar_node.rs
@@ -72,7 +72,7 @@
         let clock = ProcessClock::new();
         let timers = TimerService::start(clock);
         let address = self.settings.identity.internal_address();
-        let listener = bind_listener(address)?;
+        let listener = bind_listener(self.settings.identity.internal_listen)?;
         let socket = Rc::new(UdpSocket::bind(address)?);
         let gate = SlotGate::new(clock, DEFAULT_SLOTS);
         monoio::spawn(Rc::clone(&gate).run_ticks());
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -17,8 +17,11 @@
 pub struct NodeSettings {
     /// Time from the shutdown signal until the platform kills the process.
     pub grace: Duration,
-    /// Listen address for calls from the system's other processes.
+    /// Address for calls from the system's other processes.
     pub internal_address: SocketAddr,
+    /// Listen address for the HTTP requests among these calls; differs from `internal_address` only
+    /// if they arrive through a proxy.
+    pub internal_listen: SocketAddr,
     /// Name of the instance.
     pub name: String,
     /// Role of the process.
@@ -84,13 +87,17 @@
     if port == 0 {
         reader.report("inner_port", "`inner_port` is missing", "set it to a free port");
     }
+    let has_listen = reader.optional_text("inner_listen").is_some();
+    let internal_listen = has_listen.then(|| reader.address("inner_listen"));
     let seeds = reader.addresses("seeds");
     let store = reader.address("store");
     let grace = reader.seconds("grace_s", 0.0..=3_600.0, DEFAULT_GRACE_S);
     reader.finish();
+    let internal_address = SocketAddr::new(ip?, u16::try_from(port).ok()?);
     Some(NodeSettings {
         grace,
-        internal_address: SocketAddr::new(ip?, u16::try_from(port).ok()?),
+        internal_address,
+        internal_listen: internal_listen.unwrap_or(Some(internal_address))?,
         name: name?.to_owned(),
         role: role?,
         seeds,
--- a/crates/standin/src/fault_proxy.rs
+++ b/crates/standin/src/fault_proxy.rs
@@ -29,6 +29,8 @@
     Delay(Duration),
     /// Closes all connections, and new ones as soon as they are accepted.
     Disconnect,
+    /// Closes all connections, and responds to the first request on each new one with status 503.
+    TurnAway,
     /// Accepts connections and reads from them, but forwards nothing.
     HalfOpen,
     /// Closes a connection after this many bytes of its responses.
@@ -57,11 +59,19 @@
     /// # Errors
     /// Fails if no port can be bound.
     pub fn start(upstream: SocketAddr) -> io::Result<Self> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), upstream)
+    }
+
+    /// Starts a proxy of `upstream` on the given address.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be bound.
+    pub fn start_at(address: SocketAddr, upstream: SocketAddr) -> io::Result<Self> {
         let mode = Arc::new(watch::channel(FaultMode::Pass).0);
         let shared_mode = Arc::clone(&mode);
         let (sender, bound) = std::sync::mpsc::channel();
         let thread = ServingThread::spawn("fault-proxy", move |shutdown| async move {
-            let listener = bind_listener(SocketAddr::from(([127, 0, 0, 1], 0)));
+            let listener = bind_listener(address);
             let Ok(listener) = listener else { return };
             let _ = sender.send(listener.local_addr());
             loop {
@@ -94,8 +104,11 @@
 /// Relays one connection until it closes or a fault closes it.
 async fn relay(client: TcpStream, upstream: SocketAddr, mode: Arc<watch::Sender<FaultMode>>) {
     let mut modes = mode.subscribe();
-    if *modes.borrow() == FaultMode::Disconnect {
-        return;
+    let mode_at_start = *modes.borrow();
+    match mode_at_start {
+        FaultMode::Disconnect => return,
+        FaultMode::TurnAway => return turn_away(client).await,
+        _ => {}
     }
     let Ok(server) = TcpStream::connect_addr(upstream).await else {
         return;
@@ -106,12 +119,23 @@
     let requests = copy(client_read, server_write, mode.subscribe(), false);
     let responses = copy(server_read, client_write, mode.subscribe(), true);
     monoio::select! {
-        _ = modes.wait_for(|mode| *mode == FaultMode::Disconnect) => {}
+        _ = modes.wait_for(|mode| matches!(mode, FaultMode::Disconnect | FaultMode::TurnAway)) => {}
         // If one direction closes, the other one can still finish.
         ((), ()) = async { futures::join!(requests, responses) } => {}
     }
 }
 
+/// Responds to the first request of a connection with status 503 and closes it.
+async fn turn_away(mut client: TcpStream) {
+    let (read, _) = client.read(Vec::with_capacity(READ_BUFFER_BYTES)).await;
+    if read.is_ok_and(|length| length > 0) {
+        let response = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\
+                        Content-Length: 0\r\n\r\n";
+        let _ = client.write_all(response.as_bytes().to_vec()).await;
+    }
+    let _ = client.shutdown().await;
+}
+
 /// Copies one direction of a connection; `is_response` tells which one.
 async fn copy<R: AsyncReadRent, W: AsyncWriteRent>(
     mut from: R,
@@ -120,6 +144,8 @@
     is_response: bool,
 ) {
     let mut forwarded = 0;
+    // Bytes that were discarded must not be missing from the middle of a connection that goes on.
+    let mut has_discarded = false;
     loop {
         let (result, buffer) = from.read(Vec::with_capacity(READ_BUFFER_BYTES)).await;
         let length = match result {
@@ -130,8 +156,8 @@
         let mut forward_length = length;
         match mode {
             FaultMode::Delay(delay) => monoio::time::sleep(delay).await,
-            FaultMode::HalfOpen => continue,
-            FaultMode::Disconnect => break,
+            FaultMode::HalfOpen => has_discarded = true,
+            FaultMode::Disconnect | FaultMode::TurnAway => break,
             FaultMode::TruncateResponse(limit) if is_response => {
                 forward_length = length.min(limit.saturating_sub(forwarded));
             }
@@ -156,6 +182,9 @@
             | FaultMode::LoseResponse
             | FaultMode::SendGarbage(..) => {}
         }
+        if has_discarded {
+            continue;
+        }
         forwarded += forward_length;
         let mut buffer = buffer;
         buffer.truncate(forward_length);
--- a/tests/support/lib.rs
+++ b/tests/support/lib.rs
@@ -6,6 +6,7 @@
 mod server_process;
 mod small_fleet;
 
+pub use crate::node_fleet::FleetOptions;
 pub use crate::node_fleet::NodeFleet;
 pub use crate::node_fleet::NodeFleetSize;
 pub use crate::node_fleet::NodeProcess;
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -65,13 +65,42 @@
     pub keepers: u8,
 }
 
+/// What stands between the parts of a fleet, and how its targets take requests.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetOptions {
+    /// Requests that wait at an engine whose slots are taken; it rejects more.
+    pub engine_queue: u32,
+    /// Whether proxies stand between sidecars and engines. Through a proxy an engine that has ended
+    /// still accepts connections.
+    pub has_engine_proxies: bool,
+    /// Whether proxies stand before the processes: between them, and between callers and entries.
+    pub has_node_proxies: bool,
+    /// Tokens that may wait on each batch route.
+    pub queued_tokens: u64,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            engine_queue: 0,
+            has_engine_proxies: true,
+            has_node_proxies: false,
+            queued_tokens: 100_000,
+        }
+    }
+}
+
 /// A node process, its settings file and the proxies of its connections.
 #[derive(Debug)]
 pub struct NodeProcess {
     binary: PathBuf,
     child: Option<Child>,
+    /// Proxy between callers and an entry, if there is one.
+    pub caller_proxy: Option<FaultProxy>,
     /// Name of the instance.
     pub name: String,
+    /// Proxy between the other processes and this one, if there is one.
+    pub node_proxy: Option<FaultProxy>,
     settings: PathBuf,
     started_at: Instant,
     /// Proxy between the process and the store.
@@ -87,15 +116,13 @@
     address_block: [u8; 2],
     /// Prompts that end the engines.
     pub crash_rule: CrashRule,
-    /// Whether proxies stand between sidecars and engines. Through a proxy an engine that has ended
-    /// still accepts connections.
-    has_engine_proxies: bool,
     /// Whether the engines' streams have no chunks and end with their connection.
     pub has_unframed_streams: Arc<AtomicBool>,
     /// Limit that all targets name, in requests in a hundred seconds; 0 for none.
     pub request_limit: Arc<AtomicU32>,
     /// All processes: sidecars, entries, keepers.
     pub nodes: Vec<NodeProcess>,
+    options: FleetOptions,
     size: NodeFleetSize,
     /// The platform's store.
     pub store: PlatformStore,
@@ -214,7 +241,7 @@
     /// Panics if a process or stand-in does not start, or the fleet is not ready in time.
     #[must_use]
     pub fn start(binary: &str, size: NodeFleetSize) -> Self {
-        Self::start_with(binary, size, true)
+        Self::start_with(binary, size, FleetOptions::default())
     }
 
     /// Starts a fleet whose engines may end, without proxies between them and their sidecars.
@@ -223,11 +250,16 @@
     /// Panics if a process or stand-in does not start, or the fleet is not ready in time.
     #[must_use]
     pub fn start_without_engine_proxies(binary: &str, size: NodeFleetSize) -> Self {
-        Self::start_with(binary, size, false)
+        let options = FleetOptions { has_engine_proxies: false, ..FleetOptions::default() };
+        Self::start_with(binary, size, options)
     }
 
-    /// Starts a fleet and waits until it is ready.
-    fn start_with(binary: &str, size: NodeFleetSize, has_engine_proxies: bool) -> Self {
+    /// Starts a fleet with options and waits until it is ready.
+    ///
+    /// # Panics
+    /// Panics if a process or stand-in does not start, or the fleet is not ready in time.
+    #[must_use]
+    pub fn start_with(binary: &str, size: NodeFleetSize, options: FleetOptions) -> Self {
         let address_block =
             [100 + (std::process::id() % 100) as u8, NEXT_BLOCK.fetch_add(1, Ordering::Relaxed)];
         let folder = TempDir::new().expect("a temporary folder can be created");
@@ -236,10 +268,10 @@
         let mut fleet = Self {
             address_block,
             crash_rule: CrashRule::new(ENGINE_DOWN_TIME),
-            has_engine_proxies,
             has_unframed_streams: Arc::default(),
             request_limit: Arc::default(),
             nodes: Vec::new(),
+            options,
             size,
             store,
             target_log: TargetLog::default(),
@@ -267,6 +299,17 @@
         (0..self.size.entries).map(|index| self.socket_address(50 + index, ENTRY_PORT)).collect()
     }
 
+    /// Ends a target as in a crash; it starts again after a while. Targets are numbered like engines.
+    pub fn restart_target(&self, index: usize) {
+        self.target_threads[index].restart();
+    }
+
+    /// Returns the number of model engines.
+    #[must_use]
+    pub fn engine_count(&self) -> u8 {
+        self.size.engines
+    }
+
     /// Writes a configuration with a route of each kind, and another batch route, `reports`, whose
     /// service has no target.
     pub fn write_config(&self, version: u64, max_attempts: u32) {
@@ -275,7 +318,8 @@
                 "name": name, "host": "growers.example", "prefix": format!("/{name}/"),
                 "kind": kind, "service": service, "timeoutMs": 5_000, "sloMs": 300, "priority": 0,
                 "maxAttempts": max_attempts, "resumable": name == "advice", "sticky": false,
-                "runSloMs": 20_000, "maxQueueS": 60, "maxQueuedTokens": 100_000,
+                "runSloMs": 20_000, "maxQueueS": 60,
+                "maxQueuedTokens": self.options.queued_tokens,
             })
         };
         let config = json!({
@@ -360,7 +404,9 @@
 
     /// Starts the stand-ins of the engines and of the plain service.
     fn start_targets(&mut self) {
-        let engine = TargetKind::Engine { event_interval: Duration::from_millis(8), slots: 4 };
+        let queue = self.options.engine_queue;
+        let event_interval = Duration::from_millis(8);
+        let engine = TargetKind::Engine { event_interval, queue, slots: 4 };
         let plain = TargetKind::Plain { processing_time: Duration::from_millis(5) };
         let engines = (0..self.size.engines).map(|index| (engine_id(index), 10 + index, engine));
         let targets: Vec<_> = engines.chain([("plain-0".to_owned(), 30, plain)]).collect();
@@ -379,8 +425,9 @@
     /// Adds all processes and writes their settings.
     fn add_nodes(&mut self, binary: &str) {
         for index in 0..self.size.engines {
-            let address = self.socket_address(10 + index, TARGET_PORT);
+            let address = self.socket_address(10 + index, TARGET_PORT + 1);
             let proxy = self
+                .options
                 .has_engine_proxies
                 .then(|| FaultProxy::start(address).expect("the proxy starts"));
             let engine = proxy.as_ref().map_or(address, FaultProxy::address);
@@ -391,10 +438,21 @@
             let host = 50 + index;
             let section = format!(
                 "entry:\n  listen: \"{}\"\n  ready: \"{}\"\n",
-                self.socket_address(host, ENTRY_PORT),
+                self.socket_address(
+                    host,
+                    if self.options.has_node_proxies { ENTRY_PORT + 1 } else { ENTRY_PORT }
+                ),
                 self.socket_address(host, READY_PORT)
             );
             self.add_node(binary, "entry", host, &section, None);
+            if self.options.has_node_proxies
+                && let Some(node) = self.nodes.last_mut()
+            {
+                let block = self.address_block;
+                let address = |port| SocketAddr::new(ip_address(block, host), port);
+                let proxy = FaultProxy::start_at(address(ENTRY_PORT), address(ENTRY_PORT + 1));
+                node.caller_proxy = Some(proxy.expect("the proxy starts"));
+            }
         }
         for index in 0..self.size.keepers {
             self.add_node(binary, "keeper", 70 + index, "", None);
@@ -413,9 +471,16 @@
         let name = format!("{role}-{host}");
         let store_proxy = FaultProxy::start(self.store_thread.address).expect("the proxy starts");
         let settings = self.folder.path().join(format!("{name}.yaml"));
+        let mut listen = String::new();
+        let node_proxy = self.options.has_node_proxies.then(|| {
+            let upstream = self.socket_address(host, INTERNAL_PORT + 1);
+            listen = format!("inner_listen: \"{upstream}\"\n");
+            let proxy = FaultProxy::start_at(self.socket_address(host, INTERNAL_PORT), upstream);
+            proxy.expect("the proxy starts")
+        });
         let text = format!(
             "name: {name}\nrole: {role}\nzone: zone-0\nip: \"{}\"\ninner_port: {INTERNAL_PORT}\n\
-             seeds: [\"{}\"]\nstore: \"{}\"\ngrace_s: 4\n{section}",
+             seeds: [\"{}\"]\nstore: \"{}\"\ngrace_s: 4\n{listen}{section}",
             ip_address(self.address_block, host),
             self.socket_address(50, INTERNAL_PORT),
             store_proxy.address(),
@@ -425,7 +490,9 @@
         self.nodes.push(NodeProcess {
             binary,
             child: None,
+            caller_proxy: None,
             name,
+            node_proxy,
             settings,
             started_at: Instant::now(),
             store_proxy,
