Refuse no job that a frozen keeper may accept later

Callers saw: jobs ran that had been answered 429 at each attempt (REFUSED).

Cause: without a response from a job's owner an entry asked the next keeper and passed its 429 on, while the frozen owner had the submission in its socket and accepted it when it continued.

Change: submissions wait for 100 Continue before their body is sent, and a 429 that follows an unanswered submission becomes 500.

Ruled out: a 503 after an ambiguous write; commit_with_retry keeps the ambiguity of any attempt.

--- /dev/null
+++ b/crates/clementinevale/tests/nodes/frozen_keepers.rs
@@ -0,0 +1,62 @@
+//! Keepers that are stopped for longer than their lease, and then continue.
+
+use std::time::Duration;
+
+use cv_runtime::block_on;
+use cv_tests::FleetOptions;
+use cv_tests::NodeFleet;
+use cv_tests::NodeFleetSize;
+use cv_tests::Signal;
+use cv_tests::node_caller::CallerOutcome;
+use cv_tests::node_caller::submit_job;
+use futures::future::join_all;
+
+use crate::job_checks::submit_until_accepted;
+
+/// Starts a fleet of two engines, two entries and two keepers.
+fn start_fleet(queued_tokens: u64) -> NodeFleet {
+    let size = NodeFleetSize { engines: 2, entries: 2, keepers: 2 };
+    let options = FleetOptions { queued_tokens, ..FleetOptions::default() };
+    NodeFleet::start_with(env!("CARGO_BIN_EXE_clementinevale"), size, options)
+}
+
+/// Sends a signal to the first keeper.
+fn signal_keeper(fleet: &NodeFleet, signal: Signal) {
+    let keeper = fleet.nodes.iter().find(|node| node.name == "keeper-70");
+    keeper.expect("the fleet has the keeper").signal(signal);
+}
+
+// Guards against the refusal of a job by one keeper after another one has received it, and accepts it
+// later.
+#[test]
+fn a_refused_job_does_not_run_when_a_frozen_keeper_continues() {
+    const LONG_ITEM_EVENTS: u64 = 900;
+    // One job of six items with 20 tokens each fits.
+    let fleet = start_fleet(200);
+    let entries = fleet.entry_addresses();
+    signal_keeper(&fleet, Signal::STOP);
+    // The keeper does not learn of the job that uses up the limit.
+    fleet.store.set_lagging(true);
+    let refused = block_on(async {
+        submit_until_accepted(&entries, "first", 6, LONG_ITEM_EVENTS).await;
+        let submissions = (0..12).map(|job| {
+            let entry = entries[job % entries.len()];
+            async move {
+                let id = format!("job{job}");
+                let outcome = submit_job(entry, &id, 6, LONG_ITEM_EVENTS).await;
+                (id, outcome)
+            }
+        });
+        let outcomes = join_all(submissions).await;
+        outcomes.into_iter().filter(|(_, outcome)| *outcome == CallerOutcome::NotRun)
+    })
+    .expect("the runtime starts");
+    let refused: Vec<String> = refused.map(|(id, _)| id).collect();
+    signal_keeper(&fleet, Signal::CONT);
+    std::thread::sleep(Duration::from_secs(5));
+    assert!(!refused.is_empty(), "no job was refused");
+    for run in fleet.target_log.runs() {
+        let is_refused = refused.iter().any(|job| run.request_id.starts_with(&format!("{job}i")));
+        assert!(!is_refused, "item {} of a refused job runs", run.request_id);
+    }
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -249,7 +249,21 @@
         limit: usize,
     ) -> Result<ClientResponse, HttpFault> {
         self.send(request).await?;
-        let head = self.read_head(&request.method, response_timeout).await?;
+        self.read_response(&request.method, response_timeout, limit).await
+    }
+
+    /// Reads the whole response to a request with `method`, which must begin within
+    /// `response_timeout` and whose body has at most `limit` bytes.
+    ///
+    /// # Errors
+    /// Fails if the connection does; `BodyTooLarge` over `limit` bytes.
+    pub async fn read_response(
+        &mut self,
+        method: &Method,
+        response_timeout: Duration,
+        limit: usize,
+    ) -> Result<ClientResponse, HttpFault> {
+        let head = self.read_head(method, response_timeout).await?;
         let body = self.reader.read_body(&mut self.framing, limit).await;
         if body.is_err() {
             self.reusable = false;
--- a/crates/serving/src/entry/job_relay.rs
+++ b/crates/serving/src/entry/job_relay.rs
@@ -8,6 +8,7 @@
 use cv_http::ClientResponse;
 use cv_http::ConnectionPool;
 use cv_http::HttpFault;
+use cv_http::SendFault;
 use cv_http::ServerExchange;
 use cv_timeline::EventKind;
 use cv_timeline::LinePriority;
@@ -22,6 +23,9 @@
 /// Longest time to connect to a keeper.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Longest wait for a keeper's `100 Continue`, which it sends before anything else.
+const CONTINUE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Longest wait for a keeper's response; a keeper may delay the response to a read by a second.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_800);
 
@@ -65,6 +69,8 @@
             match response.status {
                 StatusCode::SERVICE_UNAVAILABLE => {}
                 StatusCode::INTERNAL_SERVER_ERROR => is_ambiguous = true,
+                // A refusal by one keeper says nothing about what another one has received.
+                StatusCode::TOO_MANY_REQUESTS if is_ambiguous => {}
                 _ => {
                     strip_hop_by_hop(&mut response.headers);
                     return exchange
@@ -97,7 +103,19 @@
         is_ambiguous: &mut bool,
     ) -> Option<ClientResponse> {
         let mut connection = self.pool.connect(address, CONNECT_TIMEOUT).await.ok()?;
-        let response = connection.exchange(request, RESPONSE_TIMEOUT, MAX_RESPONSE_BYTES).await;
+        let response = if request.body.is_empty() {
+            connection.exchange(request, RESPONSE_TIMEOUT, MAX_RESPONSE_BYTES).await
+        } else {
+            // A frozen keeper does not get the body, so it cannot accept the job when it continues.
+            match connection.send_expecting_continue(request, CONTINUE_TIMEOUT).await {
+                Err(SendFault::BeforeBody(_)) => return None,
+                Err(SendFault::BodyStarted(fault)) => Err(fault),
+                Ok(()) => {
+                    let method = &request.method;
+                    connection.read_response(method, RESPONSE_TIMEOUT, MAX_RESPONSE_BYTES).await
+                }
+            }
+        };
         let Ok(response) = response else {
             *is_ambiguous = true;
             return None;
