Drop items of a keeper that a sidecar no longer hears

Cause: a keeper that is frozen for longer than its lease keeps its connections. Its sidecars went on running its items, while the next owner of the jobs resumed them elsewhere.

Evidence: the new node test failed before, with an overlap of 3.3 s at an undisturbed sidecar; 400 ms are allowed.

Change: a sidecar drops the items of a keeper whose datagrams have been missing for 2 s. Keepers send two a second to each sidecar, also to one that has their items and is no longer listed.

Ruled out: TCP keep-alive, which the kernel of a frozen process answers.

--- a/crates/clementinevale/tests/nodes/frozen_keepers.rs
+++ b/crates/clementinevale/tests/nodes/frozen_keepers.rs
@@ -13,6 +13,9 @@
 
 use crate::job_checks::submit_until_accepted;
 
+/// Time for which two targets may work on the same item after it has moved.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
 /// Starts a fleet of two engines, two entries and two keepers.
 fn start_fleet(queued_tokens: u64) -> NodeFleet {
     let size = NodeFleetSize { engines: 2, entries: 2, keepers: 2 };
@@ -60,3 +63,37 @@
         assert!(!is_refused, "item {} of a refused job runs", run.request_id);
     }
 }
+
+// Guards against sidecars that work on for a frozen keeper while the next owner of its jobs lets
+// their items go on at other targets.
+#[test]
+fn a_run_of_a_frozen_keeper_ends_before_its_item_goes_on() {
+    const LONG_ITEM_EVENTS: u64 = 1_400;
+    let fleet = start_fleet(100_000);
+    let entries = fleet.entry_addresses();
+    block_on(async {
+        for job in 0..4 {
+            submit_until_accepted(&entries, &format!("job{job}"), 1, LONG_ITEM_EVENTS).await;
+        }
+    })
+    .expect("the runtime starts");
+    // Output is replicated every second.
+    std::thread::sleep(Duration::from_millis(2_500));
+    signal_keeper(&fleet, Signal::STOP);
+    std::thread::sleep(Duration::from_secs(7));
+    signal_keeper(&fleet, Signal::CONT);
+    std::thread::sleep(Duration::from_secs(2));
+    let runs = fleet.target_log.runs();
+    let resumed: Vec<_> = runs.iter().filter(|run| run.after > 0).collect();
+    assert!(!resumed.is_empty(), "no item has gone on");
+    for run in resumed {
+        let overlap_end = run.started_at + MAX_OVERLAP;
+        let overlapping = runs.iter().find(|other| {
+            other.request_id == run.request_id
+                && other.target_id != run.target_id
+                && other.started_at < run.started_at
+                && other.ended_at.is_none_or(|end| end > overlap_end)
+        });
+        assert!(overlapping.is_none(), "{run:?} overlaps {overlapping:?}");
+    }
+}
--- a/crates/clementinevale/tests/soak/main.rs
+++ b/crates/clementinevale/tests/soak/main.rs
@@ -86,7 +86,7 @@
         }
         let (entries, check, faults_are_over) = (&entries, &check, &faults_are_over);
         let jobs = scope.spawn(move || {
-            JobLoad { check, duration: seconds, entries, faults_are_over, scale, seed }.run()
+            JobLoad { check, duration: seconds, entries, faults_are_over, scale, seed }.run();
         });
         FaultSchedule::new(seed).run(&mut fleet, seconds, check);
         faults_are_over.store(true, Ordering::Relaxed);
--- a/crates/clementinevale/tests/soak/soak_jobs.rs
+++ b/crates/clementinevale/tests/soak/soak_jobs.rs
@@ -100,7 +100,7 @@
                     return true;
                 }
                 CallerOutcome::Incorrect(detail) => {
-                    self.check.report(format!("job {id}: {detail}"))
+                    self.check.report(format!("job {id}: {detail}"));
                 }
                 CallerOutcome::NotRun => {}
                 CallerOutcome::Unknown(_) => is_refused = false,
--- a/crates/dispatch/src/sidecar_subscriptions.rs
+++ b/crates/dispatch/src/sidecar_subscriptions.rs
@@ -56,6 +56,12 @@
         });
     }
 
+    /// Returns whether a sidecar is among those to notify.
+    #[must_use]
+    pub fn contains(&self, address: SocketAddr) -> bool {
+        self.rows.binary_search_by_key(&address, |row| row.address).is_ok()
+    }
+
     /// Returns the sidecars to notify, each with the state of its target.
     pub fn notices(&self) -> impl Iterator<Item = (SocketAddr, TargetState)> + '_ {
         self.rows.iter().map(|row| (row.address, row.state))
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -219,6 +219,7 @@
                 wait_budget: reservation
                     .map_or(Duration::ZERO, |_| self.context.max_expected_wait()),
                 expected_run: Duration::ZERO,
+                keeper: None,
                 objective_left: self.context.objective_left(),
                 slots: choice.slots,
                 queue_timeout: WaitPolicy.queue_timeout(self.context.time_left()),
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -56,6 +56,8 @@
     pub(crate) quarantine: Rc<QuarantineDesk>,
     /// Whether the store responds to this process.
     pub store_health: StoreHealth,
+    /// Sidecars that run items of this process, with the number of items, sorted.
+    busy_sidecars: RefCell<Vec<(SocketAddr, u32)>>,
     /// The active configuration, as the operator wrote it.
     config: RefCell<Option<Vec<u8>>>,
     random: RefCell<SeededRandom>,
@@ -75,6 +77,7 @@
     #[must_use]
     pub fn new(clock: ProcessClock, log: LineLog, seed: u64) -> Self {
         Self {
+            busy_sidecars: RefCell::default(),
             clock,
             config: RefCell::default(),
             quarantine: QuarantineDesk::new(clock, log.clone()),
@@ -146,6 +149,31 @@
         body(&mut self.targets.borrow_mut())
     }
 
+    /// Records that a sidecar gets an item of this process.
+    pub(crate) fn begin_item_at(&self, sidecar: SocketAddr) {
+        let mut sidecars = self.busy_sidecars.borrow_mut();
+        match sidecars.binary_search_by_key(&sidecar, |(address, _)| *address) {
+            Ok(position) => sidecars[position].1 += 1,
+            Err(position) => sidecars.insert(position, (sidecar, 1)),
+        }
+    }
+
+    /// Records that a sidecar no longer has an item of this process.
+    pub(crate) fn end_item_at(&self, sidecar: SocketAddr) {
+        let mut sidecars = self.busy_sidecars.borrow_mut();
+        if let Ok(position) = sidecars.binary_search_by_key(&sidecar, |(address, _)| *address) {
+            sidecars[position].1 -= 1;
+            if sidecars[position].1 == 0 {
+                sidecars.remove(position);
+            }
+        }
+    }
+
+    /// Returns the sidecars that have items of this process, sorted.
+    pub(crate) fn busy_sidecars(&self) -> Vec<SocketAddr> {
+        self.busy_sidecars.borrow().iter().map(|(address, _)| *address).collect()
+    }
+
     /// Returns the known keepers.
     #[must_use]
     pub fn keepers(&self) -> KeeperSet {
--- a/crates/serving/src/internal_headers.rs
+++ b/crates/serving/src/internal_headers.rs
@@ -1,5 +1,6 @@
 //! Headers and datagrams that the system's own processes exchange.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cv_dispatch::LoadReport;
@@ -12,6 +13,9 @@
 /// Version of the configuration by which an entry has routed a job's submission.
 const CONFIG_VERSION: HeaderName = HeaderName::from_static("cv-config-version");
 
+/// Address from which the keeper that sends an item sends its datagrams.
+const KEEPER: HeaderName = HeaderName::from_static("cv-keeper");
+
 /// Prefix of all headers that only the system's own processes exchange.
 const INTERNAL_PREFIX: &str = "cv-";
 
@@ -80,6 +84,8 @@
     pub wait_budget: Duration,
     /// Expected run time of a batch item.
     pub expected_run: Duration,
+    /// Address from which the keeper of a batch item sends its datagrams.
+    pub keeper: Option<SocketAddr>,
     /// Time in which an online request has to start to meet its latency objective.
     pub objective_left: Duration,
     /// Requests that the target runs at once, or 0 if that is unknown.
@@ -107,6 +113,10 @@
         headers.insert(OBJECTIVE_LEFT, HeaderValue::from(objective_left));
         headers.insert(SLOTS, HeaderValue::from(self.slots));
         headers.insert(QUEUE_TIMEOUT, HeaderValue::from(self.queue_timeout.as_millis() as u64));
+        let keeper = self.keeper.map(|address| HeaderValue::from_str(&address.to_string()));
+        if let Some(Ok(keeper)) = keeper {
+            headers.insert(KEEPER, keeper);
+        }
         if let Some(ReservationId(id)) = self.reservation {
             headers.insert(RESERVATION, HeaderValue::from(id));
         }
@@ -128,6 +138,7 @@
             class,
             wait_budget,
             expected_run,
+            keeper: headers.get(KEEPER).and_then(|value| value.to_str().ok()?.parse().ok()),
             objective_left: Duration::from_millis(number(OBJECTIVE_LEFT).unwrap_or(0)),
             slots: number(SLOTS).unwrap_or(0) as u32,
             queue_timeout,
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -148,6 +148,10 @@
             let left_ms = self.due_ms.saturating_sub(self.state.view.clock.wall_millis());
             format!("after={last_event:?} run_ms={} left_ms={left_ms}", expected_run.as_millis())
         });
+        let sidecar = self.state.identity.sidecar_address(self.target.address);
+        if self.target.through_sidecar {
+            self.state.view.begin_item_at(sidecar);
+        }
         let outcome = monoio::select! {
             outcome = self.run_once() => outcome,
             () = self.job.wait_until(|job| !job.is_active()) => {
@@ -155,6 +159,9 @@
             }
             () = self.withdrawn.notified() => RunOutcome::Withdrawn,
         };
+        if self.target.through_sidecar {
+            self.state.view.end_item_at(sidecar);
+        }
         self.state.schedule.borrow_mut().end_run(self.id);
         self.state.view.with_targets(|targets| targets.end_item(&self.target.id));
         self.state.withdrawals.borrow_mut().retain(|(id, _)| *id != self.id);
@@ -389,6 +396,7 @@
                 class: WorkClass::Batch,
                 wait_budget,
                 expected_run,
+                keeper: Some(self.state.identity.internal_address()),
                 objective_left: Duration::ZERO,
                 slots,
                 queue_timeout: Duration::ZERO,
--- a/crates/serving/src/load_listener.rs
+++ b/crates/serving/src/load_listener.rs
@@ -64,6 +64,13 @@
         loop {
             let now = ticks.next().await;
             subscriptions.update(now, listed_sidecars(&view, &identity));
+            // A sidecar drops the items of a keeper that it no longer hears, so those that have some
+            // are notified even after their target's registration has vanished.
+            let mut busy_sidecars = view.busy_sidecars();
+            busy_sidecars.retain(|address| !subscriptions.contains(*address));
+            for address in busy_sidecars {
+                let _ = socket.send_to(TARGET_READY.to_vec(), address).await;
+            }
             for (address, target_state) in subscriptions.notices() {
                 let state = match target_state {
                     TargetState::Ready => TARGET_READY,
--- a/crates/serving/src/sidecar/load_reporter.rs
+++ b/crates/serving/src/sidecar/load_reporter.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cv_dispatch::LoadReport;
+use cv_dispatch::PeerPresence;
 use cv_policy::MonotonicTime;
 use cv_timeline::EventKind;
 use cv_timeline::LineLog;
@@ -46,6 +47,8 @@
     /// Receives records of prompt parts, which come to the same socket.
     exchange: Rc<QuarantineExchange>,
     log: LineLog,
+    /// Records when the keepers were last heard.
+    presence: Rc<RefCell<PeerPresence>>,
     /// Receives requests for permits, which come to the same socket.
     permits: Rc<PermitDesk>,
     /// Receives reservations, which come to the same socket.
@@ -63,6 +66,7 @@
         gate: Rc<SlotGate>,
         log: LineLog,
         exchange: Rc<QuarantineExchange>,
+        presence: Rc<RefCell<PeerPresence>>,
         socket: Rc<UdpSocket>,
         timers: &TimerService,
     ) -> Rc<ReservationDesk> {
@@ -73,6 +77,7 @@
             draining_until: Cell::default(),
             exchange,
             log,
+            presence,
             permits: PermitDesk::new(clock, Rc::clone(&socket)),
             desk: Rc::clone(&desk),
             socket,
@@ -120,6 +125,7 @@
             }
             self.exchange.note_peer(address).await;
             let now = self.clock.now();
+            self.presence.borrow_mut().record(address, now);
             self.apply_target_state(now, &datagram);
             let mut subscribers = self.subscribers.borrow_mut();
             match subscribers.binary_search_by_key(&address, |(other, _)| *other) {
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -1,5 +1,6 @@
 //! Handles requests from entries and keepers to the engine.
 
+use std::cell::RefCell;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,6 +9,7 @@
 
 use bytes::Bytes;
 use cv_dispatch::AdmissionOptions;
+use cv_dispatch::PeerPresence;
 use cv_dispatch::PromptPart;
 use cv_dispatch::QuarantineDecision;
 use cv_http::ClientRequest;
@@ -49,6 +51,10 @@
 /// Longest wait for the head of the engine's response to a request without a deadline.
 const DEFAULT_RESPONSE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time without a datagram of an item's keeper, which sends two a second, after which the item is
+/// dropped; shorter than the time in which another keeper takes over a lost one's jobs.
+const MAX_KEEPER_SILENCE: Duration = Duration::from_secs(2);
+
 /// Times that an online request is sent again to an engine that refuses it. One that is larger than
 /// the engine's memory is refused each time.
 const MAX_ENGINE_FULL_RETRIES: u32 = 5;
@@ -72,6 +78,8 @@
     pub metrics: SidecarMetrics,
     /// Pool of connections to the engine.
     pub pool: ConnectionPool,
+    /// When the keepers were last heard.
+    pub presence: Rc<RefCell<PeerPresence>>,
     /// The prompt parts that end engines.
     pub quarantine: Rc<QuarantineDesk>,
     /// Watches the runs of the engine.
@@ -261,11 +269,49 @@
         Ok(None)
     }
 
-    /// Queues a batch item and runs it in the slots that online requests leave free.
+    /// Queues a batch item and runs it in the slots that online requests leave free, for as long as
+    /// its keeper is heard.
+    ///
+    /// The connection of a frozen keeper stays open, while another one takes its jobs over and may
+    /// let the item go on at another engine, or close the job.
     async fn serve_batch(
         &self,
         exchange: &mut ServerExchange<'_>,
         request: &SidecarRequest,
+    ) -> Result<(), HttpFault> {
+        let Some(keeper) = request.options.keeper else {
+            return self.queue_and_run(exchange, request).await;
+        };
+        monoio::select! {
+            result = self.queue_and_run(exchange, request) => result,
+            () = self.wait_for_silence(keeper) => {
+                let subject = request.request_id.as_deref().unwrap_or_default();
+                self.log.record(LinePriority::Essential, EventKind::ItemReleased, subject, || {
+                    format!("keeper={keeper} silent_ms={}", MAX_KEEPER_SILENCE.as_millis())
+                });
+                Err(HttpFault::Closed)
+            }
+        }
+    }
+
+    /// Resolves when a keeper has not been heard for [`MAX_KEEPER_SILENCE`].
+    async fn wait_for_silence(&self, keeper: SocketAddr) {
+        let since = self.clock.now();
+        loop {
+            let silence = self.presence.borrow().silence(keeper, since, self.clock.now());
+            let Some(left) = MAX_KEEPER_SILENCE.checked_sub(silence).filter(|left| !left.is_zero())
+            else {
+                return;
+            };
+            monoio::time::sleep(left).await;
+        }
+    }
+
+    /// Queues a batch item and runs it in the slots that online requests leave free.
+    async fn queue_and_run(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        request: &SidecarRequest,
     ) -> Result<(), HttpFault> {
         match self.admit(exchange, request).await? {
             Some(ticket) => BatchRelay::new(self, request, ticket).run(exchange).await,
--- a/crates/serving/src/sidecar/sidecar_node.rs
+++ b/crates/serving/src/sidecar/sidecar_node.rs
@@ -1,11 +1,13 @@
 //! Starts and stops a sidecar process.
 
+use std::cell::RefCell;
 use std::io;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use cv_dispatch::PeerPresence;
 use cv_http::ConnectionPool;
 use cv_http::DrainGate;
 use cv_http::HttpLimits;
@@ -85,7 +87,10 @@
             DirectoryPeers::default,
         );
         let (log, reporting_gate) = (self.log.clone(), Rc::clone(&gate));
-        let desk = LoadReporter::start(clock, reporting_gate, log, exchange, socket, &timers);
+        let presence = Rc::new(RefCell::new(PeerPresence::default()));
+        let heard = Rc::clone(&presence);
+        let desk =
+            LoadReporter::start(clock, reporting_gate, log, exchange, heard, socket, &timers);
         let metrics = SidecarMetrics::new().map_err(io::Error::other)?;
         let engine = self.settings.engine;
         let watch_parts = EngineWatchParts {
@@ -107,6 +112,7 @@
             log: self.log.clone(),
             metrics,
             pool: ConnectionPool::new(HttpLimits::default()),
+            presence,
             quarantine,
             watch,
         };
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod job_tracker;
 mod keeper_set;
 mod load_simulation;
+mod peer_presence;
 mod placement;
 mod quarantine;
 mod request_limits;
