Start no items before the closed jobs are known

Cause: a keeper that regained the store acted before its watch of the jobs had recovered, and other keepers had acknowledged closes meanwhile. Past its lease a keeper without contact went on whether or not the store responded to others.

Change: after a loss of contact or a freeze the closed jobs are read before items start; past its lease a keeper goes on only in an outage that all others confirm; closes are announced to all keepers.

--- a/crates/clementinevale/tests/nodes/frozen_keepers.rs
+++ b/crates/clementinevale/tests/nodes/frozen_keepers.rs
@@ -1,6 +1,7 @@
 //! Keepers that are stopped for longer than their lease, and then continue.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use cv_runtime::block_on;
 use cv_tests::FleetOptions;
@@ -8,11 +9,17 @@
 use cv_tests::NodeFleetSize;
 use cv_tests::Signal;
 use cv_tests::node_caller::CallerOutcome;
+use cv_tests::node_caller::close_job;
 use cv_tests::node_caller::submit_job;
 use futures::future::join_all;
 
+use crate::job_checks::EVENTS_PER_ITEM;
+use crate::job_checks::JOB_TIMEOUT;
 use crate::job_checks::submit_until_accepted;
 
+/// Time after the acknowledged close of a job from which none of its items may start.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Time for which two targets may work on the same item after it has moved.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 
@@ -64,6 +71,41 @@
     }
 }
 
+// Guards against a keeper that, after a freeze, runs items of jobs that were closed meanwhile.
+#[test]
+fn a_thawed_keeper_runs_no_item_of_a_closed_job() {
+    let fleet = start_fleet(100_000);
+    let entries = fleet.entry_addresses();
+    let jobs: Vec<String> = (0..4).map(|job| format!("job{job}")).collect();
+    block_on(async {
+        for job in &jobs {
+            submit_until_accepted(&entries, job, 150, EVENTS_PER_ITEM).await;
+        }
+    })
+    .expect("the runtime starts");
+    signal_keeper(&fleet, Signal::STOP);
+    // The keeper learns late that the jobs are closed.
+    fleet.store.set_lagging(true);
+    block_on(async {
+        for job in &jobs {
+            let started_at = Instant::now();
+            while !close_job(entries[0], job).await {
+                assert!(started_at.elapsed() < JOB_TIMEOUT, "the close of {job} takes too long");
+            }
+        }
+    })
+    .expect("the runtime starts");
+    let closed_at = Instant::now();
+    std::thread::sleep(CANCEL_TIMEOUT + Duration::from_millis(500));
+    signal_keeper(&fleet, Signal::CONT);
+    std::thread::sleep(Duration::from_secs(2));
+    fleet.store.set_lagging(false);
+    std::thread::sleep(Duration::from_secs(1));
+    let runs = fleet.target_log.runs();
+    let late = runs.iter().filter(|run| run.started_at > closed_at + CANCEL_TIMEOUT);
+    assert_eq!(late.count(), 0, "items of closed jobs run");
+}
+
 // Guards against sidecars that work on for a frozen keeper while the next owner of its jobs lets
 // their items go on at other targets.
 #[test]
--- a/crates/clementinevale/tests/nodes/stale_views.rs
+++ b/crates/clementinevale/tests/nodes/stale_views.rs
@@ -1,11 +1,14 @@
 //! Keepers that know an older configuration, or fewer closed jobs, than the rest of the fleet.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use cv_runtime::block_on;
 use cv_standin::FaultMode;
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
+use cv_tests::node_caller::close_job;
+use futures::future::join_all;
 
 use crate::job_checks::EVENTS_PER_ITEM;
 use crate::job_checks::read_all_results;
@@ -14,6 +17,9 @@
 /// Time in which a running process learns of a change in the store.
 const PROPAGATION_TIME: Duration = Duration::from_millis(500);
 
+/// Time after the acknowledged close of a job from which none of its items may start.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Time for which connections break off; too short for a process to take the store for down.
 const DISCONNECTION_TIME: Duration = Duration::from_millis(15);
 
@@ -23,9 +29,9 @@
     NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size)
 }
 
-/// Sets how the store's connections to the keepers behave.
-fn set_keeper_connections(fleet: &NodeFleet, mode: FaultMode) {
-    for node in fleet.nodes.iter().filter(|node| node.name.starts_with("keeper")) {
+/// Sets how the store's connections to the processes behave whose names start with `prefix`.
+fn set_connection(fleet: &NodeFleet, prefix: &str, mode: FaultMode) {
+    for node in fleet.nodes.iter().filter(|node| node.name.starts_with(prefix)) {
         node.store_proxy.set_mode(mode);
     }
 }
@@ -41,9 +47,9 @@
     std::thread::sleep(PROPAGATION_TIME);
     // The keepers' watches break off, and their next reads of the configuration take long.
     fleet.store.set_read_delay("op/config", Duration::from_secs(5));
-    set_keeper_connections(&fleet, FaultMode::Disconnect);
+    set_connection(&fleet, "keeper", FaultMode::Disconnect);
     std::thread::sleep(DISCONNECTION_TIME);
-    set_keeper_connections(&fleet, FaultMode::Pass);
+    set_connection(&fleet, "keeper", FaultMode::Pass);
     std::thread::sleep(PROPAGATION_TIME);
     fleet.write_config(3, 2);
     std::thread::sleep(PROPAGATION_TIME);
@@ -57,3 +63,36 @@
     })
     .expect("the runtime starts");
 }
+
+// Guards against a keeper that runs items as soon as any call to the store succeeds again, before it
+// knows which jobs other keepers have closed meanwhile.
+#[test]
+fn a_keeper_that_regains_the_store_runs_no_item_of_a_closed_job() {
+    /// Time without the store, in which the keeper stays the owner of its jobs.
+    const LOSS_TIME: Duration = Duration::from_millis(3_100);
+    let fleet = small_fleet();
+    let entries = fleet.entry_addresses();
+    let jobs: Vec<String> = (0..4).map(|job| format!("job{job}")).collect();
+    block_on(async {
+        for job in &jobs {
+            submit_until_accepted(&entries, job, 150, EVENTS_PER_ITEM).await;
+        }
+    })
+    .expect("the runtime starts");
+    // Both keepers renew their leases at about the same time, so the lease outlasts the loss.
+    let renewals = fleet.store.call_count("/kv-keep/");
+    let has_renewed = |fleet: &NodeFleet| fleet.store.call_count("/kv-keep/") >= renewals + 2;
+    assert!(fleet.wait_for(Duration::from_secs(3), has_renewed));
+    let lost_at = Instant::now();
+    set_connection(&fleet, "keeper-70", FaultMode::TurnAway);
+    let closed = block_on(join_all(jobs.iter().map(|job| close_job(entries[0], job))));
+    assert!(closed.expect("the runtime starts").into_iter().all(|closed| closed));
+    let closed_at = Instant::now();
+    fleet.store.set_read_delay("cv/work/", Duration::from_secs(3));
+    std::thread::sleep(LOSS_TIME.saturating_sub(lost_at.elapsed()));
+    set_connection(&fleet, "keeper-70", FaultMode::Pass);
+    std::thread::sleep(Duration::from_secs(5));
+    let runs = fleet.target_log.runs();
+    let late = runs.iter().filter(|run| run.started_at > closed_at + CANCEL_TIMEOUT);
+    assert_eq!(late.count(), 0, "items of closed jobs run");
+}
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -5,6 +5,7 @@
 
 use cv_dispatch::BatchOrder;
 use cv_dispatch::DispatchPass;
+use cv_dispatch::ThawDetector;
 use cv_policy::MonotonicTime;
 use cv_timeline::EventKind;
 use cv_timeline::LinePriority;
@@ -22,6 +23,7 @@
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::result_commits::load_results;
 use crate::keeper::result_commits::start_commits;
+use crate::keeper::stored_keys::CLOSED_PREFIX;
 use crate::keeper::stored_keys::WORK_PREFIX;
 use crate::keeper::stored_keys::WorkKey;
 use crate::keeper::stored_keys::closed_key;
@@ -64,6 +66,7 @@
     let moves = timers.subscribe(MOVE_INTERVAL);
     let state = Rc::clone(state);
     monoio::spawn(async move {
+        let mut thaw = ThawDetector::default();
         loop {
             monoio::select! {
                 _ = reviews.next() => {
@@ -73,6 +76,12 @@
                 _ = moves.next() => withdraw_runs(&state),
                 () = state.work_available.notified() => {}
             }
+            let now = state.view.clock.now();
+            if thaw.may_read_backlog(now) {
+                // Responses that arrived during the freeze are no sign of contact with the store.
+                state.knows_closed_jobs.set(false);
+            }
+            thaw.tick(now);
             dispatch_items(&state);
         }
     });
@@ -250,8 +259,40 @@
     });
 }
 
+/// Returns whether items may be started: other keepers have closed no jobs without this one's
+/// knowledge. Starts to read which jobs are closed if that may have happened.
+///
+/// The watch of the jobs recovers by itself, and later than other calls to the store.
+fn knows_closed_jobs<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) -> bool {
+    if !state.has_store_contact() {
+        state.knows_closed_jobs.set(false);
+        // Nobody can close a job while the store responds to no keeper.
+        return state.is_outage_confirmed.get();
+    }
+    if !state.knows_closed_jobs.get() && !state.is_reading_closed.replace(true) {
+        let state = Rc::clone(state);
+        monoio::spawn(async move {
+            let read = state.store.range(CLOSED_PREFIX).await;
+            if let Ok(snapshot) = state.view.store_health.observe(read) {
+                for item in snapshot.items {
+                    if let Some(WorkKey::Closed(job_id)) = WorkKey::parse(&item.key) {
+                        mark_job_closed(&state, job_id);
+                    }
+                }
+                state.knows_closed_jobs.set(true);
+                state.work_available.notify_one();
+            }
+            state.is_reading_closed.set(false);
+        });
+    }
+    state.knows_closed_jobs.get()
+}
+
 /// Starts runs of waiting items in batch order, until no service has room.
 fn dispatch_items<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
+    if !knows_closed_jobs(state) {
+        return;
+    }
     let now_ms = state.view.clock.wall_millis();
     let mut waiting = Vec::new();
     let mut pass = DispatchPass::default();
--- a/crates/serving/src/keeper/job_requests.rs
+++ b/crates/serving/src/keeper/job_requests.rs
@@ -16,6 +16,7 @@
 use crate::PlatformAdapter;
 use crate::StoreCommit;
 use crate::StoreFault;
+use crate::keeper::close_notices::announce_close;
 use crate::keeper::job_dispatch::mark_job_closed;
 use crate::keeper::job_record::JobRecord;
 use crate::keeper::keeper_state::KeeperState;
@@ -194,6 +195,7 @@
     match state.commit_with_retry(&commit, WRITE_TIMEOUT).await {
         Ok(_) => {
             mark_job_closed(state, job_id);
+            announce_close(state, job_id);
             empty_response(StatusCode::OK)
         }
         Err(fault) => {
--- a/crates/serving/src/keeper/keeper_handler.rs
+++ b/crates/serving/src/keeper/keeper_handler.rs
@@ -19,6 +19,8 @@
 use crate::internal_handler::METRICS_PATH;
 use crate::internal_handler::respond_metrics;
 use crate::internal_headers::read_config_version;
+use crate::keeper::close_notices::CLOSED_PATH;
+use crate::keeper::close_notices::receive_close;
 use crate::keeper::job_requests::CallResponse;
 use crate::keeper::job_requests::close_job;
 use crate::keeper::job_requests::read_item;
@@ -60,6 +62,10 @@
             return exchange.respond(status, &HeaderMap::new(), &Bytes::new()).await;
         }
         let body = exchange.read_body(MAX_BODY_BYTES).await?;
+        if let Some(job) = exchange.head().uri.path().strip_prefix(CLOSED_PATH) {
+            let (status, body) = receive_close(&self.state, job);
+            return exchange.respond(status, &HeaderMap::new(), &body).await;
+        }
         if let Some(job) = exchange.head().uri.path().strip_prefix(UPDATES_PATH) {
             let (status, body) = if job.is_empty() {
                 receive_updates(&self.state, &body)
--- a/crates/serving/src/keeper/keeper_registration.rs
+++ b/crates/serving/src/keeper/keeper_registration.rs
@@ -1,5 +1,6 @@
 //! Registers a keeper under a lease, and detects when the store responds only to other keepers.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,9 +8,11 @@
 use cv_dispatch::KeeperRecord;
 use cv_dispatch::KeeperSet;
 use cv_http::ClientRequest;
+use cv_http::HttpFault;
 use cv_policy::lease::LeaseClock;
 use cv_timeline::EventKind;
 use cv_timeline::LinePriority;
+use futures::future::join_all;
 use http::Method;
 use http::StatusCode;
 
@@ -47,10 +50,10 @@
 const PEER_QUERY_INTERVAL: Duration = Duration::from_millis(60);
 
 /// Maximum time for a query to another keeper.
-const PEER_QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const PEER_QUERY_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum size of the response to a query, in bytes.
-const MAX_PEER_RESPONSE_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_PEER_RESPONSE_BYTES: usize = 64 * 1024;
 
 /// Number of consecutive checks that do not find the registration before it is made again.
 const MAX_MISSED_CHECKS: u32 = 2;
@@ -158,7 +161,10 @@
 async fn load_work<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
     loop {
         match state.view.store_health.observe(state.store.range(WORK_PREFIX).await) {
-            Ok(snapshot) => return apply_work_update(state, StoreUpdate::Snapshot(snapshot.items)),
+            Ok(snapshot) => {
+                state.knows_closed_jobs.set(true);
+                return apply_work_update(state, StoreUpdate::Snapshot(snapshot.items));
+            }
             Err(_) => monoio::time::sleep(RETRY_DELAY).await,
         }
     }
@@ -172,14 +178,14 @@
     let mut checks = 0;
     loop {
         monoio::time::sleep(ISOLATION_CHECK_INTERVAL).await;
-        let mut peer_has_contact = false;
-        if !state.has_store_contact() {
-            for keeper in state.view.keepers().keepers() {
-                peer_has_contact |= keeper.name != state.identity.name
-                    && peer_has_store_contact(&state, keeper.address).await;
-            }
-        }
-        checks = if peer_has_contact { checks + 1 } else { 0 };
+        let peers = if state.has_store_contact() {
+            PeerContact::Unknown
+        } else {
+            query_store_contact(&state).await
+        };
+        let is_outage = peers == PeerContact::Lost && !state.has_store_contact();
+        state.is_outage_confirmed.set(is_outage);
+        checks = if peers == PeerContact::Held { checks + 1 } else { 0 };
         let is_isolated = checks >= CHECKS_UNTIL_ISOLATED;
         if state.is_isolated.replace(is_isolated) != is_isolated {
             state.view.log.record(LinePriority::Essential, EventKind::LeaseLost, "keeper", || {
@@ -192,15 +198,49 @@
     }
 }
 
+/// Whether other keepers have contact with the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum PeerContact {
+    /// At least one has.
+    Held,
+    /// None has, and each has said so or has ended.
+    Lost,
+    /// At least one cannot be queried, and no other has contact.
+    Unknown,
+}
+
+/// Queries all other keepers for whether they have contact with the store.
+async fn query_store_contact<P: PlatformAdapter>(state: &KeeperState<P>) -> PeerContact {
+    let keeper_set = state.view.keepers();
+    let own_name = &state.identity.name;
+    let others = keeper_set.keepers().iter().filter(|keeper| keeper.name != *own_name);
+    let contacts = join_all(others.map(|keeper| peer_contact(state, keeper.address))).await;
+    if contacts.contains(&PeerContact::Held) {
+        PeerContact::Held
+    } else if contacts.contains(&PeerContact::Unknown) {
+        PeerContact::Unknown
+    } else {
+        PeerContact::Lost
+    }
+}
+
 /// Queries another keeper for whether it has contact with the store.
-async fn peer_has_store_contact<P: PlatformAdapter>(
+async fn peer_contact<P: PlatformAdapter>(
     state: &KeeperState<P>,
     address: SocketAddr,
-) -> bool {
+) -> PeerContact {
     let request = ClientRequest::new(Method::GET, STORE_CONTACT_PATH, "");
     let result =
         state.pool.exchange(address, &request, PEER_QUERY_TIMEOUT, MAX_PEER_RESPONSE_BYTES).await;
-    result.is_ok_and(|response| response.status == StatusCode::OK)
+    match result {
+        Ok(response) if response.status == StatusCode::OK => PeerContact::Held,
+        Ok(_) => PeerContact::Lost,
+        // Nothing listens there, so that keeper has ended.
+        Err(HttpFault::Io(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            PeerContact::Lost
+        }
+        Err(_) => PeerContact::Unknown,
+    }
 }
 
 /// Queries another keeper for whether it knows of this one.
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -45,8 +45,14 @@
     pub adapter: PhantomData<P>,
     /// Name, zone and addresses of this process.
     pub identity: Rc<NodeIdentity>,
+    /// Whether this keeper knows which jobs had been closed when it last had contact with the store.
+    pub knows_closed_jobs: Cell<bool>,
+    /// Whether a task is reading which jobs are closed.
+    pub is_reading_closed: Cell<bool>,
     /// Whether the store responds to other keepers but not to this one.
     pub is_isolated: Cell<bool>,
+    /// Whether the store was last seen to respond to no keeper at all.
+    pub is_outage_confirmed: Cell<bool>,
     /// Whether all other keepers know of this one, so that none of them claims its jobs.
     pub is_known_to_peers: Cell<bool>,
     /// Whether a task is giving up overdue items.
@@ -100,7 +106,8 @@
     /// Returns whether this keeper may own any jobs.
     ///
     /// While the store responds to no keeper, no keeper can take over or close a job, so runs
-    /// continue even after the lease has expired.
+    /// continue even after the lease has expired. Without a lease, a keeper that has only lost its
+    /// own contact, or that was frozen, owns nothing.
     fn can_own_jobs(&self) -> bool {
         let now = self.view.clock.now();
         let Some(lease) = self.lease.get() else {
@@ -108,7 +115,7 @@
         };
         let is_eligible =
             !self.is_draining.get() && self.is_known_to_peers.get() && !self.is_isolated.get();
-        is_eligible && (lease.holds(now) || !self.has_store_contact())
+        is_eligible && (lease.holds(now) || self.is_outage_confirmed.get())
     }
 
     /// Releases the ownership of all jobs; their results are loaded again before they are next run.
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -1,6 +1,7 @@
 //! The keeper: the process that accepts batch jobs, stores them in the coordination store and runs
 //! their items.
 
+mod close_notices;
 mod item_expiry;
 mod item_run;
 mod job_dispatch;
--- a/crates/serving/src/keeper/stored_keys.rs
+++ b/crates/serving/src/keeper/stored_keys.rs
@@ -10,7 +10,7 @@
 const JOB_PREFIX: &str = "cv/work/job/";
 
 /// Prefix of the keys that mark jobs as closed.
-const CLOSED_PREFIX: &str = "cv/work/end/";
+pub(crate) const CLOSED_PREFIX: &str = "cv/work/end/";
 
 /// Prefix of the keys of prompt parts in quarantine.
 pub(crate) const QUARANTINE_PREFIX: &str = "cv/work/quarantine/";
