Send no error response within a stream that has begun

Cause: after a stream broke off, a response to the resumed request with a status other than 5xx was sent as a response of its own.

Evidence: the new test failed before with 400, 404 and 422 ("invalid chunk" at the caller); 500 passed.

Change: once a stream has begun, any status but a success interrupts the attempt, and whatever a target sends goes through the stream's relay.

The test stays.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -3,6 +3,7 @@
 mod batch_jobs;
 mod crashing_prompts;
 mod faulty_responses;
+mod faulty_targets;
 mod frozen_keepers;
 mod job_checks;
 mod keeper_matrix;
--- a/crates/serving/src/entry/response_relay.rs
+++ b/crates/serving/src/entry/response_relay.rs
@@ -88,7 +88,8 @@
         time_left: Duration,
         may_continue: bool,
     ) -> Result<RelayOutcome, HttpFault> {
-        if self.kind == RouteKind::Streaming && status.is_success() {
+        // A response that has begun is a stream, whatever follows.
+        if self.has_started || self.kind == RouteKind::Streaming && status.is_success() {
             self.relay_stream(exchange, connection, status, headers, time_left, may_continue).await
         } else {
             self.relay_complete(exchange, connection, status, headers, time_left).await
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -160,7 +160,9 @@
         }
         let is_last = self.context.attempts >= self.context.route.max_attempts
             || !self.context.route.may_repeat();
-        if head.status.is_server_error() && (!is_last || relay.has_started()) {
+        // Only a stream can go on within the response that the caller has begun to receive.
+        let breaks_stream = relay.has_started() && !head.status.is_success();
+        if breaks_stream || head.status.is_server_error() && !is_last {
             return Ok(AttemptOutcome::Interrupted(format!("status={}", head.status)));
         }
         let headers = P::response_headers(&head.headers);
--- a/crates/standin/src/fault_proxy.rs
+++ b/crates/standin/src/fault_proxy.rs
@@ -37,6 +37,9 @@
     TruncateResponse(usize),
     /// Forwards requests and closes a connection when the first byte of a response arrives.
     LoseResponse,
+    /// Forwards everything, and sends each response with status 503 once more before the next one on
+    /// the same connection.
+    RepeatRefusals,
     /// Forwards chunked responses without chunks or length, and at most this many bytes of the body;
     /// closes the connection after each.
     Unframe(usize),
@@ -146,6 +149,7 @@
     let mut forwarded = 0;
     // Bytes that were discarded must not be missing from the middle of a connection that goes on.
     let mut has_discarded = false;
+    let mut last_refusal = Vec::new();
     loop {
         let (result, buffer) = from.read(Vec::with_capacity(READ_BUFFER_BYTES)).await;
         let length = match result {
@@ -170,6 +174,15 @@
                 }
                 break;
             }
+            FaultMode::RepeatRefusals if is_response => {
+                let repeated = std::mem::take(&mut last_refusal);
+                if !repeated.is_empty() && to.write_all(repeated).await.0.is_err() {
+                    break;
+                }
+                if buffer.starts_with(b"HTTP/1.1 503") {
+                    last_refusal = buffer[..length].to_vec();
+                }
+            }
             FaultMode::Unframe(limit) if is_response => {
                 let mut received = buffer;
                 received.truncate(length);
@@ -177,6 +190,7 @@
                 break;
             }
             FaultMode::Pass
+            | FaultMode::RepeatRefusals
             | FaultMode::Unframe(_)
             | FaultMode::TruncateResponse(_)
             | FaultMode::LoseResponse
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -118,6 +119,8 @@
     pub crash_rule: CrashRule,
     /// Whether the engines' streams have no chunks and end with their connection.
     pub has_unframed_streams: Arc<AtomicBool>,
+    /// Status of the targets' responses to requests that resume a stream; 0 if they serve them.
+    pub resume_status: Arc<AtomicU16>,
     /// Limit that all targets name, in requests in a hundred seconds; 0 for none.
     pub request_limit: Arc<AtomicU32>,
     /// All processes: sidecars, entries, keepers.
@@ -269,6 +272,7 @@
             address_block,
             crash_rule: CrashRule::new(ENGINE_DOWN_TIME),
             has_unframed_streams: Arc::default(),
+            resume_status: Arc::default(),
             request_limit: Arc::default(),
             nodes: Vec::new(),
             options,
@@ -304,6 +308,12 @@
         self.target_threads[index].restart();
     }
 
+    /// Returns the address of an engine for callers other than its sidecar.
+    #[must_use]
+    pub fn engine_address(&self, index: u8) -> SocketAddr {
+        self.socket_address(10 + index, TARGET_PORT)
+    }
+
     /// Returns the number of model engines.
     #[must_use]
     pub fn engine_count(&self) -> u8 {
@@ -415,7 +425,16 @@
             let is_unframed = Arc::clone(&self.has_unframed_streams);
             let log = self.target_log.clone();
             let request_limit = Arc::clone(&self.request_limit);
-            let target = PlatformTarget { crash_rule, id, is_unframed, kind, log, request_limit };
+            let resume_status = Arc::clone(&self.resume_status);
+            let target = PlatformTarget {
+                crash_rule,
+                id,
+                is_unframed,
+                kind,
+                log,
+                request_limit,
+                resume_status,
+            };
             let thread =
                 target.start(self.socket_address(host, TARGET_PORT)).expect("the target listens");
             self.target_threads.push(thread);
