Send a refused request again only on another connection

Cause: a sidecar sends a refused request again, on the connection that it released last. A copy of the refusal that the target wrote there has the same request id and was taken for the response.

Change: connections remember refused requests and the pool offers them for others only. A failure without a request id is no proof on a connection that has carried an earlier request.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -8,5 +8,6 @@
 mod job_checks;
 mod keeper_matrix;
 mod online_requests;
+mod repeated_refusals;
 mod request_limits;
 mod stale_views;
--- /dev/null
+++ b/crates/clementinevale/tests/nodes/repeated_refusals.rs
@@ -0,0 +1,196 @@
+//! A target that sends a refusal once more on the same connection.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use cv_http::ClientConnection;
+use cv_http::ClientRequest;
+use cv_http::HttpLimits;
+use cv_runtime::block_on;
+use http::Method;
+use http::StatusCode;
+use rstest::rstest;
+use tempfile::TempDir;
+
+/// Port of the calls between node processes.
+const INTERNAL_PORT: u16 = 17_660;
+
+/// Time in which the sidecar starts to listen.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time before each event of a run.
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Number of events of a run.
+const EVENTS: u32 = 25;
+
+/// An engine that refuses its first request, and sends the refusal once more on that connection
+/// before it responds to the next request there.
+struct RepeatingEngine {
+    /// Whether refusals name their request.
+    has_request_id: bool,
+    refused: AtomicU32,
+    runs: AtomicU32,
+}
+
+impl RepeatingEngine {
+    /// Serves each connection of a listener in a thread of its own.
+    fn serve(self: &Arc<Self>, listener: TcpListener) {
+        let engine = Arc::clone(self);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let engine = Arc::clone(&engine);
+                std::thread::spawn(move || engine.serve_connection(&stream));
+            }
+        });
+    }
+
+    /// Serves one connection until it closes.
+    fn serve_connection(&self, mut stream: &TcpStream) {
+        let mut reader = BufReader::new(stream);
+        let mut refusal = String::new();
+        while let Some(id) = read_request(&mut reader) {
+            if self.refused.fetch_add(1, Ordering::Relaxed) == 0 {
+                let name = if self.has_request_id {
+                    format!("Request-Id: {id}\r\n")
+                } else {
+                    String::new()
+                };
+                refusal = format!(
+                    "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n{name}Content-Length: 0\r\n\r\n"
+                );
+                if stream.write_all(refusal.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
+            self.runs.fetch_add(1, Ordering::Relaxed);
+            if stream.write_all(std::mem::take(&mut refusal).as_bytes()).is_err()
+                || stream_events(stream, &id).is_err()
+            {
+                return;
+            }
+        }
+    }
+}
+
+/// Reads a request with its body and returns its id; `None` at the end of the connection.
+fn read_request(reader: &mut BufReader<&TcpStream>) -> Option<String> {
+    let (mut id, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        if let Some(value) = line.strip_prefix("request-id:") {
+            value.trim().clone_into(&mut id);
+        } else if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(id)
+}
+
+/// Sends a successful response of [`EVENTS`] events.
+fn stream_events(mut stream: &TcpStream, id: &str) -> std::io::Result<()> {
+    write!(
+        stream,
+        "HTTP/1.1 200 OK\r\nServer-Seal: seal\r\nRequest-Id: {id}\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )?;
+    for number in 1..=EVENTS {
+        std::thread::sleep(EVENT_INTERVAL);
+        let event = format!("id: {number}\ndata: {number}\n\n");
+        write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
+
+/// A sidecar process, which is killed at the end.
+struct SidecarProcess(Child);
+
+impl Drop for SidecarProcess {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Starts a sidecar at an address and waits until it listens.
+fn start_sidecar(folder: &TempDir, address: SocketAddr, engine: SocketAddr) -> SidecarProcess {
+    let settings = folder.path().join("sidecar.yaml");
+    let text = format!(
+        "name: sidecar\nrole: sidecar\nzone: zone-0\nip: \"{}\"\ninner_port: {}\n\
+         store: \"127.0.0.1:9\"\nsidecar:\n  engine: \"{engine}\"\n",
+        address.ip(),
+        address.port(),
+    );
+    std::fs::write(&settings, text).expect("the settings file can be written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_clementinevale"));
+    command.arg("node").arg(&settings).stdin(Stdio::null()).stdout(Stdio::null());
+    let process = SidecarProcess(command.spawn().expect("the binary can be run"));
+    let started_at = std::time::Instant::now();
+    while TcpStream::connect(address).is_err() {
+        assert!(started_at.elapsed() < START_TIMEOUT, "the sidecar does not listen");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    process
+}
+
+// Guards against a refusal that a target repeats on a kept connection and that is taken for one of
+// the same request, sent again meanwhile: the request then runs twice.
+#[rstest]
+#[case::with_request_id(true)]
+#[case::without_request_id(false)]
+fn a_repeated_refusal_is_not_taken_for_a_new_one(#[case] has_request_id: bool) {
+    let octet = 100 + (std::process::id() % 100) as u8;
+    let host = if has_request_id { 10 } else { 11 };
+    let ip = IpAddr::V4(Ipv4Addr::new(127, octet, 250, host));
+    let listener = TcpListener::bind((ip, 0)).expect("a port is free");
+    let engine_address = listener.local_addr().expect("the listener is bound");
+    let engine = Arc::new(RepeatingEngine {
+        has_request_id,
+        refused: AtomicU32::new(0),
+        runs: AtomicU32::new(0),
+    });
+    engine.serve(listener);
+    let folder = TempDir::new().expect("a temporary folder can be created");
+    let address = SocketAddr::new(ip, INTERNAL_PORT);
+    let _sidecar = start_sidecar(&folder, address, engine_address);
+    let request = ClientRequest::new(Method::POST, "/plans/item", "body")
+        .with_header("host", "growers.example")
+        .with_header("request-id", "item1")
+        .with_header("token-count", "10,25")
+        .with_header("cv-class", "batch")
+        .with_header("cv-patience-ms", "10000")
+        .with_header("cv-slots", "4");
+    let response = block_on(async {
+        let timeout = Duration::from_secs(1);
+        let limits = HttpLimits::default();
+        let mut connection = ClientConnection::connect(address, timeout, limits).await?;
+        connection.exchange(&request, Duration::from_secs(10), 64 * 1024).await
+    });
+    let response = response.expect("the runtime starts").expect("the sidecar responds");
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(engine.runs.load(Ordering::Relaxed), 1, "the item has run more than once");
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -28,6 +28,9 @@
 use crate::limits::KEEP_ALIVE_PROBES;
 use crate::stream_tail::StreamTail;
 
+/// Refusals after which a connection is not reused.
+const MAX_REFUSALS: usize = 16;
+
 /// A request to send, with its whole body.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
@@ -87,6 +90,10 @@
     /// Idle timeout that the server announced, if it did.
     keep_alive_timeout: Option<Duration>,
     reader: HttpReader<OwnedReadHalf<TcpStream>>,
+    /// Ids of requests that the server has refused on this connection.
+    refused: Vec<String>,
+    /// Number of requests that have been sent.
+    requests: u32,
     reusable: bool,
     writer: HttpWriter<OwnedWriteHalf<TcpStream>>,
 }
@@ -121,6 +128,8 @@
             stream_tail: None,
             keep_alive_timeout: None,
             reader: HttpReader::new(read_half, limits),
+            refused: Vec::new(),
+            requests: 0,
             reusable: true,
             writer: HttpWriter::new(write_half, limits.write_timeout),
         })
@@ -132,6 +141,7 @@
     /// Fails if the connection does; the server may have received the request nevertheless.
     pub async fn send(&mut self, request: &ClientRequest) -> Result<(), HttpFault> {
         self.reusable = false;
+        self.requests += 1;
         let ClientRequest { body, headers, method, path } = request;
         self.writer.write_request(method, path, headers, body).await
     }
@@ -151,6 +161,7 @@
         continue_timeout: Duration,
     ) -> Result<(), SendFault> {
         self.reusable = false;
+        self.requests += 1;
         let ClientRequest { body, headers, method, path } = request;
         let mut headers = headers.clone();
         headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
@@ -271,10 +282,28 @@
         Ok(ClientResponse { body: body?, headers: head.headers, status: head.status })
     }
 
+    /// Records that the server has refused a request. A faulty server may send the refusal again on
+    /// this connection, so the request must not be sent on it again.
+    pub fn record_refusal(&mut self, request_id: &str) {
+        self.refused.push(request_id.to_owned());
+    }
+
+    /// Returns whether the server has refused a request on this connection.
+    #[must_use]
+    pub fn has_refused(&self, request_id: &str) -> bool {
+        self.refused.iter().any(|refused| refused == request_id)
+    }
+
+    /// Returns whether a response may belong to a request before the last one.
+    #[must_use]
+    pub fn has_earlier_requests(&self) -> bool {
+        self.requests > 1
+    }
+
     /// Returns whether another request may be sent.
     #[must_use]
     pub fn is_reusable(&self) -> bool {
-        self.reusable && self.framing.is_finished()
+        self.reusable && self.framing.is_finished() && self.refused.len() < MAX_REFUSALS
     }
 }
 
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -60,10 +60,25 @@
     /// Takes an idle connection that can still be used, if there is one.
     #[must_use]
     pub fn take_idle(&self, address: SocketAddr) -> Option<ClientConnection> {
+        self.take_idle_where(address, |_| true)
+    }
+
+    /// Takes an idle connection that can still be used and meets a condition, if there is one.
+    fn take_idle_where(
+        &self,
+        address: SocketAddr,
+        is_suitable: impl Fn(&ClientConnection) -> bool,
+    ) -> Option<ClientConnection> {
         let mut rows = self.rows.borrow_mut();
         let position = rows.binary_search_by_key(&address, |row| row.address).ok()?;
         let idle = &mut rows[position].idle;
-        while let Some(mut candidate) = idle.pop() {
+        let mut index = idle.len();
+        while index > 0 {
+            index -= 1;
+            if !is_suitable(&idle[index].connection) {
+                continue;
+            }
+            let mut candidate = idle.remove(index);
             if candidate.idle_since.elapsed() < candidate.max_idle_time()
                 && candidate.connection.is_idle()
             {
@@ -88,6 +103,24 @@
         }
     }
 
+    /// Takes an idle connection on which the server has not refused the request, or opens a new one
+    /// within `connect_timeout`.
+    ///
+    /// # Errors
+    /// Fails if no connection can be opened; no byte of a request has been sent then.
+    pub async fn connect_for(
+        &self,
+        address: SocketAddr,
+        request_id: &str,
+        connect_timeout: Duration,
+    ) -> Result<ClientConnection, HttpFault> {
+        let idle = self.take_idle_where(address, |connection| !connection.has_refused(request_id));
+        match idle {
+            Some(connection) => Ok(connection),
+            None => ClientConnection::connect(address, connect_timeout, self.limits).await,
+        }
+    }
+
     /// Returns a connection to the pool; one that cannot be reused is closed.
     pub fn release(&self, address: SocketAddr, connection: ClientConnection) {
         if !connection.is_reusable() {
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -194,7 +194,7 @@
         // The body of a refusal may end with its connection, which the target closes when it likes.
         if monoio::time::timeout(REFUSAL_BODY_TIMEOUT, skipped).await.is_ok_and(|read| read.is_ok())
         {
-            call.release(connection);
+            call.release_refused(connection, self.context.options.request_id.as_deref());
         }
         self.context.handler.view.log.record(
             LinePriority::Routine,
--- a/crates/serving/src/sidecar/engine_run.rs
+++ b/crates/serving/src/sidecar/engine_run.rs
@@ -79,10 +79,10 @@
     }
 
     /// Ends a run that the engine has refused, and returns the connection to the pool.
-    pub fn reject(self, call: &TargetCall<'_>) {
+    pub fn reject(self, call: &TargetCall<'_>, request_id: Option<&str>) {
         if let Some(guard) = self.guard {
             guard.cancel();
         }
-        call.release(self.connection);
+        call.release_refused(self.connection, request_id);
     }
 }
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -255,7 +255,7 @@
             if !is_full {
                 return Ok(Some(run));
             }
-            run.reject(call);
+            run.reject(call, id);
             ticket.requeue(request.options.wait_budget);
             let started = monoio::select! {
                 started = ticket.started() => started,
--- a/crates/serving/src/target_call.rs
+++ b/crates/serving/src/target_call.rs
@@ -64,7 +64,10 @@
         connect_timeout: Duration,
         head_timeout: Duration,
     ) -> Result<(ClientConnection, ResponseHead), TargetFault> {
-        let connected = self.pool.connect(self.address, connect_timeout).await;
+        let connected = match request_id {
+            Some(id) => self.pool.connect_for(self.address, id, connect_timeout).await,
+            None => self.pool.connect(self.address, connect_timeout).await,
+        };
         let mut connection = connected.map_err(TargetFault::NotSent)?;
         if self.is_sidecar && !request.body.is_empty() {
             let sent = connection.send_expecting_continue(request, CONTINUE_TIMEOUT).await;
@@ -81,6 +84,11 @@
             let answered = (self.request_id_of)(&head.headers);
             // A server may send a second response to an earlier request on the same connection.
             if answered.is_none() || request_id.is_none() || answered.as_deref() == request_id {
+                let is_anonymous = answered.is_none() && request_id.is_some() && !self.is_sidecar;
+                if is_anonymous && connection.has_earlier_requests() && !head.status.is_success() {
+                    let fault = HttpFault::Malformed("refusal that may be an earlier request's");
+                    return Err(TargetFault::Unknown(fault));
+                }
                 return Ok((connection, head));
             }
             connection.skip_response(MAX_STRAY_BYTES).await.map_err(TargetFault::Unknown)?;
@@ -88,6 +96,15 @@
         Err(TargetFault::Unknown(HttpFault::Malformed("responses to other requests")))
     }
 
+    /// Returns a connection to the pool after the server has refused a request on it.
+    pub fn release_refused(&self, mut connection: ClientConnection, request_id: Option<&str>) {
+        // Sidecars send no response twice.
+        if let Some(id) = request_id.filter(|_| !self.is_sidecar) {
+            connection.record_refusal(id);
+        }
+        self.release(connection);
+    }
+
     /// Returns a connection to the pool after its last response has been read to the end.
     pub fn release(&self, connection: ClientConnection) {
         self.pool.release(self.address, connection);
