Give up item connections that have gone silent

Callers saw: accepted items without a result long after a fault had ended (LOST).

Cause: a run counted as alive while its sidecar's datagrams came, although the connection between keeper and sidecar had gone silent for good; the head had a minute, each piece of the body 30 s.

Change: sidecars send signs of life on the connection of a waiting item, and a keeper gives one up after 4 s without a byte.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -10,4 +10,5 @@
 mod online_requests;
 mod repeated_refusals;
 mod request_limits;
+mod silent_connections;
 mod stale_views;
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -109,6 +109,17 @@
         self.reader.closed().await;
     }
 
+    /// Sends `102 Processing` before the response has begun, to show that it is still to come.
+    ///
+    /// # Errors
+    /// Fails if the connection does.
+    pub async fn send_processing(&mut self) -> Result<(), HttpFault> {
+        match self.stage {
+            ResponseStage::NotStarted => self.writer.write_processing().await,
+            _ => Ok(()),
+        }
+    }
+
     /// Sends a response with its whole body.
     ///
     /// # Errors
--- a/crates/http/src/writer.rs
+++ b/crates/http/src/writer.rs
@@ -148,6 +148,14 @@
         self.write(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n")).await
     }
 
+    /// Writes `102 Processing`, which shows that the response is still to come.
+    ///
+    /// # Errors
+    /// Fails if the connection does.
+    pub async fn write_processing(&mut self) -> Result<(), HttpFault> {
+        self.write(Bytes::from_static(b"HTTP/1.1 102 Processing\r\n\r\n")).await
+    }
+
     /// Shuts down the sending direction.
     pub async fn shutdown(&mut self) {
         // An error means that the connection has ended already.
--- a/crates/serving/src/internal_headers.rs
+++ b/crates/serving/src/internal_headers.rs
@@ -56,6 +56,9 @@
 /// Verdict on a request that may have run.
 const UNKNOWN: &str = "unknown";
 
+/// Comment in a stream of events by which a sidecar shows that an item still waits at it.
+pub(crate) const WAITING_COMMENT: &[u8] = b": waiting\n\n";
+
 /// Datagram to a sidecar whose target is ready for new requests, in the sender's view.
 pub(crate) const TARGET_READY: &[u8] = &[0];
 
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -16,18 +16,21 @@
 use cv_dispatch::TargetRow;
 use cv_http::ClientConnection;
 use cv_http::ClientRequest;
+use cv_http::HttpFault;
 use cv_policy::WorkClass;
 use cv_timeline::EventKind;
 use cv_timeline::LinePriority;
 use http::Method;
 use http::StatusCode;
 use http::response::Parts as ResponseHead;
+use monoio::time::timeout;
 use tokio::sync::Notify;
 
 use crate::AttemptOptions;
 use crate::PlatformAdapter;
 use crate::QueueOptions;
 use crate::SidecarVerdict;
+use crate::internal_headers::WAITING_COMMENT;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::result_commits::start_commits;
 use crate::keeper::tracked_job::TrackedJob;
@@ -37,9 +40,14 @@
 /// Maximum time to connect to a target or its sidecar.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Maximum time until the response head; long, because an item may queue for a slot.
+/// Maximum time until a target without a sidecar sends the head of its response; long, because an
+/// item may queue for a slot.
 const HEAD_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Maximum time without any byte on the connection to a sidecar, which sends signs of life while an
+/// item waits. The sidecar itself abandons a run without output after 2.5 s.
+const SIDECAR_SILENCE: Duration = Duration::from_secs(4);
+
 /// Time between two checks of whether a run is lost while it waits for output.
 const LOSS_CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
@@ -248,9 +256,10 @@
             pool: &self.state.pool,
             request_id_of: |headers| P::response_metadata(headers).request_id,
         };
+        let head_timeout = if self.target.through_sidecar { SIDECAR_SILENCE } else { HEAD_TIMEOUT };
         let (id, request) = self.request();
         let opened = monoio::select! {
-            opened = call.open(&request, Some(&id), CONNECT_TIMEOUT, HEAD_TIMEOUT) => opened,
+            opened = call.open(&request, Some(&id), CONNECT_TIMEOUT, head_timeout) => opened,
             () = self.wait_for_loss() => {
                 return RunOutcome::Interrupted("target silent".to_owned());
             }
@@ -295,7 +304,7 @@
         let mut last_output = Instant::now();
         loop {
             let chunk = monoio::select! {
-                chunk = connection.read_piece() => chunk,
+                chunk = self.read_piece(&mut connection) => chunk,
                 () = self.wait_for_loss() => {
                     return RunOutcome::Interrupted("target silent".to_owned());
                 }
@@ -329,6 +338,18 @@
         }
     }
 
+    /// Reads the next piece of the response, which a sidecar sends within [`SIDECAR_SILENCE`].
+    async fn read_piece(
+        &self,
+        connection: &mut ClientConnection,
+    ) -> Result<Option<Bytes>, HttpFault> {
+        if !self.target.through_sidecar {
+            return connection.read_piece().await;
+        }
+        let read = timeout(SIDECAR_SILENCE, connection.read_piece()).await;
+        read.unwrap_or(Err(HttpFault::TimedOut("sidecar")))
+    }
+
     /// Adds all complete events to the item's output; returns how many there were.
     ///
     /// # Errors
@@ -336,6 +357,9 @@
     fn record_events(&self, parser: &mut EventParser) -> Result<u32, String> {
         let mut events = 0;
         while let Some(event) = parser.next_event() {
+            if self.target.through_sidecar && event.raw == WAITING_COMMENT {
+                continue;
+            }
             let mut tracker = self.job.tracker.borrow_mut();
             let last = tracker.progress(self.item).last_event;
             let Some(number) = event.id else {
--- a/crates/serving/src/sidecar/batch_relay.rs
+++ b/crates/serving/src/sidecar/batch_relay.rs
@@ -18,6 +18,7 @@
 use crate::sidecar::engine_run::EngineRun;
 use crate::sidecar::sidecar_handler::SidecarHandler;
 use crate::sidecar::sidecar_handler::SidecarRequest;
+use crate::sidecar::sidecar_handler::wait_for_slot;
 use crate::sidecar::slot_gate::SlotTicket;
 
 /// Time without an event after which a batch run is abandoned. The engine produces an event every
@@ -87,11 +88,11 @@
                     return self.handler.refuse_quarantined(exchange, self.request).await;
                 }
                 RunOutcome::Interrupted => return Ok(()),
-                RunOutcome::Preempted if self.wait_for_slot(exchange).await? => {}
+                RunOutcome::Preempted if wait_for_slot(exchange, &self.ticket).await? => {}
                 RunOutcome::EngineFull if full_retries < MAX_ENGINE_FULL_RETRIES => {
                     full_retries += 1;
                     self.ticket.requeue(Duration::ZERO);
-                    if !self.wait_for_slot(exchange).await? {
+                    if !wait_for_slot(exchange, &self.ticket).await? {
                         break;
                     }
                 }
@@ -219,12 +220,4 @@
         }
         exchange.send_piece(&self.pending.split().freeze()).await
     }
-
-    /// Waits for the item's next slot; returns `false` if the queue evicts the item instead.
-    async fn wait_for_slot(&self, exchange: &mut ServerExchange<'_>) -> Result<bool, HttpFault> {
-        monoio::select! {
-            started = self.ticket.started() => Ok(started),
-            () = exchange.closed() => Err(HttpFault::Closed),
-        }
-    }
 }
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -33,6 +33,7 @@
 use crate::SidecarVerdict;
 use crate::internal_handler::METRICS_PATH;
 use crate::internal_handler::respond_metrics;
+use crate::internal_headers::WAITING_COMMENT;
 use crate::internal_headers::strip_hop_by_hop;
 use crate::internal_headers::strip_internal_headers;
 use crate::quarantine_desk::QuarantineDesk;
@@ -55,6 +56,9 @@
 /// dropped; shorter than the time in which another keeper takes over a lost one's jobs.
 const MAX_KEEPER_SILENCE: Duration = Duration::from_secs(2);
 
+/// Time between two signs of life that the keeper of a waiting item gets.
+const WAIT_NOTICE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Times that an online request is sent again to an engine that refuses it. One that is larger than
 /// the engine's memory is refused each time.
 const MAX_ENGINE_FULL_RETRIES: u32 = 5;
@@ -349,9 +353,12 @@
             self.refuse(exchange, request, SidecarVerdict::NotRun, reason).await?;
             return Ok(None);
         };
-        let started = monoio::select! {
-            started = ticket.started() => started,
-            () = exchange.closed() => return Err(HttpFault::Closed),
+        let started = match class {
+            WorkClass::Batch => wait_for_slot(exchange, &ticket).await?,
+            WorkClass::Online => monoio::select! {
+                started = ticket.started() => started,
+                () = exchange.closed() => return Err(HttpFault::Closed),
+            },
         };
         if started {
             self.log_start(request);
@@ -429,3 +436,23 @@
         }
     }
 }
+
+/// Waits for a batch item's slot and meanwhile shows its keeper that the connection lives; returns
+/// `false` if the queue evicts the item instead.
+pub(crate) async fn wait_for_slot(
+    exchange: &mut ServerExchange<'_>,
+    ticket: &SlotTicket,
+) -> Result<bool, HttpFault> {
+    loop {
+        monoio::select! {
+            started = ticket.started() => return Ok(started),
+            () = exchange.closed() => return Err(HttpFault::Closed),
+            () = monoio::time::sleep(WAIT_NOTICE_INTERVAL) => {}
+        }
+        if exchange.has_responded() {
+            exchange.send_piece(&Bytes::from_static(WAITING_COMMENT)).await?;
+        } else {
+            exchange.send_processing().await?;
+        }
+    }
+}
