Count no load of results that began before the job was lost

Cause (suspected, by reading): a keeper that lost a job while it loaded the results marked them as loaded, and as the owner again answered reads from that list.

Change: loads are numbered, and one that a loss of the job overtook changes nothing. That decision stands alone as ResultsLoad, with a test of the sequence; the old code had no such part to test.

--- a/crates/serving/src/keeper/item_expiry.rs
+++ b/crates/serving/src/keeper/item_expiry.rs
@@ -8,7 +8,6 @@
 use crate::PlatformAdapter;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::result_commits::start_commits;
-use crate::keeper::tracked_job::ResultsState;
 use crate::keeper::tracked_job::TrackedJob;
 
 /// Starts a task that gives up the items of all overdue jobs, unless one is running.
@@ -57,7 +56,7 @@
 
 /// Returns whether items of an owned job wait past the limit of its route, or without a route.
 fn has_overdue_items<P: PlatformAdapter>(state: &KeeperState<P>, job: &TrackedJob) -> bool {
-    if !job.is_active() || job.results_state.get() != ResultsState::Loaded {
+    if !job.is_active() || !job.results.get().is_loaded() {
         return false;
     }
     let limit = state.with_route(job, |route| route.abandon_after);
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -5,6 +5,7 @@
 
 use cv_dispatch::BatchOrder;
 use cv_dispatch::DispatchPass;
+use cv_dispatch::ResultsLoad;
 use cv_dispatch::ThawDetector;
 use cv_policy::MonotonicTime;
 use cv_timeline::EventKind;
@@ -32,7 +33,6 @@
 use crate::keeper::stored_keys::result_prefix;
 use crate::keeper::stored_quarantines::restore_quarantines;
 use crate::keeper::stored_quarantines::review_quarantines;
-use crate::keeper::tracked_job::ResultsState;
 use crate::keeper::tracked_job::TrackedJob;
 
 /// Minimum time between two watches of jobs, in which changes are collected. It can be long,
@@ -132,7 +132,7 @@
     };
     match spec {
         Ok(spec) => {
-            state.jobs.add(spec, ResultsState::NotLoaded);
+            state.jobs.add(spec);
         }
         Err(fault) => log::error!("cannot decode job {job_id}, which does not run here: {fault}"),
     }
@@ -148,7 +148,7 @@
     loop {
         match record.read_spec(state, job_id).await {
             Ok(spec) => {
-                state.jobs.add(spec, ResultsState::NotLoaded);
+                state.jobs.add(spec);
                 return state.work_available.notify_one();
             }
             Err(fault @ StoreFault::Invalid(_)) => {
@@ -182,7 +182,7 @@
         let is_owner = state.is_owner(&job_id);
         if job.is_owned.replace(is_owner) != is_owner {
             if !is_owner {
-                job.results_state.set(ResultsState::NotLoaded);
+                job.update_results(ResultsLoad::invalidate);
             }
             job.changed.notify_waiters();
             state.view.log.record(LinePriority::Essential, EventKind::JobClaimed, &job_id, || {
@@ -196,10 +196,9 @@
             purge_job(state, &job);
             continue;
         }
-        if job.results_state.get() == ResultsState::NotLoaded {
-            job.results_state.set(ResultsState::Loading);
+        if let Some(load) = job.update_results(ResultsLoad::begin) {
             let (state, job) = (Rc::clone(state), Rc::clone(&job));
-            monoio::spawn(async move { load_results(&state, &job).await });
+            monoio::spawn(async move { load_results(&state, &job, load).await });
             continue;
         }
         start_commits_if_needed(state, &job);
@@ -222,7 +221,7 @@
 
 /// Starts a commit if the job has results that are not listed yet.
 fn start_commits_if_needed<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job: &Rc<TrackedJob>) {
-    let is_loaded = job.results_state.get() == ResultsState::Loaded;
+    let is_loaded = job.results.get().is_loaded();
     let tracker = job.tracker.borrow();
     if is_loaded && !tracker.is_closed() && tracker.has_unlisted() {
         start_commits(state, job);
@@ -298,7 +297,7 @@
     let mut pass = DispatchPass::default();
     let mut owned = 0;
     for job in state.jobs.all() {
-        if !job.is_active() || job.results_state.get() != ResultsState::Loaded {
+        if !job.is_active() || !job.results.get().is_loaded() {
             continue;
         }
         let due_after = state.with_route(&job, |route| {
--- a/crates/serving/src/keeper/job_requests.rs
+++ b/crates/serving/src/keeper/job_requests.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use cv_dispatch::ItemResult;
 use cv_dispatch::JobSpec;
+use cv_dispatch::ResultsLoad;
 use cv_timeline::EventKind;
 use cv_timeline::LinePriority;
 use http::StatusCode;
@@ -24,7 +25,6 @@
 use crate::keeper::stored_keys::decode_results;
 use crate::keeper::stored_keys::job_key;
 use crate::keeper::stored_keys::result_prefix;
-use crate::keeper::tracked_job::ResultsState;
 use crate::keeper::tracked_job::TrackedJob;
 
 /// Maximum time for the write that accepts or closes a job.
@@ -74,17 +74,17 @@
     let outcome = state.commit_with_retry(&commit, WRITE_TIMEOUT).await;
     let (status, how) = match outcome {
         Ok(CommitOutcome::Done) => {
-            let job = state.jobs.add(spec, ResultsState::NotLoaded);
+            let job = state.jobs.add(spec);
             // Only the owner's tracker stays up to date, since only the owner lists results.
             if state.is_owner(&id) {
                 job.is_owned.set(true);
-                job.results_state.set(ResultsState::Loaded);
+                job.update_results(ResultsLoad::record_new);
             }
             state.metrics.jobs_accepted.inc();
             (StatusCode::ACCEPTED, "accepted")
         }
         Ok(_) => {
-            state.jobs.add(spec, ResultsState::NotLoaded);
+            state.jobs.add(spec);
             (StatusCode::ACCEPTED, "accepted before")
         }
         Err(StoreFault::Ambiguous(_)) => (StatusCode::INTERNAL_SERVER_ERROR, "unknown"),
--- a/crates/serving/src/keeper/job_table.rs
+++ b/crates/serving/src/keeper/job_table.rs
@@ -5,7 +5,6 @@
 
 use cv_dispatch::JobSpec;
 
-use crate::keeper::tracked_job::ResultsState;
 use crate::keeper::tracked_job::TrackedJob;
 
 /// Known jobs, whether owned or not, and jobs known to be closed.
@@ -27,13 +26,13 @@
 
     /// Adds a job unless it is known, and returns it. A job already known to be closed is added
     /// as closed.
-    pub fn add(&self, spec: JobSpec, state: ResultsState) -> Rc<TrackedJob> {
+    pub fn add(&self, spec: JobSpec) -> Rc<TrackedJob> {
         let mut rows = self.rows.borrow_mut();
         match rows.binary_search_by(|(id, _)| id.as_str().cmp(&spec.id)) {
             Ok(position) => Rc::clone(&rows[position].1),
             Err(position) => {
                 let id = spec.id.clone();
-                let job = Rc::new(TrackedJob::new(spec, state));
+                let job = Rc::new(TrackedJob::new(spec));
                 if self.closed.borrow().binary_search(&id).is_ok() {
                     job.tracker.borrow_mut().close();
                 }
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cv_dispatch::ResultsLoad;
 use cv_dispatch::RouteKind;
 use cv_dispatch::RouteRule;
 use cv_dispatch::RunEstimate;
@@ -25,7 +26,6 @@
 use crate::keeper::job_table::JobTable;
 use crate::keeper::keeper_metrics::KeeperMetrics;
 use crate::keeper::stored_quarantines::StoredQuarantines;
-use crate::keeper::tracked_job::ResultsState;
 use crate::keeper::tracked_job::TrackedJob;
 
 /// Backoff after the first failed attempt of a write; doubles with each attempt.
@@ -122,7 +122,7 @@
     pub fn release_ownership(&self) {
         for job in self.jobs.all() {
             job.is_owned.set(false);
-            job.results_state.set(ResultsState::NotLoaded);
+            job.update_results(ResultsLoad::invalidate);
             job.changed.notify_waiters();
         }
     }
--- a/crates/serving/src/keeper/result_commits.rs
+++ b/crates/serving/src/keeper/result_commits.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cv_dispatch::LoadId;
 use cv_timeline::EventKind;
 use cv_timeline::LinePriority;
 
@@ -18,7 +19,6 @@
 use crate::keeper::stored_keys::encode_results;
 use crate::keeper::stored_keys::result_key;
 use crate::keeper::stored_keys::result_prefix;
-use crate::keeper::tracked_job::ResultsState;
 use crate::keeper::tracked_job::TrackedJob;
 
 /// Maximum size of a result segment, in bytes; well below the store's limit of a megabyte per
@@ -151,14 +151,21 @@
 
 /// Loads the results that earlier owners have listed, and the output of their unfinished runs, into
 /// the job's tracker.
-pub(crate) async fn load_results<P: PlatformAdapter>(state: &KeeperState<P>, job: &TrackedJob) {
+pub(crate) async fn load_results<P: PlatformAdapter>(
+    state: &KeeperState<P>,
+    job: &TrackedJob,
+    load: LoadId,
+) {
     let job_id = job.tracker.borrow().spec().id.clone();
     let prefix = result_prefix(&job_id);
     let (read, ()) = futures::join!(state.store.range(&prefix), fetch_updates(state, job));
     let Ok(snapshot) = state.view.store_health.observe(read) else {
-        job.results_state.set(ResultsState::NotLoaded);
+        job.update_results(|results| results.finish(load, false));
         return;
     };
+    if !job.results.get().is_current(load) {
+        return;
+    }
     job.tracker.borrow_mut().abort_segment();
     for item in &snapshot.items {
         let mut tracker = job.tracker.borrow_mut();
@@ -176,7 +183,7 @@
             }
         }
     }
-    job.results_state.set(ResultsState::Loaded);
+    job.update_results(|results| results.finish(load, true));
     log_results_listed(state, job, "loaded");
     job.changed.notify_waiters();
     state.work_available.notify_one();
--- a/crates/serving/src/keeper/tracked_job.rs
+++ b/crates/serving/src/keeper/tracked_job.rs
@@ -6,19 +6,9 @@
 use cv_dispatch::JobSpec;
 use cv_dispatch::JobTracker;
 use cv_dispatch::ReplicaProgress;
+use cv_dispatch::ResultsLoad;
 use tokio::sync::Notify;
 
-/// Whether a keeper has loaded a job's listed results.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ResultsState {
-    /// Another keeper may have listed results that the tracker does not hold.
-    NotLoaded,
-    /// The results are being read from the store.
-    Loading,
-    /// The tracker holds all listed results, for as long as this keeper owns the job.
-    Loaded,
-}
-
 /// A job, with the state that the tasks working on it share.
 #[derive(Debug)]
 pub(crate) struct TrackedJob {
@@ -32,20 +22,20 @@
     pub is_committing: Cell<bool>,
     /// Whether this keeper owns the job and runs its items.
     pub is_owned: Cell<bool>,
-    /// Whether the job's listed results are loaded.
-    pub results_state: Cell<ResultsState>,
+    /// Whether the job's listed results are held.
+    pub results: Cell<ResultsLoad>,
 }
 
 impl TrackedJob {
     /// Creates a job without results that this keeper does not own yet.
-    pub fn new(spec: JobSpec, state: ResultsState) -> Self {
+    pub fn new(spec: JobSpec) -> Self {
         Self {
             tracker: RefCell::new(JobTracker::new(spec)),
             changed: Notify::new(),
             replica_progress: RefCell::default(),
             is_committing: Cell::new(false),
             is_owned: Cell::new(false),
-            results_state: Cell::new(state),
+            results: Cell::default(),
         }
     }
 
@@ -65,8 +55,16 @@
         }
     }
 
+    /// Changes whether the job's listed results are held.
+    pub fn update_results<T>(&self, update: impl FnOnce(&mut ResultsLoad) -> T) -> T {
+        let mut results = self.results.get();
+        let outcome = update(&mut results);
+        self.results.set(results);
+        outcome
+    }
+
     /// Returns whether reads can be answered from memory.
     pub fn has_current_results(&self) -> bool {
-        self.is_owned.get() && self.results_state.get() == ResultsState::Loaded
+        self.is_owned.get() && self.results.get().is_loaded()
     }
 }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -13,6 +13,7 @@
 mod quarantine;
 mod request_limits;
 mod reservations;
+mod results_load;
 mod route_table;
 mod run_estimate;
 mod sample_job;
