Keep an open job until its results are listed

Seen by reading: three minutes after its submission a job was removed from the store even if items had no result, as after an outage of the store that lasts as long (LOST).

Change: the retention applies to jobs that are closed or complete. No test: the retention is three minutes, and the decision is one condition.

--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -50,7 +50,8 @@
 /// Delay before a failed read of a job's overflow parts is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Time after its submission for which a job and its results are kept in the store.
+/// Time after its submission for which a job and its results are kept in the store; a job that is
+/// open is kept until all its results are listed.
 const RETENTION: Duration = Duration::from_mins(3);
 
 /// Starts the tasks that watch the store for jobs, review owned jobs and dispatch items.
@@ -192,7 +193,7 @@
         if !is_owner {
             continue;
         }
-        if state.job_age(&job) > RETENTION {
+        if state.job_age(&job) > RETENTION && job.is_over() {
             purge_job(state, &job);
             continue;
         }
--- a/crates/serving/src/keeper/tracked_job.rs
+++ b/crates/serving/src/keeper/tracked_job.rs
@@ -44,6 +44,12 @@
         self.is_owned.get() && !self.tracker.borrow().is_closed()
     }
 
+    /// Returns whether the job is closed, or all its results are listed.
+    pub fn is_over(&self) -> bool {
+        let tracker = self.tracker.borrow();
+        tracker.is_closed() || self.results.get().is_loaded() && tracker.is_complete()
+    }
+
     /// Waits until a condition on the job holds, which is checked whenever `changed` is notified.
     pub async fn wait_until(&self, condition: impl Fn(&Self) -> bool) {
         loop {
