Handle other tasks while a target sends without end

Cause: a read that is ready at once does not give way, and a process has one thread: the timeouts around the read were never polled. Interim responses had no bound on their number. Blank lines counted as events, and cutting each from the front of the buffer took time in proportion to the rest.

Evidence: the new test failed before: a sidecar did not answer a request for its metrics within 1 s.

Change: a connection gives other tasks a turn after every eight reads or heads; at most 300 interim responses precede a final one; an event without id and data is no progress of a stream; events are cut from the buffer once a read.

--- a/crates/clementinevale/tests/nodes/faulty_targets.rs
+++ b/crates/clementinevale/tests/nodes/faulty_targets.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cv_http::ClientConnection;
+use cv_http::ClientRequest;
+use cv_http::HttpLimits;
 use cv_runtime::block_on;
 use cv_standin::FaultMode;
 use cv_tests::NodeFleet;
@@ -12,6 +15,8 @@
 use cv_tests::node_caller::CallerOutcome;
 use cv_tests::node_caller::request_stream;
 use cv_tests::node_caller::submit_job;
+use futures::future::join_all;
+use http::Method;
 use rstest::rstest;
 
 use crate::job_checks::EVENTS_PER_ITEM;
@@ -122,3 +127,34 @@
 fn count_runs_at(fleet: &NodeFleet, target: &str) -> usize {
     fleet.target_log.runs().iter().filter(|run| run.target_id == target).count()
 }
+
+// Guards against responses without end that keep a process from handling anything else.
+#[test]
+fn a_process_responds_while_a_target_sends_interim_responses_without_end() {
+    let fleet = start_fleet(1);
+    let entry = fleet.entry_addresses()[0];
+    set_engine_fault(&fleet, 0, FaultMode::SendInterimResponses);
+    let metrics = std::thread::spawn({
+        let address = fleet.internal_address(10);
+        move || {
+            std::thread::sleep(Duration::from_millis(400));
+            let started_at = Instant::now();
+            let request = ClientRequest::new(Method::GET, "/metrics", "");
+            let response = block_on(async {
+                let timeout = Duration::from_secs(1);
+                let limits = HttpLimits::default();
+                let mut connection = ClientConnection::connect(address, timeout, limits).await?;
+                connection.exchange(&request, timeout, 1024 * 1024).await
+            });
+            (started_at.elapsed(), response.expect("the runtime starts").is_ok())
+        }
+    });
+    let outcomes = block_on(join_all((0..4).map(|number| async move {
+        request_stream(entry, "advice", &format!("s{number}"), 40).await
+    })));
+    let (took, has_responded) = metrics.join().expect("the thread finishes");
+    assert!(has_responded, "the sidecar does not respond within {took:?}");
+    for outcome in outcomes.expect("the runtime starts") {
+        assert!(!matches!(outcome, CallerOutcome::Incorrect(_)), "{outcome:?}");
+    }
+}
--- a/crates/dispatch/src/event_parser.rs
+++ b/crates/dispatch/src/event_parser.rs
@@ -20,18 +20,22 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventParser {
     buffer: Vec<u8>,
+    /// Length of the events at the start of the buffer that have been returned.
+    consumed: usize,
 }
 
 impl EventParser {
     /// Appends bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..std::mem::take(&mut self.consumed));
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Removes and returns the next complete event, if the buffer holds one.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let length = event_length(&self.buffer)?;
-        let raw: Vec<u8> = self.buffer.drain(..length).collect();
+        let rest = &self.buffer[self.consumed..];
+        let raw = rest[..event_length(rest)?].to_vec();
+        self.consumed += raw.len();
         Some(parse_event(raw))
     }
 
@@ -39,20 +43,21 @@
     /// abandoned then, since its bytes may never end.
     #[must_use]
     pub fn is_oversized(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+        self.buffer.len() - self.consumed > MAX_EVENT_BYTES
     }
 
     /// Returns whether bytes are buffered that [`Self::next_event`] has not returned.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+        self.consumed < self.buffer.len()
     }
 }
 
 /// Returns the length of the first event, including the blank line that ends it.
 fn event_length(buffer: &[u8]) -> Option<usize> {
     let lf_end = memmem::find(buffer, b"\n\n").map(|position| position + 2);
-    let crlf_end = memmem::find(buffer, b"\r\n\r\n").map(|position| position + 4);
+    let searched = &buffer[..lf_end.unwrap_or(buffer.len())];
+    let crlf_end = memmem::find(searched, b"\r\n\r\n").map(|position| position + 4);
     match (lf_end, crlf_end) {
         (Some(lf_end), Some(crlf_end)) => Some(lf_end.min(crlf_end)),
         (lf_end, crlf_end) => lf_end.or(crlf_end),
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -28,6 +28,9 @@
 use crate::limits::KEEP_ALIVE_PROBES;
 use crate::stream_tail::StreamTail;
 
+/// Interim responses before a final one; a sidecar sends one a second while an item waits.
+const MAX_INTERIM_RESPONSES: u32 = 300;
+
 /// Refusals after which a connection is not reused.
 const MAX_REFUSALS: usize = 16;
 
@@ -192,7 +195,12 @@
             Some(head) => head,
             None => self.reader.read_response_head(response_timeout).await?,
         };
+        let mut interim_responses = 0;
         while head.status.is_informational() {
+            interim_responses += 1;
+            if interim_responses > MAX_INTERIM_RESPONSES {
+                return Err(HttpFault::Malformed("too many interim responses"));
+            }
             head = self.reader.read_response_head(response_timeout).await?;
         }
         self.framing = BodyFraming::of_response(method, head.status, &head.headers)?;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,6 +15,7 @@
 mod server;
 mod stream_tail;
 mod writer;
+mod yield_now;
 
 pub use crate::client::ClientConnection;
 pub use crate::client::ClientRequest;
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -18,6 +18,7 @@
 use crate::BodyFraming;
 use crate::HttpFault;
 use crate::HttpLimits;
+use crate::yield_now::yield_now;
 
 /// Read size while waiting for a head, in bytes; small, since most connections are idle.
 const HEAD_READ_BYTES: usize = 4 * 1024;
@@ -31,6 +32,9 @@
 /// Maximum size of a chunk of a chunked body, in bytes.
 const MAX_CHUNK_BYTES: usize = 4 * 1024 * 1024;
 
+/// Reads and decoded heads of one connection after which other tasks get a turn.
+const STEPS_PER_TURN: u32 = 8;
+
 /// Maximum number of bytes buffered from a peer while its current request is handled.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 
@@ -39,12 +43,14 @@
     buffer: BytesMut,
     stream: R,
     limits: HttpLimits,
+    /// Reads and decoded heads since the last turn of other tasks.
+    steps: u32,
 }
 
 impl<R: AsyncReadRent> HttpReader<R> {
     /// Wraps the receiving half of a connection.
     pub fn new(stream: R, limits: HttpLimits) -> Self {
-        Self { buffer: BytesMut::new(), stream, limits }
+        Self { buffer: BytesMut::new(), stream, limits, steps: 0 }
     }
 
     /// Waits for the first byte of the next message.
@@ -63,7 +69,7 @@
 
     /// Returns whether nothing, not even the end of the stream, has arrived since the last message.
     pub fn is_idle(&mut self) -> bool {
-        self.buffer.is_empty() && self.fill(PEEK_BYTES).now_or_never().is_none()
+        self.buffer.is_empty() && self.fill_at_once(PEEK_BYTES).now_or_never().is_none()
     }
 
     /// Reads the head of a request.
@@ -91,6 +97,7 @@
                 Ok(result) => result?,
             };
         }
+        self.take_step().await;
         self.fill_head().await?;
         self.check_head()?;
         finish_head(ResponseHeadDecoder.decode(&mut self.buffer))
@@ -260,8 +267,24 @@
         }
     }
 
+    /// Gives other tasks a turn now and then. A peer that sends faster than its bytes are handled keeps
+    /// every read ready, and neither timers nor other connections are served meanwhile.
+    async fn take_step(&mut self) {
+        self.steps += 1;
+        if self.steps >= STEPS_PER_TURN {
+            self.steps = 0;
+            yield_now().await;
+        }
+    }
+
     /// Reads once into the buffer and returns the number of bytes, 0 at the end.
     async fn fill(&mut self, capacity: usize) -> Result<usize, HttpFault> {
+        self.take_step().await;
+        self.fill_at_once(capacity).await
+    }
+
+    /// Reads once into the buffer, without a turn of other tasks before.
+    async fn fill_at_once(&mut self, capacity: usize) -> Result<usize, HttpFault> {
         let scratch = Vec::with_capacity(capacity);
         let (result, scratch) = self.stream.read(scratch).await;
         let length = result?;
--- a/crates/serving/src/entry/response_relay.rs
+++ b/crates/serving/src/entry/response_relay.rs
@@ -173,7 +173,7 @@
         }
     }
 
-    /// Sends all complete events that have arrived to the caller; returns how many there were.
+    /// Sends all complete events that have arrived to the caller; returns how many had an id or data.
     async fn send_events(
         &mut self,
         exchange: &mut ServerExchange<'_>,
@@ -185,7 +185,8 @@
             self.has_unnumbered_event |= event.id.is_none();
             self.last_event = event.id.or(self.last_event);
             bytes.extend_from_slice(&event.raw);
-            events += 1;
+            // Blank lines without end are no progress.
+            events += u32::from(event.id.is_some() || !event.data.is_empty());
         }
         if events > 0 {
             self.first_sent_at.get_or_insert_with(Instant::now);
--- a/crates/standin/src/fault_proxy.rs
+++ b/crates/standin/src/fault_proxy.rs
@@ -37,6 +37,8 @@
     TruncateResponse(usize),
     /// Forwards requests and closes a connection when the first byte of a response arrives.
     LoseResponse,
+    /// Responds with interim responses without end until the client closes.
+    SendInterimResponses,
     /// Forwards everything, and sends each response with status 503 once more before the next one on
     /// the same connection.
     RepeatRefusals,
@@ -174,6 +176,11 @@
                 }
                 break;
             }
+            FaultMode::SendInterimResponses if is_response => {
+                let interim = b"HTTP/1.1 102 Processing\r\n\r\n".repeat(64);
+                while to.write_all(interim.clone()).await.0.is_ok() {}
+                break;
+            }
             FaultMode::RepeatRefusals if is_response => {
                 let repeated = std::mem::take(&mut last_refusal);
                 if !repeated.is_empty() && to.write_all(repeated).await.0.is_err() {
@@ -191,6 +198,7 @@
             }
             FaultMode::Pass
             | FaultMode::RepeatRefusals
+            | FaultMode::SendInterimResponses
             | FaultMode::Unframe(_)
             | FaultMode::TruncateResponse(_)
             | FaultMode::LoseResponse
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -314,6 +314,12 @@
         self.socket_address(10 + index, TARGET_PORT)
     }
 
+    /// Returns the address of a host for calls between the processes.
+    #[must_use]
+    pub fn internal_address(&self, host: u8) -> SocketAddr {
+        self.socket_address(host, INTERNAL_PORT)
+    }
+
     /// Returns the number of model engines.
     #[must_use]
     pub fn engine_count(&self) -> u8 {
