Retire no keeper that has no successor

Cause: a keeper reported its retirement as completed, after which its machine is removed, whether or not another one was there to take the jobs over.

Change: without a successor the status is running, and the keeper goes on until there is one. Keepers that are to be retired themselves do not count.

--- a/crates/clementinevale/tests/nodes/batch_jobs.rs
+++ b/crates/clementinevale/tests/nodes/batch_jobs.rs
@@ -421,3 +421,26 @@
     assert!(fleet.wait_for(Duration::from_secs(5), is_reported));
     block_on(read_all_results(&entries, "job1", 20)).expect("the runtime starts");
 }
+
+// Guards against the retirement of the last keeper, after which nobody knows of the accepted jobs.
+#[test]
+fn the_last_keeper_is_not_retired() {
+    let mut fleet = small_fleet();
+    let entries = fleet.entry_addresses();
+    block_on(submit_until_accepted(&entries, "job1", 20, EVENTS_PER_ITEM))
+        .expect("the runtime starts");
+    fleet.store.write("op/retire/keeper-70", &serde_json::json!({ "finishByS": 10 }));
+    let is_reported = |fleet: &NodeFleet| !fleet.store.keys("status/retire/keeper-70").is_empty();
+    assert!(fleet.wait_for(Duration::from_secs(5), is_reported));
+    // The platform removes the instance.
+    let node = fleet.nodes.iter_mut().find(|node| node.name == "keeper-70");
+    node.expect("the fleet has the keeper").kill();
+    fleet.store.write("op/retire/keeper-71", &serde_json::json!({ "finishByS": 10 }));
+    std::thread::sleep(Duration::from_secs(2));
+    block_on(async {
+        submit_until_accepted(&entries, "job2", 4, EVENTS_PER_ITEM).await;
+        read_all_results(&entries, "job1", 20).await;
+        read_all_results(&entries, "job2", 4).await;
+    })
+    .expect("the runtime starts");
+}
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -48,6 +48,9 @@
 /// Minimum time between two watches of the operator's requests to retire instances.
 const RETIRE_WATCH_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between two checks of whether another keeper can take over a retiring one's jobs.
+const SUCCESSOR_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time for which the write of a retirement's status is repeated while its outcome is unknown.
 const RETIRE_STATUS_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -109,6 +112,8 @@
             is_known_to_peers: Cell::new(false),
             is_draining: Cell::new(false),
             is_expiring: Cell::new(false),
+            is_retiring: Cell::new(false),
+            retiring: RefCell::default(),
             lease: Cell::default(),
             metrics: KeeperMetrics::new().map_err(io::Error::other)?,
             pool: ConnectionPool::new(HttpLimits::default()),
@@ -147,14 +152,23 @@
 fn watch_retirement<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
     let watched_state = Rc::clone(state);
     state.view.watch_prefix(&state.store, P::RETIRE_PREFIX, RETIRE_WATCH_INTERVAL, move |update| {
-        let key = format!("{}{}", P::RETIRE_PREFIX, watched_state.identity.name);
-        let is_requested = match update {
-            StoreUpdate::Snapshot(items) => items.iter().any(|item| item.key == key),
-            StoreUpdate::Changes(changes) => changes
-                .iter()
-                .any(|change| matches!(change, StoreChange::Put(item) if item.key == key)),
-        };
-        if is_requested && !watched_state.is_draining.get() {
+        let mut retiring = watched_state.retiring.borrow_mut();
+        let name_of = |key: &str| key.strip_prefix(P::RETIRE_PREFIX).unwrap_or(key).to_owned();
+        match update {
+            StoreUpdate::Snapshot(items) => {
+                *retiring = items.iter().map(|item| name_of(&item.key)).collect();
+            }
+            StoreUpdate::Changes(changes) => {
+                for change in changes {
+                    match change {
+                        StoreChange::Put(item) => retiring.push(name_of(&item.key)),
+                        StoreChange::Deleted(key) => retiring.retain(|name| *name != name_of(&key)),
+                    }
+                }
+            }
+        }
+        let is_requested = retiring.contains(&watched_state.identity.name);
+        if is_requested && !watched_state.is_retiring.replace(true) {
             let state = Rc::clone(&watched_state);
             monoio::spawn(async move { retire(&state).await });
         }
@@ -162,9 +176,33 @@
 }
 
 /// Hands the jobs over to other keepers and writes the status that the operator reads.
+///
+/// An instance whose retirement is completed is removed at once, so the last keeper that is not to be
+/// retired goes on until there is another one.
 async fn retire<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
+    if !has_successor(state) {
+        write_retire_status(state, false).await;
+        while !has_successor(state) {
+            monoio::time::sleep(SUCCESSOR_CHECK_INTERVAL).await;
+        }
+    }
     deregister(state).await;
-    let (key, value) = P::retire_status(&state.identity.name, true);
+    write_retire_status(state, true).await;
+}
+
+/// Returns whether another keeper is registered that is not to be retired.
+fn has_successor<P: PlatformAdapter>(state: &KeeperState<P>) -> bool {
+    let retiring = state.retiring.borrow();
+    let keeper_set = state.view.keepers();
+    keeper_set
+        .keepers()
+        .iter()
+        .any(|keeper| keeper.name != state.identity.name && !retiring.contains(&keeper.name))
+}
+
+/// Writes the status of the retirement, again until the store has it.
+async fn write_retire_status<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, is_done: bool) {
+    let (key, value) = P::retire_status(&state.identity.name, is_done);
     let commit = StoreCommit::put(&key, value, 0);
     let outcome = loop {
         match state.commit_with_retry(&commit, RETIRE_STATUS_TIMEOUT).await {
@@ -172,7 +210,8 @@
             outcome => break outcome,
         }
     };
-    state.view.log.record(LinePriority::Essential, EventKind::Stopped, "keeper", || {
-        format!("retired={outcome:?}")
+    let kind = if is_done { EventKind::Stopped } else { EventKind::DrainStarted };
+    state.view.log.record(LinePriority::Essential, kind, "keeper", || {
+        format!("retired={is_done} status={outcome:?}")
     });
 }
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -57,6 +57,10 @@
     pub is_known_to_peers: Cell<bool>,
     /// Whether a task is giving up overdue items.
     pub is_expiring: Cell<bool>,
+    /// Whether the operator has asked to retire this instance.
+    pub is_retiring: Cell<bool>,
+    /// Names of the instances that the operator has asked to retire.
+    pub retiring: RefCell<Vec<String>>,
     /// Whether the keeper is shutting down or being retired and accepts no new jobs.
     pub is_draining: Cell<bool>,
     /// The lease that the keeper's registration is bound to.
