--- a/crates/dispatch/src/slot_queue.rs
+++ b/crates/dispatch/src/slot_queue.rs
@@ -6,8 +6,14 @@
 use cv_policy::TicketId;
 use cv_policy::WorkClass;
 
+use crate::AdmissionDecision;
+use crate::AdmissionOptions;
 use crate::BatchOrder;
+use crate::LoadReport;
+use crate::QueueCommand;
 use crate::RequestBucket;
+use crate::running_request::RunningRequest;
+use crate::waiting_request::WaitingRequest;
 
 /// Time after a preemption in which no batch run starts, so that runs are not preempted and resumed
 /// in quick succession.
@@ -32,89 +38,6 @@
 /// Most batch requests that may wait at one engine; their keepers hold the others.
 const MAX_BATCH_WAITING: usize = 64;
 
-/// Class and time limits of an arriving request.
-#[derive(Clone, Copy, Debug)]
-pub struct AdmissionOptions {
-    /// Class of the request: online or batch.
-    pub class: WorkClass,
-    /// Whether earlier runs of a batch request have produced output.
-    pub has_begun: bool,
-    /// When a batch request is due; ignored for online requests.
-    pub due: MonotonicTime,
-    /// Longest expected wait with which an online request is admitted.
-    pub max_expected_wait: Duration,
-    /// Time in which an online request has to start to meet its latency objective.
-    pub objective_left: Duration,
-    /// Expected run time of a batch request.
-    pub expected_run: Duration,
-    /// Number of queues in which an online request waits at once; it takes a slot in only one.
-    pub queues: u32,
-    /// Time after which an admitted online request leaves the queue without a slot.
-    pub queue_timeout: Duration,
-}
-
-/// Decision on an arriving request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AdmissionDecision {
-    /// It starts at once.
-    Start,
-    /// It waits for a slot.
-    Wait,
-    /// It is refused; holds the expected wait for a slot, or zero if this queue is draining.
-    Refuse(Duration),
-}
-
-/// An action that the queue asks its owner to carry out.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum QueueCommand {
-    /// Send a waiting request to the engine.
-    Start(TicketId),
-    /// Stop a batch run; its request waits in the queue again.
-    Preempt(TicketId),
-    /// Refuse an admitted request, because its queue timeout has passed or its engine or this
-    /// process is draining; if it is a running batch request, stop its run.
-    Evict(TicketId),
-}
-
-/// Request counts of a queue, by which other processes choose targets.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct LoadReport {
-    /// Batch requests at the engine.
-    pub batch_running: u32,
-    /// Batch requests in the queue.
-    pub batch_waiting: u32,
-    /// Online requests at the engine.
-    pub online_running: u32,
-    /// Online requests in the queue.
-    pub online_waiting: u32,
-    /// Requests that the engine runs concurrently.
-    pub slots: u32,
-}
-
-/// A request that waits for a slot.
-#[derive(Clone, Copy, Debug)]
-struct WaitingRequest {
-    /// Batch: whether earlier runs have produced output.
-    has_begun: bool,
-    /// Batch: time after which it will probably be late if it starts.
-    latest_start: MonotonicTime,
-    /// Batch: when it is due. Online: when its queue timeout ends.
-    deadline: MonotonicTime,
-    /// Online: time until which it has to start to meet its latency objective.
-    meets_objective_until: MonotonicTime,
-    /// Probability that it takes a slot of this engine: below 1 if it waits in other queues, too.
-    share: f64,
-    ticket: TicketId,
-}
-
-/// A request that the engine runs.
-#[derive(Clone, Copy, Debug)]
-struct RunningRequest {
-    /// The request as it waited before it started.
-    request: WaitingRequest,
-    started: MonotonicTime,
-}
-
 /// Decides which requests an engine runs.
 #[derive(Clone, Debug)]
 pub struct SlotQueue {
--- a/tests/dispatch/load_simulation.rs
+++ b/tests/dispatch/load_simulation.rs
@@ -56,33 +56,33 @@
 const MAX_ROUNDS: u32 = 2;
 
 /// Size and load of a deployment.
-struct SimulationLoad {
-    engines: usize,
-    entries: usize,
+pub(crate) struct SimulationLoad {
+    pub engines: usize,
+    pub entries: usize,
     /// Batch items per second.
-    items_per_s: f64,
+    pub items_per_s: f64,
     /// Run time of an item, in milliseconds.
-    item_ms: u64,
+    pub item_ms: u64,
     /// Mean rate of online requests, per second.
-    online_per_s: f64,
+    pub online_per_s: f64,
     /// Run time of an online request, in milliseconds.
-    online_ms: u64,
-    slots: u32,
+    pub online_ms: u64,
+    pub slots: u32,
 }
 
 /// Numbers of requests by their outcome.
 #[derive(Debug, Default)]
-struct SimulationOutcome {
-    items: u32,
-    items_in_time: u32,
-    late: u32,
-    online: u32,
-    on_time: u32,
+pub(crate) struct SimulationOutcome {
+    pub items: u32,
+    pub items_in_time: u32,
+    pub late: u32,
+    pub online: u32,
+    pub on_time: u32,
     /// Served on the retry after a refusal, later than the objective.
-    late_after_retry: u32,
-    refused: u32,
+    pub late_after_retry: u32,
+    pub refused: u32,
     /// Refusals while online requests occupied less than half of all slots.
-    refused_below_capacity: u32,
+    pub refused_below_capacity: u32,
 }
 
 /// An online request or batch item in the simulation.
@@ -103,7 +103,7 @@
 }
 
 /// State of a simulation.
-struct LoadSimulation {
+pub(crate) struct LoadSimulation {
     advice: RetryAdvice,
     /// Target tables of the entries, followed by that of the keeper.
     tables: Vec<TargetTable>,
@@ -123,7 +123,7 @@
 
 impl LoadSimulation {
     /// Creates a simulation without requests.
-    fn new(load: SimulationLoad) -> Self {
+    pub fn new(load: SimulationLoad) -> Self {
         let mut targets = TargetTable::default();
         for engine in 0..load.engines {
             targets.upsert(
@@ -157,7 +157,7 @@
     }
 
     /// Simulates `seconds` seconds.
-    fn run(mut self, seconds: u64) -> SimulationOutcome {
+    pub fn run(mut self, seconds: u64) -> SimulationOutcome {
         while self.now_ms < seconds * 1_000 {
             if self.now_ms.is_multiple_of(REPORT_INTERVAL_MS) {
                 self.distribute_reports();
@@ -493,7 +493,7 @@
 /// one queue, the best that any placement can reach.
 ///
 /// Requests that would start too late are refused and not sent again.
-fn central_queue_share(load: &SimulationLoad, seconds: u64) -> f64 {
+pub(crate) fn central_queue_share(load: &SimulationLoad, seconds: u64) -> f64 {
     let mut random = SeededRandom::new(11);
     let slots = load.engines * load.slots as usize;
     let mut busy_until: Vec<u64> = vec![0; slots];
@@ -526,114 +526,3 @@
 fn engine_index(id: &str) -> usize {
     id.trim_start_matches("engine-").parse().expect("an engine's id")
 }
-
-#[test]
-fn below_capacity_online_and_batch_are_served_in_time() {
-    let load = SimulationLoad {
-        engines: 12,
-        entries: 5,
-        items_per_s: 6.0,
-        item_ms: 5_000,
-        online_per_s: 56.0,
-        online_ms: 800,
-        slots: 8,
-    };
-    let outcome = LoadSimulation::new(load).run(60);
-    let items_already_due = outcome.items - 6 * 18;
-    assert!(f64::from(outcome.on_time) >= 0.97 * f64::from(outcome.online), "{outcome:?}");
-    assert!(f64::from(outcome.items_in_time) >= 0.95 * f64::from(items_already_due), "{outcome:?}");
-    assert_eq!(outcome.refused_below_capacity, 0, "{outcome:?}");
-}
-
-#[test]
-fn entries_of_a_large_fleet_do_not_overload_a_target_together() {
-    let load = SimulationLoad {
-        engines: 46,
-        entries: 21,
-        items_per_s: 10.0,
-        item_ms: 3_300,
-        online_per_s: 250.0,
-        online_ms: 600,
-        slots: 7,
-    };
-    let outcome = LoadSimulation::new(load).run(30);
-    assert!(f64::from(outcome.on_time) >= 0.95 * f64::from(outcome.online), "{outcome:?}");
-    assert_eq!(outcome.refused, 0, "{outcome:?}");
-}
-
-#[test]
-fn at_peaks_over_capacity_most_refused_requests_are_served_on_their_retry() {
-    let load = SimulationLoad {
-        engines: 12,
-        entries: 5,
-        items_per_s: 4.0,
-        item_ms: 5_000,
-        online_per_s: 75.0,
-        online_ms: 850,
-        slots: 8,
-    };
-    let outcome = LoadSimulation::new(load).run(60);
-    let served = outcome.on_time + outcome.late_after_retry + outcome.late;
-    assert!(f64::from(served) >= 0.95 * f64::from(outcome.online), "{outcome:?}");
-    assert!(f64::from(outcome.on_time) >= 0.7 * f64::from(outcome.online), "{outcome:?}");
-    assert!(f64::from(outcome.refused) <= 0.02 * f64::from(outcome.online), "{outcome:?}");
-}
-
-#[test]
-fn with_more_batch_work_than_slots_most_items_that_fit_are_in_time() {
-    let load = SimulationLoad {
-        engines: 12,
-        entries: 5,
-        items_per_s: 12.0,
-        item_ms: 5_000,
-        online_per_s: 56.0,
-        online_ms: 850,
-        slots: 8,
-    };
-    let outcome = LoadSimulation::new(load).run(90);
-    // On average about 48 slots are free, and the items need 60.
-    let fitting = 0.8 * f64::from(outcome.items - 12 * 18);
-    assert!(f64::from(outcome.items_in_time) >= 0.75 * fitting, "{outcome:?}");
-    assert!(f64::from(outcome.on_time) >= 0.95 * f64::from(outcome.online), "{outcome:?}");
-}
-
-#[test]
-fn near_capacity_first_attempts_start_as_in_one_queue_for_the_whole_fleet() {
-    for (engines, entries, online_per_s) in [(18, 4, 84.0), (18, 4, 94.0), (46, 21, 250.0)] {
-        let load = SimulationLoad {
-            engines,
-            entries,
-            items_per_s: 0.0,
-            item_ms: 4_000,
-            online_per_s,
-            online_ms: 800,
-            slots: 8,
-        };
-        let bound = central_queue_share(&load, 60);
-        let outcome = LoadSimulation::new(load).run(60);
-        let on_time = f64::from(outcome.on_time) / f64::from(outcome.online);
-        assert!(on_time >= bound - 0.02, "{on_time} of at most {bound}: {outcome:?}");
-        assert_eq!(outcome.refused, 0, "{outcome:?}");
-    }
-}
-
-#[test]
-fn at_peaks_far_over_capacity_most_requests_still_start_in_time() {
-    let load = SimulationLoad {
-        engines: 38,
-        entries: 17,
-        items_per_s: 0.0,
-        item_ms: 4_000,
-        online_per_s: 290.0,
-        online_ms: 750,
-        slots: 7,
-    };
-    // The peaks bring twice as many requests as there are slots for. In order of arrival nearly all
-    // of them start late; one queue for the whole fleet would start the share below in time.
-    let bound = central_queue_share(&load, 60);
-    let outcome = LoadSimulation::new(load).run(60);
-    let on_time = f64::from(outcome.on_time) / f64::from(outcome.online);
-    assert!(on_time >= 0.9 * bound, "{on_time} of at most {bound}: {outcome:?}");
-    let refused = f64::from(outcome.refused) / f64::from(outcome.online);
-    assert!(refused <= 0.01, "{outcome:?}");
-}
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduling decisions in `cv-dispatch`.
 
 mod caller_waits;
+mod crash_simulation;
 mod deferred_removals;
 mod dispatch_pass;
 mod event_parser;
@@ -8,6 +9,7 @@
 mod job_tracker;
 mod keeper_set;
 mod load_simulation;
+mod load_tests;
 mod peer_presence;
 mod placement;
 mod quarantine;
