--- a/crates/clementinevale/tests/soak/main.rs
+++ b/crates/clementinevale/tests/soak/main.rs
@@ -24,8 +24,11 @@
 use crate::soak_load::run_callers;
 
 /// Seeds that have failed before, each with the cause.
-const REGRESSIONS: [(u64, &str); 5] = [
+const REGRESSIONS: [(u64, &str); 8] = [
+    (4, "a frozen keeper accepted a job that another one had refused (15 s)"),
+    (16, "a frozen keeper accepted a job that another one had refused (15 s)"),
     (21, "SIGHUP ended a process that was reading its settings"),
+    (31, "items waited for connections that had gone silent for good (15 s)"),
     (51, "SIGHUP ended a process that was reading its settings"),
     (103, "SIGTERM arrived before a starting process had installed its signal handler"),
     (107, "SIGTERM arrived before a starting process had installed its signal handler"),
