Abandon a stream that sends blank lines without end

Cause: the bytes were parsed, buffered and forwarded for as long as the caller waited.

Change: more than 64 KiB of events without id and data make a stream count as broken off, like an event that is too long. The new test of the parser does not pass on the code before.

--- a/crates/dispatch/src/event_parser.rs
+++ b/crates/dispatch/src/event_parser.rs
@@ -5,6 +5,10 @@
 /// Longest event, in bytes. A stream that sends more without ending one holds no events.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Longest run of events without id and data, in bytes. Streams hold comments and blank lines between
+/// events, but not without end.
+const MAX_BLANK_BYTES: usize = 64 * 1024;
+
 /// One complete server-sent event.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct StreamEvent {
@@ -19,11 +23,21 @@
 /// Buffers a stream's bytes and splits them into complete events.
 #[derive(Clone, Debug, Default)]
 pub struct EventParser {
+    /// Length of the events without id and data since the last other one.
+    blank_bytes: usize,
     buffer: Vec<u8>,
     /// Length of the events at the start of the buffer that have been returned.
     consumed: usize,
 }
 
+impl StreamEvent {
+    /// Returns whether the event has neither an id nor data.
+    #[must_use]
+    pub fn is_blank(&self) -> bool {
+        self.id.is_none() && self.data.is_empty()
+    }
+}
+
 impl EventParser {
     /// Appends bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
@@ -36,14 +50,20 @@
         let rest = &self.buffer[self.consumed..];
         let raw = rest[..event_length(rest)?].to_vec();
         self.consumed += raw.len();
-        Some(parse_event(raw))
+        let event = parse_event(raw);
+        if event.is_blank() {
+            self.blank_bytes += event.raw.len();
+        } else {
+            self.blank_bytes = 0;
+        }
+        Some(event)
     }
 
-    /// Returns whether an incomplete event is longer than any event may be. The stream has to be
-    /// abandoned then, since its bytes may never end.
+    /// Returns whether an incomplete event, or a run of blank ones, is longer than any may be. The
+    /// stream has to be abandoned then, since its bytes may never end.
     #[must_use]
     pub fn is_oversized(&self) -> bool {
-        self.buffer.len() - self.consumed > MAX_EVENT_BYTES
+        self.buffer.len() - self.consumed > MAX_EVENT_BYTES || self.blank_bytes > MAX_BLANK_BYTES
     }
 
     /// Returns whether bytes are buffered that [`Self::next_event`] has not returned.
--- a/crates/serving/src/entry/response_relay.rs
+++ b/crates/serving/src/entry/response_relay.rs
@@ -186,7 +186,7 @@
             self.last_event = event.id.or(self.last_event);
             bytes.extend_from_slice(&event.raw);
             // Blank lines without end are no progress.
-            events += u32::from(event.id.is_some() || !event.data.is_empty());
+            events += u32::from(!event.is_blank());
         }
         if events > 0 {
             self.first_sent_at.get_or_insert_with(Instant::now);
--- a/tests/dispatch/event_parser.rs
+++ b/tests/dispatch/event_parser.rs
@@ -59,3 +59,19 @@
         assert!(pieces <= 64, "2 MiB are buffered");
     }
 }
+
+// Guards against a target that sends blank lines without end, each of which ends an event.
+#[test]
+fn blank_events_without_end_are_oversized() {
+    let mut parser = EventParser::default();
+    parser.push(b"id: 1\ndata: a\n\n");
+    assert!(parser.next_event().is_some_and(|event| !event.is_blank()));
+    for _ in 0..3 {
+        parser.push(&b"\n".repeat(32 * 1024));
+        while parser.next_event().is_some() {}
+    }
+    assert!(parser.is_oversized());
+    parser.push(b"id: 2\ndata: b\n\n");
+    while parser.next_event().is_some() {}
+    assert!(!parser.is_oversized());
+}
