Close a connection whose target refuses without a request id

Cause: targets answer 421 with only the status, and a failure without an id on a connection that had carried earlier requests had become no proof, so that the request could not go elsewhere.

Change: the connection of a refusal without an id is closed instead, after which no copy of it can follow, and every refusal is a proof again. Both cases of the repeated refusal hold.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -95,8 +95,6 @@
     reader: HttpReader<OwnedReadHalf<TcpStream>>,
     /// Ids of requests that the server has refused on this connection.
     refused: Vec<String>,
-    /// Number of requests that have been sent.
-    requests: u32,
     reusable: bool,
     writer: HttpWriter<OwnedWriteHalf<TcpStream>>,
 }
@@ -132,7 +130,6 @@
             keep_alive_timeout: None,
             reader: HttpReader::new(read_half, limits),
             refused: Vec::new(),
-            requests: 0,
             reusable: true,
             writer: HttpWriter::new(write_half, limits.write_timeout),
         })
@@ -144,7 +141,6 @@
     /// Fails if the connection does; the server may have received the request nevertheless.
     pub async fn send(&mut self, request: &ClientRequest) -> Result<(), HttpFault> {
         self.reusable = false;
-        self.requests += 1;
         let ClientRequest { body, headers, method, path } = request;
         self.writer.write_request(method, path, headers, body).await
     }
@@ -164,7 +160,6 @@
         continue_timeout: Duration,
     ) -> Result<(), SendFault> {
         self.reusable = false;
-        self.requests += 1;
         let ClientRequest { body, headers, method, path } = request;
         let mut headers = headers.clone();
         headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
@@ -302,12 +297,6 @@
         self.refused.iter().any(|refused| refused == request_id)
     }
 
-    /// Returns whether a response may belong to a request before the last one.
-    #[must_use]
-    pub fn has_earlier_requests(&self) -> bool {
-        self.requests > 1
-    }
-
     /// Returns whether another request may be sent.
     #[must_use]
     pub fn is_reusable(&self) -> bool {
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -148,10 +148,10 @@
         let verdict = SidecarVerdict::read(&head.headers);
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         if marks.not_run || is_misdirected || verdict == Some(SidecarVerdict::NotRun) {
-            return Ok(self.handle_refusal(call, connection).await);
+            return Ok(self.handle_refusal(call, connection, head).await);
         }
         if verdict == Some(SidecarVerdict::Quarantined) {
-            self.handle_refusal(call, connection).await;
+            self.handle_refusal(call, connection, head).await;
             return Ok(AttemptOutcome::Quarantined);
         }
         self.context.attempts += 1;
@@ -188,13 +188,15 @@
         &self,
         call: &TargetCall<'_>,
         mut connection: ClientConnection,
+        head: &ResponseHead,
     ) -> AttemptOutcome {
         let choice = self.choice;
         let skipped = connection.skip_response(MAX_REFUSAL_BYTES);
         // The body of a refusal may end with its connection, which the target closes when it likes.
         if monoio::time::timeout(REFUSAL_BODY_TIMEOUT, skipped).await.is_ok_and(|read| read.is_ok())
         {
-            call.release_refused(connection, self.context.options.request_id.as_deref());
+            let id = self.context.options.request_id.as_deref();
+            call.release_refused(connection, &head.headers, id);
         }
         self.context.handler.view.log.record(
             LinePriority::Routine,
--- a/crates/serving/src/sidecar/engine_run.rs
+++ b/crates/serving/src/sidecar/engine_run.rs
@@ -83,6 +83,6 @@
         if let Some(guard) = self.guard {
             guard.cancel();
         }
-        call.release_refused(self.connection, request_id);
+        call.release_refused(self.connection, &self.head.headers, request_id);
     }
 }
--- a/crates/serving/src/target_call.rs
+++ b/crates/serving/src/target_call.rs
@@ -84,11 +84,6 @@
             let answered = (self.request_id_of)(&head.headers);
             // A server may send a second response to an earlier request on the same connection.
             if answered.is_none() || request_id.is_none() || answered.as_deref() == request_id {
-                let is_anonymous = answered.is_none() && request_id.is_some() && !self.is_sidecar;
-                if is_anonymous && connection.has_earlier_requests() && !head.status.is_success() {
-                    let fault = HttpFault::Malformed("refusal that may be an earlier request's");
-                    return Err(TargetFault::Unknown(fault));
-                }
                 return Ok((connection, head));
             }
             connection.skip_response(MAX_STRAY_BYTES).await.map_err(TargetFault::Unknown)?;
@@ -96,10 +91,20 @@
         Err(TargetFault::Unknown(HttpFault::Malformed("responses to other requests")))
     }
 
-    /// Returns a connection to the pool after the server has refused a request on it.
-    pub fn release_refused(&self, mut connection: ClientConnection, request_id: Option<&str>) {
+    /// Returns a connection to the pool after the server has refused a request on it, with a response
+    /// of the given headers. Only the request's id tells that response from a copy that may follow
+    /// later, so a connection without it is closed.
+    pub fn release_refused(
+        &self,
+        mut connection: ClientConnection,
+        headers: &HeaderMap,
+        request_id: Option<&str>,
+    ) {
         // Sidecars send no response twice.
         if let Some(id) = request_id.filter(|_| !self.is_sidecar) {
+            if (self.request_id_of)(headers).is_none() {
+                return;
+            }
             connection.record_refusal(id);
         }
         self.release(connection);
