Run due timers while a peer's bytes are always ready

Cause: after some reads a connection woke itself and went on. The runtime looks at its timers only when no task is ready, so tasks and sockets got turns but no timeout, beat, lease or deadline of the process ran as long as the bytes came. The bounds on interim responses and blank lines ended those two floods early and hid it; other bytes have no such bound.

Change: TurnBudget counts what a task does without waiting and sleeps for the grain of the timers after four steps. A read that waits starts the count anew, so that ordinary exchanges never sleep. Heads of requests count, too. The head of a response has to arrive whole within its timeout; before, only its first byte had.

Test: timers_run_while_a_server_sends_without_end, against RawServer, a stand-in with blocking threads.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -174,8 +174,8 @@
         Ok(())
     }
 
-    /// Reads the head of the final response to a request with `method`, which must begin within
-    /// `response_timeout`.
+    /// Reads the head of the final response to a request with `method`. It, and each interim response
+    /// before it, must arrive within `response_timeout` after the one before.
     ///
     /// # Errors
     /// Fails if the connection does; `TimedOut` if no response begins in time.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,8 +14,8 @@
 mod reader;
 mod server;
 mod stream_tail;
+mod turn_budget;
 mod writer;
-mod yield_now;
 
 pub use crate::client::ClientConnection;
 pub use crate::client::ClientRequest;
@@ -32,4 +32,5 @@
 pub use crate::server::RequestHandler;
 pub use crate::server::bind_listener;
 pub use crate::server::describe_listeners;
+pub use crate::turn_budget::TurnBudget;
 pub use crate::writer::HttpWriter;
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -1,5 +1,8 @@
 //! The receiving half of a connection.
 
+use std::future::Future;
+use std::future::poll_fn;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +21,7 @@
 use crate::BodyFraming;
 use crate::HttpFault;
 use crate::HttpLimits;
-use crate::yield_now::yield_now;
+use crate::TurnBudget;
 
 /// Read size while waiting for a head, in bytes; small, since most connections are idle.
 const HEAD_READ_BYTES: usize = 4 * 1024;
@@ -32,9 +35,6 @@
 /// Maximum size of a chunk of a chunked body, in bytes.
 const MAX_CHUNK_BYTES: usize = 4 * 1024 * 1024;
 
-/// Reads and decoded heads of one connection after which other tasks get a turn.
-const STEPS_PER_TURN: u32 = 8;
-
 /// Maximum number of bytes buffered from a peer while its current request is handled.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 
@@ -43,14 +43,14 @@
     buffer: BytesMut,
     stream: R,
     limits: HttpLimits,
-    /// Reads and decoded heads since the last turn of other tasks.
-    steps: u32,
+    /// Limits the reads and decoded heads between two turns of other tasks.
+    turns: TurnBudget,
 }
 
 impl<R: AsyncReadRent> HttpReader<R> {
     /// Wraps the receiving half of a connection.
     pub fn new(stream: R, limits: HttpLimits) -> Self {
-        Self { buffer: BytesMut::new(), stream, limits, steps: 0 }
+        Self { buffer: BytesMut::new(), stream, limits, turns: TurnBudget::default() }
     }
 
     /// Waits for the first byte of the next message.
@@ -77,28 +77,24 @@
     /// # Errors
     /// Fails for a head that is too large, too slow or not HTTP/1.
     pub async fn read_request_head(&mut self) -> Result<RequestHead, HttpFault> {
+        self.turns.take_step().await;
         self.fill_head().await?;
         self.check_head()?;
         finish_head(RequestHeadDecoder.decode(&mut self.buffer))
     }
 
-    /// Reads the head of a response, which must begin within `response_timeout`.
+    /// Reads the head of a response, which must arrive whole within `response_timeout`.
     ///
     /// # Errors
-    /// `TimedOut` if no byte arrives in time; otherwise as for a request's head.
+    /// `TimedOut` if it does not arrive in time; otherwise as for a request's head.
     pub async fn read_response_head(
         &mut self,
         response_timeout: Duration,
     ) -> Result<ResponseHead, HttpFault> {
-        if self.buffer.is_empty() {
-            match timeout(response_timeout, self.fill(HEAD_READ_BYTES)).await {
-                Err(_) => return Err(HttpFault::TimedOut("response head")),
-                Ok(Ok(0)) => return Err(HttpFault::Closed),
-                Ok(result) => result?,
-            };
+        match timeout(response_timeout, self.fill_response_head()).await {
+            Err(_) => return Err(HttpFault::TimedOut("response head")),
+            Ok(result) => result?,
         }
-        self.take_step().await;
-        self.fill_head().await?;
         self.check_head()?;
         finish_head(ResponseHeadDecoder.decode(&mut self.buffer))
     }
@@ -176,6 +172,15 @@
         std::future::pending::<()>().await;
     }
 
+    /// Reads until the buffer holds the whole head of a response.
+    async fn fill_response_head(&mut self) -> Result<(), HttpFault> {
+        if self.buffer.is_empty() && self.fill(HEAD_READ_BYTES).await? == 0 {
+            return Err(HttpFault::Closed);
+        }
+        self.turns.take_step().await;
+        self.fill_head().await
+    }
+
     /// Reads until the buffer holds a whole head.
     async fn fill_head(&mut self) -> Result<(), HttpFault> {
         let limit = self.limits.head_timeout;
@@ -267,26 +272,27 @@
         }
     }
 
-    /// Gives other tasks a turn now and then. A peer that sends faster than its bytes are handled keeps
-    /// every read ready, and neither timers nor other connections are served meanwhile.
-    async fn take_step(&mut self) {
-        self.steps += 1;
-        if self.steps >= STEPS_PER_TURN {
-            self.steps = 0;
-            yield_now().await;
-        }
-    }
-
     /// Reads once into the buffer and returns the number of bytes, 0 at the end.
     async fn fill(&mut self, capacity: usize) -> Result<usize, HttpFault> {
-        self.take_step().await;
+        self.turns.take_step().await;
         self.fill_at_once(capacity).await
     }
 
     /// Reads once into the buffer, without a turn of other tasks before.
     async fn fill_at_once(&mut self, capacity: usize) -> Result<usize, HttpFault> {
-        let scratch = Vec::with_capacity(capacity);
-        let (result, scratch) = self.stream.read(scratch).await;
+        let mut has_waited = false;
+        let (result, scratch) = {
+            let mut read = pin!(self.stream.read(Vec::with_capacity(capacity)));
+            poll_fn(|context| {
+                let polled = read.as_mut().poll(context);
+                has_waited |= polled.is_pending();
+                polled
+            })
+            .await
+        };
+        if has_waited {
+            self.turns.record_wait();
+        }
         let length = result?;
         self.buffer.extend_from_slice(&scratch[..length]);
         Ok(length)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod json_response;
 mod key_value;
 mod plain_service;
+mod raw_server;
 mod unframed_response;
 
 pub use crate::engine::EngineReport;
@@ -24,3 +25,8 @@
 pub use crate::key_value::KeyValueStandin;
 pub use crate::plain_service::ExecutionCounter;
 pub use crate::plain_service::PlainServiceStandin;
+pub use crate::raw_server::RawEnding;
+pub use crate::raw_server::RawRequest;
+pub use crate::raw_server::RawResponder;
+pub use crate::raw_server::RawResponse;
+pub use crate::raw_server::RawServer;
--- a/tests/border/main.rs
+++ b/tests/border/main.rs
@@ -1,5 +1,6 @@
 //! Tests of untrusted input: HTTP connections, settings, journal files and event files.
 
+mod endless_bytes;
 mod http_input;
 mod journal_damage;
 mod settings_findings;
