Read chunked bodies piece by piece, with bounds on their lines

Callers would have seen: a target that sends chunks, extensions or trailers without end cost each process that read it up to 4 MB a connection, and a stream of large chunks came late, as a whole chunk was collected first.

Cause: the decoder of monoio-http returns whole chunks and has no bound on extensions and trailers; the reader above it allowed 4 MB.

Change: an own decoder that returns what has arrived, several small chunks as one piece; at most 1 KB for the line of a size, 16 KB for all extensions and 16 KB for the trailers of a body.

--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -5,9 +5,9 @@
 use http::StatusCode;
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
-use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
 
 use crate::HttpFault;
+use crate::chunk_decoder::ChunkDecoder;
 
 /// How the end of a body is found, and what is left to read.
 pub enum BodyFraming {
@@ -16,7 +16,7 @@
     /// This many bytes are left.
     Fixed(u64),
     /// Chunks follow, of which the empty one is the last.
-    Chunked(ChunkedBodyDecoder),
+    Chunked(ChunkDecoder),
     /// The body ends with the connection, which is allowed only in responses.
     UntilClose,
 }
@@ -80,7 +80,7 @@
         (Some(length), None) => parse_content_length(length.as_bytes()).map(Some),
         (None, Some(encoding)) => {
             if encoding.as_bytes().eq_ignore_ascii_case(b"chunked") {
-                Ok(Some(BodyFraming::Chunked(ChunkedBodyDecoder::default())))
+                Ok(Some(BodyFraming::Chunked(ChunkDecoder::default())))
             } else {
                 Err(HttpFault::Malformed("unsupported transfer encoding"))
             }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 //! caller: limits on heads and bodies, timeouts, rejection of ambiguous framing, detection of
 //! truncated messages, and connection reuse.
 
+mod chunk_decoder;
 mod client;
 mod exchange;
 mod fault;
@@ -17,6 +18,8 @@
 mod turn_budget;
 mod writer;
 
+pub use crate::chunk_decoder::ChunkDecoder;
+pub use crate::chunk_decoder::ChunkStep;
 pub use crate::client::ClientConnection;
 pub use crate::client::ClientRequest;
 pub use crate::client::ClientResponse;
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -22,6 +22,8 @@
 use crate::HttpFault;
 use crate::HttpLimits;
 use crate::TurnBudget;
+use crate::chunk_decoder::ChunkDecoder;
+use crate::chunk_decoder::ChunkStep;
 
 /// Read size while waiting for a head, in bytes; small, since most connections are idle.
 const HEAD_READ_BYTES: usize = 4 * 1024;
@@ -32,9 +34,6 @@
 /// Read size inside a body, in bytes.
 const BODY_READ_BYTES: usize = 32 * 1024;
 
-/// Maximum size of a chunk of a chunked body, in bytes.
-const MAX_CHUNK_BYTES: usize = 4 * 1024 * 1024;
-
 /// Maximum number of bytes buffered from a peer while its current request is handled.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 
@@ -118,12 +117,10 @@
                 Ok(Some(piece))
             }
             BodyFraming::Chunked(decoder) => {
-                let mut decoder = std::mem::take(decoder);
-                let piece = self.chunked_piece(&mut decoder).await?;
-                *framing = match piece {
-                    Some(_) => BodyFraming::Chunked(decoder),
-                    None => BodyFraming::Empty,
-                };
+                let piece = self.chunked_piece(decoder).await?;
+                if piece.is_none() {
+                    *framing = BodyFraming::Empty;
+                }
                 Ok(piece)
             }
             BodyFraming::UntilClose => {
@@ -229,21 +226,17 @@
         Ok(self.buffer.split_to(length as usize).freeze())
     }
 
-    /// Takes the next chunk of a chunked body.
+    /// Takes the next bytes of a chunked body, or `None` at its end.
     async fn chunked_piece(
         &mut self,
-        decoder: &mut monoio_http::h1::codec::decoder::ChunkedBodyDecoder,
+        decoder: &mut ChunkDecoder,
     ) -> Result<Option<Bytes>, HttpFault> {
         loop {
-            match decoder.decode(&mut self.buffer) {
-                Ok(Decoded::Some(piece)) => return Ok(piece),
-                Ok(_) => {}
-                Err(_) => return Err(HttpFault::Malformed("invalid chunk")),
+            match decoder.decode(&mut self.buffer)? {
+                ChunkStep::Piece(piece) => return Ok(Some(piece)),
+                ChunkStep::End => return Ok(None),
+                ChunkStep::NeedsBytes => self.fill_body().await?,
             }
-            if self.buffer.len() > MAX_CHUNK_BYTES {
-                return Err(HttpFault::BodyTooLarge);
-            }
-            self.fill_body().await?;
         }
     }
 
--- a/tests/border/endless_bytes.rs
+++ b/tests/border/endless_bytes.rs
@@ -111,3 +111,46 @@
     let delay = delay.expect("the runtime starts");
     assert!(delay < MAX_TIMER_DELAY, "a timer was late by {delay:?}");
 }
+
+/// Returns the first piece of the body of a response that begins with `bytes` and then stalls.
+fn read_first_piece(bytes: Vec<u8>) -> Result<usize, HttpFault> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = RawServer::start(address, move |_| RawResponse {
+        bytes: bytes.clone(),
+        ending: RawEnding::Repeat(Arc::default(), Duration::from_millis(100)),
+        ..RawResponse::default()
+    });
+    let address = server.as_ref().expect("a port is free").address();
+    let read = block_on(async move {
+        let limits = HttpLimits { body_timeout: READ_TIMEOUT, ..HttpLimits::default() };
+        let mut connection =
+            ClientConnection::connect(address, Duration::from_secs(1), limits).await?;
+        connection.send(&ClientRequest::new(Method::GET, "/x", "")).await?;
+        connection.read_head(&Method::GET, READ_TIMEOUT).await?;
+        connection.read_piece().await
+    });
+    read.expect("the runtime starts").map(|piece| piece.map_or(0, |piece| piece.len()))
+}
+
+// Guards against whole chunks kept in memory, on every connection at once.
+#[test]
+fn a_chunk_is_read_in_pieces() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n300000\r\n";
+    let mut bytes = head.as_bytes().to_vec();
+    bytes.resize(bytes.len() + 2 * 1024 * 1024, b'x');
+    let first = read_first_piece(bytes).expect("a part of the chunk is read");
+    assert!((1..=64 * 1024).contains(&first), "{first} bytes");
+}
+
+// Guards against lines of a chunked body that are kept in memory until they end.
+#[rstest]
+#[case::extension("1;x=")]
+#[case::size("0")]
+#[case::trailer("0\r\nx-filler: ")]
+fn an_overlong_line_of_a_chunked_body_is_refused(#[case] start: &str) {
+    let head = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{start}");
+    let mut bytes = head.into_bytes();
+    bytes.resize(bytes.len() + 64 * 1024, b'0');
+    let read = read_first_piece(bytes);
+    assert!(matches!(read, Err(HttpFault::Malformed(_))), "{read:?}");
+}
