Buffer only a few long responses at once

Shown here: 24 requests at once to a plain target that sends a body without end took an entry to 105 to 110 MB (60 MB with chunks of one byte); the smallest instances have 110 MB. Each response was buffered up to 8 MB, without a bound on all together.

Change: a response of more than 64 KB needs one of two permits to be buffered further, and waits unread until it has one. A declared length over 8 MB is given up at once.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -218,6 +218,12 @@
         self.reader.read_body(&mut self.framing, limit).await.map(|_| ())
     }
 
+    /// Returns the number of bytes of the response body that are left to read, if it is declared.
+    #[must_use]
+    pub fn declared_length(&self) -> Option<u64> {
+        self.framing.declared_length()
+    }
+
     /// Returns the time for which the server announced that it keeps an idle connection.
     #[must_use]
     pub fn keep_alive_timeout(&self) -> Option<Duration> {
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -1,8 +1,5 @@
 //! The receiving half of a connection.
 
-use std::future::Future;
-use std::future::poll_fn;
-use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -273,19 +270,8 @@
 
     /// Reads once into the buffer, without a turn of other tasks before.
     async fn fill_at_once(&mut self, capacity: usize) -> Result<usize, HttpFault> {
-        let mut has_waited = false;
-        let (result, scratch) = {
-            let mut read = pin!(self.stream.read(Vec::with_capacity(capacity)));
-            poll_fn(|context| {
-                let polled = read.as_mut().poll(context);
-                has_waited |= polled.is_pending();
-                polled
-            })
-            .await
-        };
-        if has_waited {
-            self.turns.record_wait();
-        }
+        let read = self.stream.read(Vec::with_capacity(capacity));
+        let (result, scratch) = self.turns.track(read).await;
         let length = result?;
         self.buffer.extend_from_slice(&scratch[..length]);
         Ok(length)
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -24,6 +24,7 @@
 use crate::HttpReader;
 use crate::HttpWriter;
 use crate::ServerExchange;
+use crate::TurnBudget;
 use crate::limits::KEEP_ALIVE_IDLE;
 use crate::limits::KEEP_ALIVE_INTERVAL;
 use crate::limits::KEEP_ALIVE_PROBES;
@@ -31,6 +32,9 @@
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: i32 = 4096;
 
+/// Connections accepted before other tasks and timers get a turn.
+const CONNECTIONS_PER_TURN: u32 = 64;
+
 /// Handles the requests of a server.
 pub trait RequestHandler: 'static {
     /// Handles one request; an error closes its connection.
@@ -56,10 +60,12 @@
 
     /// Accepts connections until the gate starts to drain; running exchanges continue after that.
     pub async fn run(self) {
+        let mut turns = TurnBudget::with_steps(CONNECTIONS_PER_TURN);
         loop {
+            turns.take_step().await;
             monoio::select! {
                 () = self.gate.drain_started() => return,
-                accepted = self.listener.accept() => match accepted {
+                accepted = turns.track(self.listener.accept()) => match accepted {
                     Ok((stream, _)) => self.spawn_connection(stream),
                     Err(error) => {
                         log::warn!("cannot accept a connection, retrying: {error}");
--- a/crates/serving/src/entry/entry_handler.rs
+++ b/crates/serving/src/entry/entry_handler.rs
@@ -29,6 +29,7 @@
 use crate::PlatformAdapter;
 use crate::entry::entry_metrics::EntryMetrics;
 use crate::entry::job_relay::JobRelay;
+use crate::entry::long_bodies::LongBodies;
 use crate::entry::online_request::OnlineRequest;
 use crate::entry::permit_client::PermitClient;
 use crate::entry::reservation_client::ReservationClient;
@@ -52,6 +53,8 @@
     pub identity: Rc<NodeIdentity>,
     /// Relays requests about jobs to the keepers.
     pub jobs: JobRelay,
+    /// Limits the memory of long responses.
+    pub long_bodies: LongBodies,
     /// The entry's metrics.
     pub metrics: EntryMetrics,
     /// Asks for permits to send requests to targets with a limit.
--- a/crates/serving/src/entry/entry_node.rs
+++ b/crates/serving/src/entry/entry_node.rs
@@ -29,6 +29,7 @@
 use crate::entry::entry_handler::EntryHandler;
 use crate::entry::entry_metrics::EntryMetrics;
 use crate::entry::job_relay::JobRelay;
+use crate::entry::long_bodies::LongBodies;
 use crate::entry::permit_client::PermitClient;
 use crate::entry::ready_handler::ReadyHandler;
 use crate::entry::reservation_client::ReservationClient;
@@ -104,6 +105,7 @@
             adapter: PhantomData,
             identity,
             jobs: JobRelay { pool: ConnectionPool::new(limits), view: Rc::clone(&view) },
+            long_bodies: LongBodies::default(),
             metrics,
             permits,
             pool: ConnectionPool::new(limits),
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -78,8 +78,8 @@
     /// # Errors
     /// Faults of the caller's connection; `Truncated` for a stream that cannot be resumed.
     pub async fn run(mut self, exchange: &mut ServerExchange<'_>) -> Result<(), HttpFault> {
-        let mut relay =
-            ResponseRelay::new(self.context.route.kind, self.context.options.resume_after);
+        let RequestContext { handler, options, route, .. } = &self.context;
+        let mut relay = ResponseRelay::new(route.kind, options.resume_after, &handler.long_bodies);
         loop {
             let step = self.try_target(exchange, &mut relay).await?;
             let conclusion = self.conclusion();
@@ -100,7 +100,7 @@
     async fn try_target(
         &mut self,
         exchange: &mut ServerExchange<'_>,
-        relay: &mut ResponseRelay,
+        relay: &mut ResponseRelay<'_>,
     ) -> Result<RequestStep, HttpFault> {
         if self.context.time_left().is_zero() {
             return Ok(RequestStep::Unanswered("deadline"));
--- a/crates/serving/src/entry/request_conclusion.rs
+++ b/crates/serving/src/entry/request_conclusion.rs
@@ -32,7 +32,7 @@
     pub async fn finish_unanswered(
         &self,
         exchange: &mut ServerExchange<'_>,
-        relay: &ResponseRelay,
+        relay: &ResponseRelay<'_>,
         reason: &str,
     ) -> Result<(), HttpFault> {
         let handler = self.context.handler;
@@ -78,7 +78,7 @@
     pub async fn finish_quarantined(
         &self,
         exchange: &mut ServerExchange<'_>,
-        relay: &ResponseRelay,
+        relay: &ResponseRelay<'_>,
     ) -> Result<(), HttpFault> {
         const REASON: &str = "quarantined";
         if self.context.attempts > 0 || relay.has_started() {
@@ -100,7 +100,7 @@
     }
 
     /// Records a complete response.
-    pub fn record_success(&self, target: &str, status: StatusCode, relay: &ResponseRelay) {
+    pub fn record_success(&self, target: &str, status: StatusCode, relay: &ResponseRelay<'_>) {
         let handler = self.context.handler;
         handler.metrics.answered.inc();
         let now = handler.view.clock.now();
--- a/crates/serving/src/entry/response_relay.rs
+++ b/crates/serving/src/entry/response_relay.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use bytes::BytesMut;
 use cv_dispatch::EventParser;
 use cv_dispatch::RouteKind;
@@ -14,8 +13,7 @@
 use http::StatusCode;
 use monoio::time::timeout;
 
-/// Longest response that is not streamed, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+use crate::entry::long_bodies::LongBodies;
 
 /// Time without a complete event after which a stream is continued on another target.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -31,25 +29,28 @@
 }
 
 /// Relays one caller's response and tracks how much of it has been sent.
-pub(crate) struct ResponseRelay {
+pub(crate) struct ResponseRelay<'a> {
     /// When the first part of the response was sent to the caller.
     first_sent_at: Option<Instant>,
     kind: RouteKind,
     /// Number of the last event that has been sent to the caller.
     last_event: Option<u64>,
     has_started: bool,
+    /// Buffers responses that are not streamed.
+    long_bodies: &'a LongBodies,
     /// Whether an event without a number has been sent, after which the stream cannot be resumed.
     has_unnumbered_event: bool,
 }
 
-impl ResponseRelay {
+impl<'a> ResponseRelay<'a> {
     /// Creates a relay for a caller that has received a stream up to and including `last_event`.
-    pub fn new(kind: RouteKind, last_event: Option<u64>) -> Self {
+    pub fn new(kind: RouteKind, last_event: Option<u64>, long_bodies: &'a LongBodies) -> Self {
         Self {
             first_sent_at: None,
             kind,
             last_event,
             has_started: false,
+            long_bodies,
             has_unnumbered_event: false,
         }
     }
@@ -106,7 +107,7 @@
         time_left: Duration,
     ) -> Result<RelayOutcome, HttpFault> {
         let body = monoio::select! {
-            body = timeout(time_left, read_body(&mut connection)) => body,
+            body = timeout(time_left, self.long_bodies.read(&mut connection)) => body,
             () = exchange.closed() => return Ok(RelayOutcome::CallerGone),
         };
         match body {
@@ -195,15 +196,3 @@
         Ok(events)
     }
 }
-
-/// Reads a body of limited size to its end.
-async fn read_body(connection: &mut ClientConnection) -> Result<Bytes, HttpFault> {
-    let mut body = BytesMut::new();
-    while let Some(piece) = connection.read_piece().await? {
-        if body.len() + piece.len() > MAX_RESPONSE_BYTES {
-            return Err(HttpFault::BodyTooLarge);
-        }
-        body.extend_from_slice(&piece);
-    }
-    Ok(body.freeze())
-}
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -82,7 +82,7 @@
     pub async fn send(
         &mut self,
         exchange: &mut ServerExchange<'_>,
-        relay: &mut ResponseRelay,
+        relay: &mut ResponseRelay<'_>,
     ) -> Result<AttemptOutcome, HttpFault> {
         // The request may have waited for a slot since the last decision.
         if !self.is_trial && self.context.decide_quarantine() != QuarantineDecision::Admit {
@@ -134,7 +134,7 @@
         call: &TargetCall<'_>,
         connection: ClientConnection,
         head: &ResponseHead,
-        relay: &mut ResponseRelay,
+        relay: &mut ResponseRelay<'_>,
     ) -> Result<AttemptOutcome, HttpFault> {
         let choice = self.choice;
         let marks = P::response_metadata(&head.headers);
@@ -208,7 +208,7 @@
     }
 
     /// Builds the request for one attempt.
-    fn build_request(&self, relay: &ResponseRelay) -> ClientRequest {
+    fn build_request(&self, relay: &ResponseRelay<'_>) -> ClientRequest {
         let Self { choice, is_trial, reservation, .. } = *self;
         let attempt = AttemptOptions {
             deadline: Some(self.context.time_left()),
--- a/tests/support/lib.rs
+++ b/tests/support/lib.rs
@@ -3,6 +3,7 @@
 pub mod node_caller;
 mod node_fleet;
 mod process_fleet;
+mod raw_target;
 mod server_process;
 mod small_fleet;
 
@@ -12,6 +13,8 @@
 pub use crate::node_fleet::NodeProcess;
 pub use crate::node_fleet::engine_id;
 pub use crate::process_fleet::ProcessFleet;
+pub use crate::raw_target::RawTarget;
+pub use crate::raw_target::RawTargetKind;
 pub use crate::server_process::ServerProcess;
 pub use crate::small_fleet::SmallFleet;
 pub use crate::small_fleet::call_once;
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -320,6 +320,28 @@
         self.socket_address(host, INTERNAL_PORT)
     }
 
+    /// Returns the address of a host's target.
+    #[must_use]
+    pub fn target_address(&self, host: u8) -> SocketAddr {
+        self.socket_address(host, TARGET_PORT)
+    }
+
+    /// Returns the address of an entry's readiness check.
+    #[must_use]
+    pub fn ready_address(&self, index: u8) -> SocketAddr {
+        self.socket_address(50 + index, READY_PORT)
+    }
+
+    /// Starts another sidecar, of an engine at the given address.
+    pub fn start_sidecar(&mut self, host: u8, engine: SocketAddr) {
+        let binary = self.nodes[0].binary.display().to_string();
+        let section = format!("sidecar:\n  engine: \"{engine}\"\n");
+        self.add_node(&binary, "sidecar", host, &section, None);
+        if let Some(node) = self.nodes.last_mut() {
+            node.start();
+        }
+    }
+
     /// Returns the number of model engines.
     #[must_use]
     pub fn engine_count(&self) -> u8 {
@@ -373,9 +395,14 @@
     /// `engine-N` now has.
     ///
     /// # Panics
-    /// Panics if `id` names an engine or ghost without a valid index.
+    /// Panics if `id` names an engine, ghost or raw target without a valid number.
     pub fn register(&self, id: &str, state: &str) {
         let (service, host) = match id.split_once('-') {
+            Some(("raw", rest)) => {
+                let (service, host) = rest.split_once('-').expect("the id names a service");
+                let service = if service == "engine" { "llm" } else { "desk" };
+                (service, host.parse::<u8>().expect("the id ends in a host"))
+            }
             Some(("engine" | "ghost", index)) => {
                 ("llm", 10 + index.parse::<u8>().expect("the id ends in an index"))
             }
