--- a/crates/serving/src/load_listener.rs
+++ b/crates/serving/src/load_listener.rs
@@ -7,6 +7,7 @@
 use cv_dispatch::LoadReport;
 use cv_dispatch::SidecarSubscriptions;
 use cv_dispatch::TargetState;
+use cv_http::TurnBudget;
 use cv_timer::TimerService;
 use monoio::net::udp::UdpSocket;
 
@@ -15,6 +16,7 @@
 use crate::decode_load_report;
 use crate::internal_headers::TARGET_DRAINING;
 use crate::internal_headers::TARGET_READY;
+use crate::quarantine_exchange::DATAGRAMS_PER_TURN;
 use crate::quarantine_exchange::DirectoryPeers;
 use crate::quarantine_exchange::MAX_DATAGRAM_BYTES;
 use crate::quarantine_exchange::QuarantineExchange;
@@ -42,9 +44,11 @@
             directory_peers(&peer_view, &peer_identity)
         });
     monoio::spawn(async move {
+        let mut turns = TurnBudget::with_steps(DATAGRAMS_PER_TURN);
         loop {
+            turns.take_step().await;
             let buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
-            let (received, buffer) = report_socket.recv_from(buffer).await;
+            let (received, buffer) = turns.track(report_socket.recv_from(buffer)).await;
             match received {
                 Ok((_, address)) => {
                     if let Some(report) = decode_load_report(&buffer) {
--- a/crates/serving/src/quarantine_exchange.rs
+++ b/crates/serving/src/quarantine_exchange.rs
@@ -32,6 +32,9 @@
 /// Largest datagram that is received between processes, in bytes.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 2_048;
 
+/// Datagrams received before other tasks and timers get a turn.
+pub(crate) const DATAGRAMS_PER_TURN: u32 = 64;
+
 /// Time between two rounds in which peers are told what is new.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/crates/serving/src/sidecar/load_reporter.rs
+++ b/crates/serving/src/sidecar/load_reporter.rs
@@ -8,6 +8,7 @@
 
 use cv_dispatch::LoadReport;
 use cv_dispatch::PeerPresence;
+use cv_http::TurnBudget;
 use cv_policy::MonotonicTime;
 use cv_timeline::EventKind;
 use cv_timeline::LineLog;
@@ -19,6 +20,7 @@
 use crate::encode_load_report;
 use crate::internal_headers::TARGET_DRAINING;
 use crate::permit_desk::PermitDesk;
+use crate::quarantine_exchange::DATAGRAMS_PER_TURN;
 use crate::quarantine_exchange::MAX_DATAGRAM_BYTES;
 use crate::quarantine_exchange::QuarantineExchange;
 use crate::reservation_message::ReservationMessage;
@@ -106,9 +108,11 @@
 
     /// Receives reservations and subscriptions, of which each renews the one of its sender.
     async fn receive_subscriptions(&self) {
+        let mut turns = TurnBudget::with_steps(DATAGRAMS_PER_TURN);
         loop {
+            turns.take_step().await;
             let buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
-            let (received, datagram) = self.socket.recv_from(buffer).await;
+            let (received, datagram) = turns.track(self.socket.recv_from(buffer)).await;
             let Ok((_, address)) = received else {
                 monoio::time::sleep(REPORT_INTERVAL).await;
                 continue;
