Hold no request while a target sends a head now and then

Callers saw: a target that sent an interim response every 250 ms held a request past its route's timeout; the test's callers gave up after 6 s at a timeout of 5 s (CONFIG). Each interim response, each response to another request and each part of a head began a new wait of the full time.

Change: a call has one limit for the whole head of its response, from the first byte of the request on, which a server that does not read counts against as well. Only items at a sidecar keep a limit between two heads, since a sidecar shows with interim responses that an item still waits.

Test: bytes_now_and_then_do_not_hold_a_request.

--- a/crates/clementinevale/tests/nodes/endless_bytes.rs
+++ b/crates/clementinevale/tests/nodes/endless_bytes.rs
@@ -13,6 +13,7 @@
 use cv_runtime::block_on;
 use cv_standin::RawEnding;
 use cv_standin::RawRequest;
+use cv_standin::RawResponder;
 use cv_standin::RawResponse;
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
@@ -41,6 +42,9 @@
 /// Size of the repeated block, in bytes.
 const BLOCK_BYTES: usize = 512 * 1024;
 
+/// Time between two units of bytes that come now and then.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Requests that are made at once.
 const REQUESTS: usize = 24;
 
@@ -62,8 +66,26 @@
 }
 
 impl Flood {
-    /// Returns the response to a request.
+    /// Returns a response that never stops sending.
     fn respond(self, request: &RawRequest) -> RawResponse {
+        let (start, unit) = self.parts(request);
+        let block = unit.repeat(BLOCK_BYTES.div_ceil(unit.len()));
+        RawResponse {
+            bytes: start,
+            ending: RawEnding::Repeat(Arc::new(block), Duration::ZERO),
+            ..RawResponse::default()
+        }
+    }
+
+    /// Returns a response that sends a few bytes now and then.
+    fn trickle(self, request: &RawRequest) -> RawResponse {
+        let (start, unit) = self.parts(request);
+        let ending = RawEnding::Repeat(Arc::new(unit), TRICKLE_INTERVAL);
+        RawResponse { bytes: start, ending, ..RawResponse::default() }
+    }
+
+    /// Returns the start of the response to a request, and the bytes that repeat after it.
+    fn parts(self, request: &RawRequest) -> (Vec<u8>, Vec<u8>) {
         let head = format!(
             "HTTP/1.1 200 OK\r\nServer-Seal: seal\r\nRequest-Id: {}\r\n\
              Content-Type: text/event-stream\r\n",
@@ -88,12 +110,7 @@
                 (format!("{head}Content-Length: 0\r\n\r\n"), b"HTTP/1.1 200 OK\r\n".to_vec())
             }
         };
-        let block = unit.repeat(BLOCK_BYTES.div_ceil(unit.len()));
-        RawResponse {
-            bytes: start.into_bytes(),
-            ending: RawEnding::Repeat(Arc::new(block), Duration::ZERO),
-            ..RawResponse::default()
-        }
+        (start.into_bytes(), unit)
     }
 }
 
@@ -151,10 +168,10 @@
 }
 
 /// Starts a fleet with one sound target of each kind and a raw one.
-fn start_fleet(kind: RawTargetKind, flood: Flood) -> (NodeFleet, RawTarget) {
+fn start_fleet(kind: RawTargetKind, respond: impl RawResponder) -> (NodeFleet, RawTarget) {
     let size = NodeFleetSize { engines: 1, entries: 1, keepers: 1 };
     let mut fleet = NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size);
-    let target = RawTarget::add(&mut fleet, kind, move |request| flood.respond(request));
+    let target = RawTarget::add(&mut fleet, kind, respond);
     if kind == RawTargetKind::Engine {
         // An engine without a sidecar gets requests only if no other one has a sidecar.
         fleet.nodes.remove(0).kill();
@@ -202,7 +219,7 @@
     )]
     flood: Flood,
 ) {
-    let (mut fleet, target) = start_fleet(kind, flood);
+    let (mut fleet, target) = start_fleet(kind, move |request| flood.respond(request));
     let entry = fleet.entry_addresses()[0];
     let times = ResponseTimes::start(&fleet);
     let outcomes = block_on(join_all((0..REQUESTS).map(|number| async move {
@@ -239,7 +256,7 @@
     )]
     flood: Flood,
 ) {
-    let (mut fleet, target) = start_fleet(kind, flood);
+    let (mut fleet, target) = start_fleet(kind, move |request| flood.respond(request));
     let entries = fleet.entry_addresses();
     let times = ResponseTimes::start(&fleet);
     block_on(async {
@@ -252,3 +269,39 @@
     assert!(longest < MAX_RESPONSE_TIME, "{slowest} has responded after {longest:?}");
     check_processes(&mut fleet, &target);
 }
+
+// Guards against a target that sends a few bytes now and then, each of which begins a new wait, so
+// that a request is held longer than its route allows.
+#[rstest]
+fn bytes_now_and_then_do_not_hold_a_request(
+    #[values(RawTargetKind::Plain, RawTargetKind::Engine, RawTargetKind::EngineWithSidecar)]
+    kind: RawTargetKind,
+    #[values(
+        Flood::Interim,
+        Flood::HeaderLines,
+        Flood::HeaderLine,
+        Flood::UntilClose(b": comment\n\n"),
+        Flood::UntilClose(b"data: x\n"),
+        Flood::Chunked(b"\0"),
+        Flood::ChunkExtension,
+        Flood::Trailers,
+        Flood::DeclaredLength
+    )]
+    flood: Flood,
+) {
+    let (fleet, target) = start_fleet(kind, move |request| flood.trickle(request));
+    let entry = fleet.entry_addresses()[0];
+    let outcomes = block_on(join_all((0..8).map(|number| async move {
+        let (id, started_at) = (format!("s{number}"), Instant::now());
+        let outcome = match kind {
+            RawTargetKind::Plain => request_plain(entry, "status", &id).await,
+            _ => request_stream(entry, "advice", &id, 4).await,
+        };
+        (outcome, started_at.elapsed())
+    })));
+    assert!(target.server.requests() > 0, "the target has got no request");
+    for (outcome, took) in outcomes.expect("the runtime starts") {
+        assert!(took < MAX_REQUEST_TIME, "{outcome:?} after {took:?}");
+        assert!(!matches!(outcome, CallerOutcome::Incorrect(_)), "{outcome:?}");
+    }
+}
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -27,6 +27,7 @@
 use crate::entry::request_context::RequestContext;
 use crate::entry::response_relay::RelayOutcome;
 use crate::entry::response_relay::ResponseRelay;
+use crate::target_call::HeadWait;
 use crate::target_call::TargetCall;
 use crate::target_call::TargetFault;
 
@@ -109,11 +110,11 @@
         };
         let request = self.build_request(relay);
         handler.metrics.attempts.inc();
-        let timeout = self.response_timeout();
+        let wait = HeadWait::Total(self.response_timeout());
         let id = self.context.options.request_id.as_deref();
         let connect_timeout = CONNECT_TIMEOUT.min(self.context.time_left());
         let opened = monoio::select! {
-            opened = call.open(&request, id, connect_timeout, timeout) => opened,
+            opened = call.open(&request, id, connect_timeout, wait) => opened,
             () = exchange.closed() => return Ok(self.abandon()),
         };
         let (connection, head) = match opened {
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -34,6 +34,7 @@
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::result_commits::start_commits;
 use crate::keeper::tracked_job::TrackedJob;
+use crate::target_call::HeadWait;
 use crate::target_call::TargetCall;
 use crate::target_call::TargetFault;
 
@@ -256,10 +257,14 @@
             pool: &self.state.pool,
             request_id_of: |headers| P::response_metadata(headers).request_id,
         };
-        let head_timeout = if self.target.through_sidecar { SIDECAR_SILENCE } else { HEAD_TIMEOUT };
+        let wait = if self.target.through_sidecar {
+            HeadWait::Silence(SIDECAR_SILENCE)
+        } else {
+            HeadWait::Total(HEAD_TIMEOUT)
+        };
         let (id, request) = self.request();
         let opened = monoio::select! {
-            opened = call.open(&request, Some(&id), CONNECT_TIMEOUT, head_timeout) => opened,
+            opened = call.open(&request, Some(&id), CONNECT_TIMEOUT, wait) => opened,
             () = self.wait_for_loss() => {
                 return RunOutcome::Interrupted("target silent".to_owned());
             }
--- a/crates/serving/src/sidecar/engine_run.rs
+++ b/crates/serving/src/sidecar/engine_run.rs
@@ -10,6 +10,7 @@
 
 use crate::SidecarVerdict;
 use crate::sidecar::engine_watch::EngineRunGuard;
+use crate::target_call::HeadWait;
 use crate::target_call::TargetCall;
 use crate::target_call::TargetFault;
 
@@ -38,7 +39,7 @@
         guard: EngineRunGuard,
         timeout: Duration,
     ) -> Result<Self, SidecarVerdict> {
-        match call.open(request, request_id, CONNECT_TIMEOUT, timeout).await {
+        match call.open(request, request_id, CONNECT_TIMEOUT, HeadWait::Total(timeout)).await {
             Ok((connection, head)) => {
                 guard.answered();
                 Ok(Self { connection, guard: Some(guard), head })
--- a/crates/serving/src/target_call.rs
+++ b/crates/serving/src/target_call.rs
@@ -11,6 +11,7 @@
 use cv_http::SendFault;
 use http::HeaderMap;
 use http::response::Parts as ResponseHead;
+use monoio::time::timeout;
 
 /// Most responses to other requests that are skipped before the connection is closed.
 const MAX_STRAY_RESPONSES: usize = 3;
@@ -40,6 +41,16 @@
     }
 }
 
+/// How long a call waits for the head of its response.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum HeadWait {
+    /// Until this time after the first byte of the request was sent.
+    Total(Duration),
+    /// Until this time after the last interim response, by which a sidecar shows that an item still
+    /// waits.
+    Silence(Duration),
+}
+
 /// Sends requests to one address.
 pub(crate) struct TargetCall<'a> {
     /// Address that the server listens on.
@@ -62,13 +73,33 @@
         request: &ClientRequest,
         request_id: Option<&str>,
         connect_timeout: Duration,
-        head_timeout: Duration,
+        wait: HeadWait,
     ) -> Result<(ClientConnection, ResponseHead), TargetFault> {
         let connected = match request_id {
             Some(id) => self.pool.connect_for(self.address, id, connect_timeout).await,
             None => self.pool.connect(self.address, connect_timeout).await,
         };
-        let mut connection = connected.map_err(TargetFault::NotSent)?;
+        let connection = connected.map_err(TargetFault::NotSent)?;
+        match wait {
+            HeadWait::Silence(limit) => self.send(connection, request, request_id, limit).await,
+            // Each interim response, and each response to another request, begins a new wait for a
+            // head, and a server that does not read holds the request itself.
+            HeadWait::Total(limit) => {
+                let sent = timeout(limit, self.send(connection, request, request_id, limit)).await;
+                sent.unwrap_or(Err(TargetFault::Unknown(HttpFault::TimedOut("response head"))))
+            }
+        }
+    }
+
+    /// Sends a request over a connection and waits for the head of its response, for up to
+    /// `head_timeout` between two heads.
+    async fn send(
+        &self,
+        mut connection: ClientConnection,
+        request: &ClientRequest,
+        request_id: Option<&str>,
+        head_timeout: Duration,
+    ) -> Result<(ClientConnection, ResponseHead), TargetFault> {
         if self.is_sidecar && !request.body.is_empty() {
             let sent = connection.send_expecting_continue(request, CONTINUE_TIMEOUT).await;
             sent.map_err(|fault| match fault {
