Search event streams only once, and bound what they hold

Beside streams without end (24 at once, debug build) an entry answered its readiness check after 110 to 129 ms, where 100 ms are allowed.

Cause: the search for the end of an event began anew with each read, so its time grew with the square of an event that does not end, and each run of blank lines was split into up to 32,000 events before it was given up.

Change: the parser remembers how far it has searched. An event may have 256 KB (1 MB before), a run of blank ones 16 KB (64 KB), one of events without ids 1 MB (no bound), so that all streams together stay within the memory.

Test: events_without_ids_and_without_end_are_oversized (without the bound it goes on until its own limit), an_event_that_arrives_byte_by_byte_is_found; the times are those of processes_respond_while_a_target_sends_without_end.

--- a/crates/dispatch/src/event_parser.rs
+++ b/crates/dispatch/src/event_parser.rs
@@ -3,11 +3,14 @@
 use memchr::memmem;
 
 /// Longest event, in bytes. A stream that sends more without ending one holds no events.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Longest run of events without id, in bytes.
+const MAX_UNNUMBERED_BYTES: usize = 1024 * 1024;
 
 /// Longest run of events without id and data, in bytes. Streams hold comments and blank lines between
 /// events, but not without end.
-const MAX_BLANK_BYTES: usize = 64 * 1024;
+const MAX_BLANK_BYTES: usize = 16 * 1024;
 
 /// One complete server-sent event.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -28,6 +31,10 @@
     buffer: Vec<u8>,
     /// Length of the events at the start of the buffer that have been returned.
     consumed: usize,
+    /// Position up to which the buffer holds no end of an event.
+    searched: usize,
+    /// Length of the events without id since the last other one.
+    unnumbered_bytes: usize,
 }
 
 impl StreamEvent {
@@ -41,29 +48,42 @@
 impl EventParser {
     /// Appends bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.drain(..std::mem::take(&mut self.consumed));
+        let consumed = std::mem::take(&mut self.consumed);
+        self.buffer.drain(..consumed);
+        self.searched -= consumed;
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Removes and returns the next complete event, if the buffer holds one.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let rest = &self.buffer[self.consumed..];
-        let raw = rest[..event_length(rest)?].to_vec();
-        self.consumed += raw.len();
+        let Some(end) = event_end(&self.buffer, self.searched) else {
+            // The bytes before the last three cannot begin the end of an event any more.
+            self.searched = self.buffer.len().saturating_sub(3).max(self.consumed);
+            return None;
+        };
+        let raw = self.buffer[self.consumed..end].to_vec();
+        (self.consumed, self.searched) = (end, end);
         let event = parse_event(raw);
         if event.is_blank() {
             self.blank_bytes += event.raw.len();
         } else {
             self.blank_bytes = 0;
         }
+        if event.id.is_none() {
+            self.unnumbered_bytes += event.raw.len();
+        } else {
+            self.unnumbered_bytes = 0;
+        }
         Some(event)
     }
 
-    /// Returns whether an incomplete event, or a run of blank ones, is longer than any may be. The
-    /// stream has to be abandoned then, since its bytes may never end.
+    /// Returns whether an incomplete event, or a run of events that are blank or have no id, is longer
+    /// than any may be. The stream has to be abandoned then, since its bytes may never end.
     #[must_use]
     pub fn is_oversized(&self) -> bool {
-        self.buffer.len() - self.consumed > MAX_EVENT_BYTES || self.blank_bytes > MAX_BLANK_BYTES
+        self.buffer.len() - self.consumed > MAX_EVENT_BYTES
+            || self.blank_bytes > MAX_BLANK_BYTES
+            || self.unnumbered_bytes > MAX_UNNUMBERED_BYTES
     }
 
     /// Returns whether bytes are buffered that [`Self::next_event`] has not returned.
@@ -73,11 +93,11 @@
     }
 }
 
-/// Returns the length of the first event, including the blank line that ends it.
-fn event_length(buffer: &[u8]) -> Option<usize> {
-    let lf_end = memmem::find(buffer, b"\n\n").map(|position| position + 2);
-    let searched = &buffer[..lf_end.unwrap_or(buffer.len())];
-    let crlf_end = memmem::find(searched, b"\r\n\r\n").map(|position| position + 4);
+/// Returns the position behind the blank line that ends the first event, searching from `from`.
+fn event_end(buffer: &[u8], from: usize) -> Option<usize> {
+    let lf_end = memmem::find(&buffer[from..], b"\n\n").map(|position| from + position + 2);
+    let searched = &buffer[from..lf_end.unwrap_or(buffer.len())];
+    let crlf_end = memmem::find(searched, b"\r\n\r\n").map(|position| from + position + 4);
     match (lf_end, crlf_end) {
         (Some(lf_end), Some(crlf_end)) => Some(lf_end.min(crlf_end)),
         (lf_end, crlf_end) => lf_end.or(crlf_end),
--- a/tests/dispatch/event_parser.rs
+++ b/tests/dispatch/event_parser.rs
@@ -75,3 +75,34 @@
     while parser.next_event().is_some() {}
     assert!(!parser.is_oversized());
 }
+
+// Guards against a search that begins anew with each read, whose time grows with the square of an
+// event that does not end.
+#[test]
+fn an_event_that_arrives_byte_by_byte_is_found() {
+    let stream = b"id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\nid: 3\ndata: c\r\n\r\n";
+    let mut parser = EventParser::default();
+    let mut numbers = Vec::new();
+    for byte in stream {
+        parser.push(&[*byte]);
+        while let Some(event) = parser.next_event() {
+            numbers.extend(event.id);
+        }
+    }
+    assert_eq!(numbers, [1, 2, 3]);
+    assert!(!parser.has_partial_event());
+}
+
+// Guards against a target that sends events without ids, and without end.
+#[test]
+fn events_without_ids_and_without_end_are_oversized() {
+    let mut parser = EventParser::default();
+    let mut pushed = 0;
+    while !parser.is_oversized() {
+        let piece = b"data: x\n\n".repeat(1_000);
+        pushed += piece.len();
+        parser.push(&piece);
+        while parser.next_event().is_some() {}
+        assert!(pushed <= 2 * 1024 * 1024, "{pushed} bytes without an id");
+    }
+}
