--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -85,6 +85,7 @@
 
 /// One connection to a server.
 pub struct ClientConnection {
+    address: SocketAddr,
     /// Head of a final response that arrived instead of `100 Continue`.
     early_head: Option<ResponseHead>,
     framing: BodyFraming,
@@ -124,6 +125,7 @@
         );
         let (read_half, write_half) = stream.into_split();
         Ok(Self {
+            address,
             early_head: None,
             framing: BodyFraming::Empty,
             stream_tail: None,
@@ -218,6 +220,12 @@
         self.reader.read_body(&mut self.framing, limit).await.map(|_| ())
     }
 
+    /// Returns the address of the server.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the number of bytes of the response body that are left to read, if it is declared.
     #[must_use]
     pub fn declared_length(&self) -> Option<u64> {
