Pass on no events that cannot belong to a stream

A keeper kept the output of such an item in memory without bound.

Bytes that complete no event no longer defer the check for lost runs; blank events no longer count as output of a batch run.

--- a/crates/clementinevale/tests/nodes/endless_bytes.rs
+++ b/crates/clementinevale/tests/nodes/endless_bytes.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cv_adapter_standin::PlatformTarget;
 use cv_runtime::block_on;
 use cv_standin::RawEnding;
 use cv_standin::RawRequest;
@@ -61,6 +62,8 @@
     ChunkExtension,
     Trailers,
     DeclaredLength,
+    /// The correct first event of a stream, again and again.
+    FirstEvent,
     /// A correct response, and then more bytes.
     AfterWhole,
 }
@@ -106,6 +109,10 @@
             Self::DeclaredLength => {
                 (format!("{head}Content-Length: 999999999999\r\n\r\n"), vec![0])
             }
+            Self::FirstEvent => {
+                let event = PlatformTarget::expected_stream(&request.id, 1);
+                (format!("{head}\r\n"), event.into_bytes())
+            }
             Self::AfterWhole => {
                 (format!("{head}Content-Length: 0\r\n\r\n"), b"HTTP/1.1 200 OK\r\n".to_vec())
             }
@@ -208,7 +215,7 @@
         Flood::UntilClose(b"\n"),
         Flood::UntilClose(b": comment\n\n"),
         Flood::UntilClose(b"data: x\n\n"),
-        Flood::UntilClose(b"id: 7\ndata: x\n\n"),
+        Flood::FirstEvent,
         Flood::UntilClose(b"data: x\n"),
         Flood::Chunked(b"\0"),
         Flood::Chunked(b"0123456789abcdef"),
@@ -238,6 +245,10 @@
         assert!(took < MAX_REQUEST_TIME, "{outcome:?} after {took:?}");
         let is_whole = matches!(flood, Flood::AfterWhole);
         assert!(is_whole || !matches!(outcome, CallerOutcome::Incorrect(_)), "{outcome:?}");
+        let is_endless = outcome == CallerOutcome::Unknown("body_too_large".to_owned());
+        assert!(!is_endless, "the caller has got bytes without end");
+        let is_late = outcome == CallerOutcome::Unknown("504 Gateway Timeout".to_owned());
+        assert!(!is_late, "the request has waited for other responses until its timeout");
     }
     check_processes(&mut fleet, &target);
 }
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -78,8 +78,7 @@
     /// # Errors
     /// Faults of the caller's connection; `Truncated` for a stream that cannot be resumed.
     pub async fn run(mut self, exchange: &mut ServerExchange<'_>) -> Result<(), HttpFault> {
-        let RequestContext { handler, options, route, .. } = &self.context;
-        let mut relay = ResponseRelay::new(route.kind, options.resume_after, &handler.long_bodies);
+        let mut relay = ResponseRelay::new(&self.context);
         loop {
             let step = self.try_target(exchange, &mut relay).await?;
             let conclusion = self.conclusion();
--- a/crates/serving/src/entry/response_relay.rs
+++ b/crates/serving/src/entry/response_relay.rs
@@ -6,6 +6,7 @@
 use bytes::BytesMut;
 use cv_dispatch::EventParser;
 use cv_dispatch::RouteKind;
+use cv_dispatch::StreamEvent;
 use cv_http::ClientConnection;
 use cv_http::HttpFault;
 use cv_http::ServerExchange;
@@ -14,6 +15,7 @@
 use monoio::time::timeout;
 
 use crate::entry::long_bodies::LongBodies;
+use crate::entry::request_context::RequestContext;
 
 /// Time without a complete event after which a stream is continued on another target.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -33,24 +35,35 @@
     /// When the first part of the response was sent to the caller.
     first_sent_at: Option<Instant>,
     kind: RouteKind,
+    /// Whether another target can resume the stream, for which all events need numbers.
+    is_resumable: bool,
     /// Number of the last event that has been sent to the caller.
     last_event: Option<u64>,
     has_started: bool,
     /// Buffers responses that are not streamed.
     long_bodies: &'a LongBodies,
+    /// Most events that a response can have, if that is known.
+    max_events: Option<u64>,
+    /// Events that have been sent to the caller.
+    sent_events: u64,
     /// Whether an event without a number has been sent, after which the stream cannot be resumed.
     has_unnumbered_event: bool,
 }
 
 impl<'a> ResponseRelay<'a> {
-    /// Creates a relay for a caller that has received a stream up to and including `last_event`.
-    pub fn new(kind: RouteKind, last_event: Option<u64>, long_bodies: &'a LongBodies) -> Self {
+    /// Creates the relay of a request's response. The caller may have received the beginning of a
+    /// stream already.
+    pub fn new<P>(request: &RequestContext<'a, P>) -> Self {
+        let RequestContext { handler, options, route, .. } = request;
         Self {
             first_sent_at: None,
-            kind,
-            last_event,
+            kind: route.kind,
+            is_resumable: route.resumable,
+            last_event: options.resume_after,
             has_started: false,
-            long_bodies,
+            long_bodies: &handler.long_bodies,
+            max_events: options.max_events,
+            sent_events: 0,
             has_unnumbered_event: false,
         }
     }
@@ -150,8 +163,10 @@
             match piece {
                 Ok(Ok(Some(piece))) => {
                     parser.push(&piece);
-                    if self.send_events(exchange, &mut parser).await? > 0 {
-                        event_due = Instant::now() + EVENT_TIMEOUT;
+                    match self.send_events(exchange, &mut parser).await? {
+                        Ok(0) => {}
+                        Ok(_) => event_due = Instant::now() + EVENT_TIMEOUT,
+                        Err(detail) => return Ok(RelayOutcome::Interrupted(detail.to_owned())),
                     }
                     if parser.is_oversized() {
                         return Ok(RelayOutcome::Interrupted("event too large".to_owned()));
@@ -174,25 +189,49 @@
         }
     }
 
-    /// Sends all complete events that have arrived to the caller; returns how many had an id or data.
+    /// Sends all complete events that have arrived to the caller; returns how many had an id or data,
+    /// or why one cannot belong to the stream.
     async fn send_events(
         &mut self,
         exchange: &mut ServerExchange<'_>,
         parser: &mut EventParser,
-    ) -> Result<u32, HttpFault> {
+    ) -> Result<Result<u64, &'static str>, HttpFault> {
         let mut bytes = BytesMut::new();
-        let mut events = 0;
+        let sent_before = self.sent_events;
+        let mut result = Ok(());
         while let Some(event) = parser.next_event() {
+            result = self.check_event(&event);
+            if result.is_err() || parser.is_oversized() {
+                break;
+            }
             self.has_unnumbered_event |= event.id.is_none();
             self.last_event = event.id.or(self.last_event);
             bytes.extend_from_slice(&event.raw);
             // Blank lines without end are no progress.
-            events += u32::from(!event.is_blank());
+            self.sent_events += u64::from(!event.is_blank());
         }
+        let events = self.sent_events - sent_before;
         if events > 0 {
             self.first_sent_at.get_or_insert_with(Instant::now);
         }
         exchange.send_piece(&bytes.freeze()).await?;
-        Ok(events)
+        Ok(result.map(|()| events))
+    }
+
+    /// Checks that an event can be the next one of the stream.
+    fn check_event(&self, event: &StreamEvent) -> Result<(), &'static str> {
+        if event.is_blank() {
+            return Ok(());
+        }
+        if self.max_events.is_some_and(|limit| self.sent_events >= limit) {
+            return Err("more events than the request allows");
+        }
+        match event.id {
+            None if self.is_resumable => Err("event without a number"),
+            Some(number) if self.last_event.is_some_and(|last| number <= last) => {
+                Err("event number does not increase")
+            }
+            _ => Ok(()),
+        }
     }
 }
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -52,6 +52,9 @@
 /// Time between two checks of whether a run is lost while it waits for output.
 const LOSS_CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Longest output of an item, in bytes; a read of results returns no more.
+const MAX_OUTPUT_BYTES: usize = 1024 * 1024;
+
 /// Time for which a target that refused an item gets no other item.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(300);
 
@@ -67,6 +70,8 @@
     id: RunId,
     /// Whether the run is the trial of a part in quarantine.
     is_trial: bool,
+    /// Most events that the output can have, if the item limits it.
+    max_events: Option<u64>,
     /// The shared parts of the item's prompt.
     parts: Vec<PromptPart>,
     state: Rc<KeeperState<P>>,
@@ -108,10 +113,12 @@
         let Some(service) = picked.flatten().filter(|service| pass.may_have_room(service)) else {
             return;
         };
-        let parts = {
+        let headers = {
             let tracker = job.tracker.borrow();
-            P::prompt_parts(&P::item_headers(&tracker.spec().host, &tracker.spec().items[item]))
+            P::item_headers(&tracker.spec().host, &tracker.spec().items[item])
         };
+        let (parts, max_events) =
+            (P::prompt_parts(&headers), P::request_options(&headers).max_events);
         let now = state.view.clock.now();
         let zone = &state.identity.zone;
         let seed = state.view.random_number();
@@ -143,7 +150,8 @@
         // Run ids increase, so pushing at the end keeps the list sorted.
         state.withdrawals.borrow_mut().push((id, Rc::clone(&withdrawn)));
         let (job, state) = (Rc::clone(job), Rc::clone(state));
-        let run = Self { job, target, item, due_ms, id, is_trial, parts, state, withdrawn };
+        let run =
+            Self { job, target, item, due_ms, id, is_trial, max_events, parts, state, withdrawn };
         monoio::spawn(async move { run.run().await });
     }
 
@@ -307,10 +315,12 @@
         }
         let mut parser = EventParser::default();
         let mut last_output = Instant::now();
+        // One wait for the whole run: bytes that complete no event must not begin it anew.
+        let mut loss = std::pin::pin!(self.wait_for_loss());
         loop {
             let chunk = monoio::select! {
                 chunk = self.read_piece(&mut connection) => chunk,
-                () = self.wait_for_loss() => {
+                () = &mut loss => {
                     return RunOutcome::Interrupted("target silent".to_owned());
                 }
             };
@@ -373,6 +383,12 @@
             if last.is_some_and(|last| number != last + 1) {
                 return Err(format!("event {number} after {last:?}"));
             }
+            let output_bytes = tracker.progress(self.item).output.len();
+            if output_bytes + event.data.len() > MAX_OUTPUT_BYTES
+                || self.max_events.is_some_and(|limit| number > limit)
+            {
+                return Err(format!("output too long: event {number}, {output_bytes} bytes"));
+            }
             tracker.record_output(self.item, &event.data, number);
             events += 1;
         }
--- a/crates/serving/src/platform_adapter.rs
+++ b/crates/serving/src/platform_adapter.rs
@@ -77,6 +77,8 @@
 pub struct RequestOptions {
     /// Time that the caller is still willing to wait.
     pub deadline: Option<Duration>,
+    /// Most events that a response can have, if the request limits its output.
+    pub max_events: Option<u64>,
     /// Id of the caller's request.
     pub request_id: Option<String>,
     /// Number of the last stream event that the caller has received.
--- a/crates/serving/src/sidecar/batch_relay.rs
+++ b/crates/serving/src/sidecar/batch_relay.rs
@@ -192,7 +192,12 @@
             while let Some(event) = parser.next_event() {
                 self.last_event = event.id.or(self.last_event);
                 self.pending.extend_from_slice(&event.raw);
-                event_due = Instant::now() + STALL_TIMEOUT;
+                if !event.is_blank() {
+                    event_due = Instant::now() + STALL_TIMEOUT;
+                }
+                if parser.is_oversized() {
+                    break;
+                }
             }
             if parser.is_oversized() {
                 ended = Some(RunOutcome::Interrupted);
