Take no request that would be cut off at the end of the grace

Operators reported, and callers saw here: in a planned stop of an entry, in calm, requests that came late in the grace were passed on and cut off at its end with no response, among them some that may not be repeated (LOST).

Cause: a request counts as arrived with its first byte and was passed on as if the whole grace were left; nothing compared the time that it may take with the time until the exit. At the end the process left with what was active.

Change: the gate knows when the process exits. A request that has not run is refused at once with 503, which is true, unless it ends in time: its own time fits, or, while callers are still sent here, the runs of its route of late take less than half of what is left. Calls about jobs are refused if less than their time is left. What runs 150 ms before the exit gets 504 if its response has not begun.

Test: late_in_grace, real processes.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -8,6 +8,7 @@
 mod frozen_keepers;
 mod job_checks;
 mod keeper_matrix;
+mod late_in_grace;
 mod online_requests;
 mod repeated_refusals;
 mod request_limits;
--- a/crates/http/src/gate.rs
+++ b/crates/http/src/gate.rs
@@ -3,10 +3,15 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
+use monoio::time::sleep;
 use monoio::time::timeout;
 use tokio::sync::Notify;
 
+/// Time before the exit at which the last responses are sent.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(150);
+
 /// Counts a server's running exchanges and ends its idle connections on shutdown; clones share
 /// the state.
 #[derive(Clone, Debug, Default)]
@@ -21,6 +26,8 @@
     changed: Notify,
     closing: Cell<bool>,
     draining: Cell<bool>,
+    /// When the process exits, once it shuts down.
+    exits_at: Cell<Option<Instant>>,
 }
 
 impl DrainGate {
@@ -30,9 +37,31 @@
         self.state.draining.get()
     }
 
-    /// Closes each connection after its next response; new connections are still accepted.
-    pub fn start_closing(&self) {
+    /// Closes each connection after its next response; new connections are still accepted. The process
+    /// exits at `exits_at`, whatever runs then.
+    pub fn start_closing(&self, exits_at: Instant) {
         self.state.closing.set(true);
+        self.state.exits_at.set(Some(exits_at));
+        self.state.changed.notify_waiters();
+    }
+
+    /// Returns the time until the process exits, or `None` if it does not shut down.
+    #[must_use]
+    pub fn grace_left(&self) -> Option<Duration> {
+        let exits_at = self.state.exits_at.get()?;
+        Some(exits_at.saturating_duration_since(Instant::now()))
+    }
+
+    /// Resolves when the process is about to exit, with just the time left to send a response.
+    pub async fn exit_near(&self) {
+        loop {
+            let changed = self.state.changed.notified();
+            match self.grace_left() {
+                Some(left) if left <= LAST_RESPONSE_TIME => return,
+                Some(left) => sleep(left.saturating_sub(LAST_RESPONSE_TIME)).await,
+                None => changed.await,
+            }
+        }
     }
 
     /// Returns whether responses close their connection.
--- a/crates/serving/src/drain.rs
+++ b/crates/serving/src/drain.rs
@@ -1,6 +1,7 @@
 //! Graceful shutdown of a server.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use cv_http::DrainGate;
 use cv_timeline::EventKind;
@@ -30,7 +31,7 @@
     log.record(LinePriority::Essential, EventKind::DrainStarted, "process", || {
         format!("active={active}")
     });
-    gate.start_closing();
+    gate.start_closing(Instant::now() + grace.saturating_sub(EXIT_MARGIN));
     let delay = drain_delay(grace);
     monoio::time::sleep(delay).await;
     gate.start_drain();
--- a/crates/serving/src/entry/entry_handler.rs
+++ b/crates/serving/src/entry/entry_handler.rs
@@ -11,7 +11,9 @@
 use cv_dispatch::RetryDetector;
 use cv_dispatch::RouteKind;
 use cv_dispatch::RouteRule;
+use cv_dispatch::RunTimes;
 use cv_http::ConnectionPool;
+use cv_http::DrainGate;
 use cv_http::HttpFault;
 use cv_http::RequestHandler;
 use cv_http::ServerExchange;
@@ -43,12 +45,20 @@
 /// its few attempts on a request that the entry could have served milliseconds later.
 const VIEW_LOAD_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Retry delay of callers that are refused because the process shuts down; another one serves them.
+const STOPPING_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Longest time of a call to the keepers, of which the first may be silent.
+const JOB_CALL_TIME: Duration = Duration::from_millis(2_500);
+
 /// Handles the requests of callers.
 pub(crate) struct EntryHandler<P> {
     /// Decides when refused callers should retry.
     pub retry_advice: RefCell<RetryAdvice>,
     /// Selects the platform adapter.
     pub adapter: PhantomData<P>,
+    /// The server's shutdown.
+    pub gate: DrainGate,
     /// The process's name and addresses.
     pub identity: Rc<NodeIdentity>,
     /// Relays requests about jobs to the keepers.
@@ -65,6 +75,8 @@
     pub reservations: Rc<ReservationClient>,
     /// Detects callers that retry after a refusal.
     pub retry_detector: RefCell<RetryDetector>,
+    /// How long the requests of each route took of late.
+    pub run_times: RefCell<RunTimes>,
     /// When the entry started to accept requests.
     pub started_at: Instant,
     /// The entry's view.
@@ -76,6 +88,9 @@
         let received_at = Instant::now();
         self.wait_for_view(exchange).await?;
         if let CallerRequest::Job(request) = P::classify(exchange.head()) {
+            if !self.has_time_for_jobs() {
+                return self.refuse_stopping(exchange).await;
+            }
             return self.jobs.relay(exchange, request.job(), Bytes::new(), false).await;
         }
         let Some(routes) = self.view.routes() else {
@@ -88,6 +103,9 @@
         };
         let body = exchange.read_body(routes.limits.max_body_bytes).await?;
         if route.kind == RouteKind::Batch {
+            if !self.has_time_for_jobs() {
+                return self.refuse_stopping(exchange).await;
+            }
             let options = P::request_options(&exchange.head().headers);
             let job = options.request_id.unwrap_or_default();
             return self.jobs.relay(exchange, &job, body, true).await;
@@ -122,6 +140,21 @@
         }
     }
 
+    /// Returns whether the process lives long enough for a call to the keepers.
+    fn has_time_for_jobs(&self) -> bool {
+        self.gate.grace_left().is_none_or(|left| left >= JOB_CALL_TIME)
+    }
+
+    /// Refuses a request that would not end before the process does.
+    pub async fn refuse_stopping(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+    ) -> Result<(), HttpFault> {
+        let left = self.gate.grace_left().unwrap_or_default();
+        let details = format!("grace_left_ms={}", left.as_millis());
+        self.refuse(exchange, STOPPING_RETRY_DELAY, "stopping", &details).await
+    }
+
     /// Responds with status 503 and a `Retry-After` header in seconds; the request has not run.
     /// `details` is added to the log line.
     pub async fn refuse(
--- a/crates/serving/src/entry/entry_node.rs
+++ b/crates/serving/src/entry/entry_node.rs
@@ -103,6 +103,7 @@
         let handler = EntryHandler::<P> {
             retry_advice: RefCell::new(RetryAdvice::default()),
             adapter: PhantomData,
+            gate: drain.clone(),
             identity,
             jobs: JobRelay { pool: ConnectionPool::new(limits), view: Rc::clone(&view) },
             long_bodies: LongBodies::default(),
@@ -111,6 +112,7 @@
             pool: ConnectionPool::new(limits),
             reservations,
             retry_detector: RefCell::default(),
+            run_times: RefCell::default(),
             started_at: Instant::now(),
             view: Rc::clone(&view),
         };
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -50,6 +50,8 @@
     Finished,
     /// A part of the prompt ends engines.
     Quarantined,
+    /// The process exits before the request ends.
+    Stopping,
     /// No target has a response; holds the reason.
     Unanswered(&'static str),
 }
@@ -79,18 +81,32 @@
     /// Faults of the caller's connection; `Truncated` for a stream that cannot be resumed.
     pub async fn run(mut self, exchange: &mut ServerExchange<'_>) -> Result<(), HttpFault> {
         let mut relay = ResponseRelay::new(&self.context);
+        let gate = self.context.handler.gate.clone();
+        let step = monoio::select! {
+            step = self.try_targets(exchange, &mut relay) => step?,
+            () = gate.exit_near() => RequestStep::Stopping,
+        };
+        let conclusion = self.conclusion();
+        match step {
+            RequestStep::Continue | RequestStep::Finished => Ok(()),
+            RequestStep::Quarantined => conclusion.finish_quarantined(exchange, &relay).await,
+            RequestStep::Stopping => conclusion.finish_stopping(exchange, &relay).await,
+            RequestStep::Unanswered(reason) => {
+                conclusion.finish_unanswered(exchange, &relay, reason).await
+            }
+        }
+    }
+
+    /// Sends the request to one target after the other until that ends it.
+    async fn try_targets(
+        &mut self,
+        exchange: &mut ServerExchange<'_>,
+        relay: &mut ResponseRelay<'_>,
+    ) -> Result<RequestStep, HttpFault> {
         loop {
-            let step = self.try_target(exchange, &mut relay).await?;
-            let conclusion = self.conclusion();
-            match step {
-                RequestStep::Continue => {}
-                RequestStep::Finished => return Ok(()),
-                RequestStep::Quarantined => {
-                    return conclusion.finish_quarantined(exchange, &relay).await;
-                }
-                RequestStep::Unanswered(reason) => {
-                    return conclusion.finish_unanswered(exchange, &relay, reason).await;
-                }
+            let step = self.try_target(exchange, relay).await?;
+            if !matches!(step, RequestStep::Continue) {
+                return Ok(step);
             }
         }
     }
@@ -104,6 +120,9 @@
         if self.context.time_left().is_zero() {
             return Ok(RequestStep::Unanswered("deadline"));
         }
+        if self.context.has_not_run() && !self.context.ends_in_time() {
+            return Ok(RequestStep::Stopping);
+        }
         let decision = self.context.decide_quarantine();
         let choice = match decision {
             QuarantineDecision::Admit => self.choose_target(),
@@ -134,6 +153,8 @@
         let context = &mut self.context;
         let mut attempt = TargetAttempt { choice: &choice, context, is_trial, reservation };
         let outcome = attempt.send(exchange, relay).await?;
+        self.context.is_handed_over =
+            matches!(outcome, AttemptOutcome::Finished | AttemptOutcome::Interrupted(_));
         Ok(match outcome {
             AttemptOutcome::Finished => RequestStep::Finished,
             AttemptOutcome::RateLimited => RequestStep::Continue,
--- a/crates/serving/src/entry/request_conclusion.rs
+++ b/crates/serving/src/entry/request_conclusion.rs
@@ -51,21 +51,7 @@
             return handler.refuse(exchange, after, reason, &details).await;
         }
         handler.metrics.failed.inc();
-        let subject = self.context.subject();
-        handler.view.log.record(
-            LinePriority::Essential,
-            EventKind::RequestConcluded,
-            subject,
-            || {
-                format!(
-                    "outcome=failed reason={reason} attempts={} tried={} total_ms={} left_ms={}",
-                    self.context.attempts,
-                    self.context.tried_targets.join(","),
-                    self.context.received_at.elapsed().as_millis(),
-                    self.context.time_left().as_millis(),
-                )
-            },
-        );
+        self.record_failure(reason);
         if relay.has_started() {
             return Err(HttpFault::Truncated);
         }
@@ -74,6 +60,40 @@
         exchange.respond(status, &HeaderMap::new(), &Bytes::new()).await
     }
 
+    /// Ends a request because the process exits before the request does: the caller is told to go
+    /// elsewhere if nothing has run.
+    pub async fn finish_stopping(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        relay: &ResponseRelay<'_>,
+    ) -> Result<(), HttpFault> {
+        let handler = self.context.handler;
+        if self.context.has_not_run() && !relay.has_started() {
+            return handler.refuse_stopping(exchange).await;
+        }
+        handler.metrics.failed.inc();
+        self.record_failure("stopping");
+        if relay.has_started() {
+            return Err(HttpFault::Truncated);
+        }
+        exchange.respond(StatusCode::GATEWAY_TIMEOUT, &HeaderMap::new(), &Bytes::new()).await
+    }
+
+    /// Logs a request that fails after an attempt.
+    fn record_failure(&self, reason: &str) {
+        let subject = self.context.subject();
+        let log = &self.context.handler.view.log;
+        log.record(LinePriority::Essential, EventKind::RequestConcluded, subject, || {
+            format!(
+                "outcome=failed reason={reason} attempts={} tried={} total_ms={} left_ms={}",
+                self.context.attempts,
+                self.context.tried_targets.join(","),
+                self.context.received_at.elapsed().as_millis(),
+                self.context.time_left().as_millis(),
+            )
+        });
+    }
+
     /// Ends a request that is not handed over because of a part of its prompt.
     pub async fn finish_quarantined(
         &self,
@@ -105,6 +125,8 @@
         handler.metrics.answered.inc();
         let now = handler.view.clock.now();
         handler.retry_advice.borrow_mut().record_admission(now);
+        let total = self.context.received_at.elapsed();
+        handler.run_times.borrow_mut().record(now, &self.context.route.name, total);
         handler.view.with_targets(|targets| {
             if let Some(row) = targets.get_mut(target) {
                 row.record_success();
--- a/crates/serving/src/entry/request_context.rs
+++ b/crates/serving/src/entry/request_context.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use cv_dispatch::DrainTerms;
 use cv_dispatch::PromptPart;
 use cv_dispatch::QuarantineDecision;
 use cv_dispatch::RouteRule;
@@ -35,6 +36,8 @@
     pub handler: &'a EntryHandler<P>,
     /// The caller's headers.
     pub headers: HeaderMap,
+    /// Whether a target may have received the request in the current attempt.
+    pub is_handed_over: bool,
     /// Whether the caller has probably been refused before.
     pub is_retry: bool,
     /// The request method.
@@ -70,6 +73,7 @@
             body,
             deadline: received_at + limit.saturating_sub(RESPONSE_MARGIN),
             handler,
+            is_handed_over: false,
             is_retry: handler.is_retry(route, options.deadline),
             parts: P::prompt_parts(&headers),
             headers,
@@ -108,6 +112,25 @@
         AttemptRecorder { parts: &self.parts, request: self.subject(), view: &self.handler.view }
     }
 
+    /// Returns whether the request has not run and no target will run it.
+    pub fn has_not_run(&self) -> bool {
+        self.attempts == 0 && !self.is_handed_over
+    }
+
+    /// Returns whether the request will end before the process does, if that shuts down.
+    pub fn ends_in_time(&self) -> bool {
+        let Some(grace_left) = self.handler.gate.grace_left() else {
+            return true;
+        };
+        let terms = DrainTerms {
+            grace_left,
+            is_draining: self.handler.gate.is_draining(),
+            longest_run: self.handler.run_times.borrow().longest(&self.route.name),
+            time_left: self.time_left(),
+        };
+        terms.ends_in_time()
+    }
+
     /// Returns the time left until the final response is due.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -110,6 +110,7 @@
         };
         let request = self.build_request(relay);
         handler.metrics.attempts.inc();
+        self.context.is_handed_over = true;
         let wait = HeadWait::Total(self.response_timeout());
         let id = self.context.options.request_id.as_deref();
         let connect_timeout = CONNECT_TIMEOUT.min(self.context.time_left());
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod crash_simulation;
 mod deferred_removals;
 mod dispatch_pass;
+mod drain_policy;
 mod event_parser;
 mod job_replication;
 mod job_tracker;
