Defer no removals after the store failed for one process alone

Cause: after its own calls to the store had failed, a process deferred the removal of missing registrations by 2.5 s, since after an outage live instances register again. But the store had turned away this process alone; the instances and the other processes had had contact all the while, so the target was gone.

Change: after a failure, a process asks random peers every 300 ms for how long they have had contact. One that had it since before the failures began shows that they concerned this process alone: they are forgotten, and the deferred removals take effect. A mass removal seen meanwhile stays deferred.

Test: a_keeper_that_was_turned_away_learns_at_once_that_a_target_has_left; on the commit before the keeper had not removed the target after 1.5 s. After: it passes, and a_target_is_kept_after_the_store_was_away_for_all shows that the removal after a real outage is still deferred (passed before, too).

--- a/crates/clementinevale/tests/nodes/stale_views.rs
+++ b/crates/clementinevale/tests/nodes/stale_views.rs
@@ -7,6 +7,7 @@
 use cv_standin::FaultMode;
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
+use cv_tests::engine_id;
 use cv_tests::node_caller::close_job;
 use futures::future::join_all;
 
@@ -96,3 +97,45 @@
     let late = runs.iter().filter(|run| run.started_at > closed_at + CANCEL_TIMEOUT);
     assert_eq!(late.count(), 0, "items of closed jobs run");
 }
+
+// Guards against a keeper that the store alone had turned away and that takes its own failures for
+// those of all, so that it sends items to a target which left more than two seconds ago.
+#[test]
+fn a_keeper_that_was_turned_away_learns_at_once_that_a_target_has_left() {
+    /// Time in which a process stops to send new work to a target after the store has said that the
+    /// target is gone, less the time that an item is under way.
+    const REMOVAL_TIMEOUT: Duration = Duration::from_millis(1_500);
+    let fleet = small_fleet();
+    let keeper = fleet.nodes.iter().find(|node| node.name == "keeper-70").expect("a keeper");
+    keeper.store_proxy.set_mode(FaultMode::TurnAway);
+    std::thread::sleep(Duration::from_millis(2_500));
+    keeper.store_proxy.set_mode(FaultMode::Pass);
+    let has_regained = |_: &NodeFleet| keeper.output().contains("dependency_regained");
+    assert!(fleet.wait_for(Duration::from_secs(2), has_regained), "{}", keeper.output());
+    fleet.deregister(&engine_id(1));
+    let has_removed = |_: &NodeFleet| {
+        let output = keeper.output();
+        output.lines().any(|line| line.contains("engine-1") && line.contains("state=gone"))
+    };
+    assert!(fleet.wait_for(REMOVAL_TIMEOUT, has_removed), "{}", keeper.output());
+}
+
+// Guards against the removal of targets whose registrations have lapsed while the store responded to
+// nobody.
+#[test]
+fn a_target_is_kept_after_the_store_was_away_for_all() {
+    let fleet = small_fleet();
+    set_connection(&fleet, "", FaultMode::TurnAway);
+    std::thread::sleep(Duration::from_millis(2_500));
+    fleet.deregister(&engine_id(1));
+    set_connection(&fleet, "", FaultMode::Pass);
+    std::thread::sleep(Duration::from_millis(1_800));
+    for node in fleet.nodes.iter().filter(|node| !node.name.starts_with("sidecar")) {
+        assert!(!node.output().contains("state=gone"), "{}: {}", node.name, node.output());
+    }
+    fleet.register(&engine_id(1), "ready");
+    std::thread::sleep(Duration::from_millis(1_500));
+    for node in fleet.nodes.iter().filter(|node| !node.name.starts_with("sidecar")) {
+        assert!(!node.output().contains("state=gone"), "{}: {}", node.name, node.output());
+    }
+}
--- a/crates/dispatch/src/deferred_removals.rs
+++ b/crates/dispatch/src/deferred_removals.rs
@@ -39,6 +39,18 @@
         }
     }
 
+    /// Ends the outage that was recorded up to `last_failure`, which was none for the owners of the keys,
+    /// and the deferral of their removals. A later outage goes on.
+    pub fn end_outage(&mut self, now: MonotonicTime, last_failure: MonotonicTime) {
+        if self.last_outage.is_some_and(|time| time > last_failure) {
+            return;
+        }
+        self.last_outage = None;
+        for (_, until) in &mut self.missing {
+            *until = now;
+        }
+    }
+
     /// Records the removal of a key; returns whether it takes effect at once.
     ///
     /// Within the grace period of an outage the removal is deferred, see [`Self::take_expired`].
--- a/crates/serving/src/entry/entry_node.rs
+++ b/crates/serving/src/entry/entry_node.rs
@@ -37,6 +37,7 @@
 use crate::keeper::load_quarantines;
 use crate::load_listener::start_load_listener;
 use crate::peer_sync::start_peer_sync;
+use crate::store_contact::start_outage_check;
 
 /// The settings of an entry.
 #[derive(Clone, Debug)]
@@ -92,6 +93,7 @@
             permit_replies.handle_reply(datagram);
         });
         start_peer_sync::<P>(&view, &identity, &timers);
+        start_outage_check(&view, &identity, &timers);
         let metrics = EntryMetrics::new().map_err(io::Error::other)?;
         let drain = DrainGate::default();
         let limits = HttpLimits::default();
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -399,6 +399,35 @@
         });
     }
 
+    /// Chooses a random process that shares its view: a keeper or one of `seeds`.
+    pub(crate) fn random_peer(
+        &self,
+        seeds: &[SocketAddr],
+        own_address: SocketAddr,
+    ) -> Option<SocketAddr> {
+        let keepers = self.keepers();
+        let addresses = keepers.keepers().iter().map(|keeper| keeper.address);
+        let mut peers: Vec<SocketAddr> = addresses.chain(seeds.iter().copied()).collect();
+        peers.retain(|address| *address != own_address);
+        peers.get((self.random_fraction() * peers.len() as f64) as usize).copied()
+    }
+
+    /// Applies all deferred removals, since `peer` has had contact with the store while this process
+    /// had none.
+    pub(crate) fn end_outage(&self, peer: SocketAddr) {
+        let Some(last_failure) = self.store_health.last_failure() else {
+            return;
+        };
+        self.log.record(LinePriority::Essential, EventKind::DependencyRegained, "store", || {
+            format!("failed for this process alone, peer={peer}")
+        });
+        self.store_health.forget_failures();
+        let now = self.clock.now();
+        self.target_removals.borrow_mut().end_outage(now, last_failure);
+        self.keeper_removals.borrow_mut().end_outage(now, last_failure);
+        self.apply_expired_removals(now);
+    }
+
     /// Records how many targets vanish in one update.
     fn record_target_removals(&self, removed: usize) {
         let known = self.targets.borrow().rows().len();
--- a/crates/serving/src/internal_handler.rs
+++ b/crates/serving/src/internal_handler.rs
@@ -15,6 +15,8 @@
 use crate::FleetView;
 use crate::peer_sync::VIEW_PATH;
 use crate::peer_sync::respond_view;
+use crate::store_contact::STORE_CONTACT_PATH;
+use crate::store_contact::respond_store_contact;
 
 /// Path of the metrics.
 pub(crate) const METRICS_PATH: &str = "/metrics";
@@ -32,6 +34,10 @@
         match exchange.head().uri.path() {
             METRICS_PATH => respond_metrics(exchange, &self.registry).await,
             VIEW_PATH => respond_view(exchange, &self.view).await,
+            STORE_CONTACT_PATH => {
+                let has_contact = self.view.store_health.contact_time().is_some();
+                respond_store_contact(exchange, &self.view, has_contact).await
+            }
             _ => exchange.respond(StatusCode::NOT_FOUND, &HeaderMap::new(), &Bytes::new()).await,
         }
     }
--- a/crates/serving/src/keeper/keeper_handler.rs
+++ b/crates/serving/src/keeper/keeper_handler.rs
@@ -27,13 +27,14 @@
 use crate::keeper::job_requests::read_results;
 use crate::keeper::job_requests::submit_job;
 use crate::keeper::keeper_registration::KNOWN_KEEPERS_PATH;
-use crate::keeper::keeper_registration::STORE_CONTACT_PATH;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::progress_replication::UPDATES_PATH;
 use crate::keeper::progress_replication::read_updates;
 use crate::keeper::progress_replication::receive_updates;
 use crate::peer_sync::VIEW_PATH;
 use crate::peer_sync::respond_view;
+use crate::store_contact::STORE_CONTACT_PATH;
+use crate::store_contact::respond_store_contact;
 
 /// Maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -58,8 +59,7 @@
         }
         if exchange.head().uri.path() == STORE_CONTACT_PATH {
             let has_contact = self.state.has_store_contact();
-            let status = if has_contact { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            return exchange.respond(status, &HeaderMap::new(), &Bytes::new()).await;
+            return respond_store_contact(exchange, &self.state.view, has_contact).await;
         }
         let body = exchange.read_body(MAX_BODY_BYTES).await?;
         if let Some(job) = exchange.head().uri.path().strip_prefix(CLOSED_PATH) {
--- a/crates/serving/src/keeper/keeper_registration.rs
+++ b/crates/serving/src/keeper/keeper_registration.rs
@@ -26,6 +26,7 @@
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::progress_replication::push_updates;
 use crate::keeper::stored_keys::WORK_PREFIX;
+use crate::store_contact::STORE_CONTACT_PATH;
 
 /// Time to live of the lease; a crashed keeper is noticed after this time.
 const LEASE_TTL: Duration = Duration::from_secs(4);
@@ -36,9 +37,6 @@
 /// Path at which a keeper lists the names of the keepers that it knows.
 pub(crate) const KNOWN_KEEPERS_PATH: &str = "/cv/ring";
 
-/// Path at which a keeper reports whether it has contact with the store: status 200 or 503.
-pub(crate) const STORE_CONTACT_PATH: &str = "/cv/store";
-
 /// Time between two checks of whether the store responds only to other keepers.
 const ISOLATION_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
--- a/crates/serving/src/peer_sync.rs
+++ b/crates/serving/src/peer_sync.rs
@@ -68,14 +68,9 @@
             if is_fresh(&view) {
                 continue;
             }
-            let keepers = view.keepers();
-            let addresses = keepers.keepers().iter().map(|keeper| keeper.address);
-            let mut peers: Vec<SocketAddr> = addresses.chain(seeds.iter().copied()).collect();
-            peers.retain(|address| *address != own_address);
-            if peers.is_empty() {
+            let Some(peer) = view.random_peer(&seeds, own_address) else {
                 continue;
-            }
-            let peer = peers[(view.random_fraction() * peers.len() as f64) as usize];
+            };
             if let Some(snapshot) = fetch_view(&pool, peer).await
                 && !is_fresh(&view)
             {
--- a/crates/serving/src/store_health.rs
+++ b/crates/serving/src/store_health.rs
@@ -19,11 +19,19 @@
 /// all watches at the same moment and goes on responding.
 const BURST_TIME: Duration = Duration::from_millis(25);
 
+/// Time without a failure after which the next one begins anew; longer than instances take to register
+/// again.
+const FAILURE_MEMORY: Duration = Duration::from_secs(4);
+
 /// Records the successes and failures of calls to the store.
 #[derive(Debug)]
 pub struct StoreHealth {
     clock: ProcessClock,
     failures: Cell<u32>,
+    /// When the first of the recent failures happened.
+    failing_since: Cell<Option<MonotonicTime>>,
+    /// When the first call succeeded.
+    first_success: Cell<Option<MonotonicTime>>,
     last_failure: Cell<Option<MonotonicTime>>,
     last_success: Cell<Option<MonotonicTime>>,
     log: LineLog,
@@ -35,9 +43,16 @@
     /// Creates a tracker that has seen no call; the store counts as up.
     #[must_use]
     pub fn new(clock: ProcessClock, log: LineLog) -> Self {
-        let (last_failure, last_success) = (Cell::default(), Cell::default());
-        let (failures, recovered) = (Cell::new(0), Notify::new());
-        Self { clock, failures, last_failure, last_success, log, recovered }
+        Self {
+            clock,
+            failures: Cell::new(0),
+            failing_since: Cell::default(),
+            first_success: Cell::default(),
+            last_failure: Cell::default(),
+            last_success: Cell::default(),
+            log,
+            recovered: Notify::new(),
+        }
     }
 
     /// Records the result of a call and returns it unchanged.
@@ -89,6 +104,31 @@
         self.last_failure.get()
     }
 
+    /// Returns the start of the failures that may have kept instances from renewing their
+    /// registrations, or `None` if there were none of late.
+    #[must_use]
+    pub fn failing_since(&self) -> Option<MonotonicTime> {
+        let last_failure = self.last_failure.get()?;
+        let is_recent = self.clock.now().since(last_failure) < FAILURE_MEMORY;
+        self.failing_since.get().filter(|_| is_recent)
+    }
+
+    /// Returns the time for which the store has responded to each call, or `None` if it does not.
+    #[must_use]
+    pub fn contact_time(&self) -> Option<Duration> {
+        if !self.is_up() {
+            return None;
+        }
+        let since = self.last_failure.get().max(self.first_success.get())?;
+        Some(self.clock.now().since(since))
+    }
+
+    /// Forgets the failures until now, which concerned this process alone.
+    pub fn forget_failures(&self) {
+        self.last_failure.set(None);
+        self.failing_since.set(None);
+    }
+
     /// Records a call that the store has responded to.
     fn record_success(&self) {
         if !self.is_up() {
@@ -100,7 +140,9 @@
             );
         }
         self.failures.set(0);
-        self.last_success.set(Some(self.clock.now()));
+        let now = self.clock.now();
+        self.last_success.set(Some(now));
+        self.first_success.set(self.first_success.get().or(Some(now)));
         self.recovered.notify_waiters();
     }
 
@@ -108,6 +150,9 @@
     fn record_failure(&self, fault: &StoreFault) {
         let now = self.clock.now();
         let last_failure = self.last_failure.replace(Some(now));
+        if last_failure.is_none_or(|time| now.since(time) >= FAILURE_MEMORY) {
+            self.failing_since.set(Some(now));
+        }
         let is_same_burst = last_failure.is_some_and(|time| now.since(time) < BURST_TIME);
         if is_same_burst && self.failures.get() > 0 {
             return;
--- a/tests/dispatch/deferred_removals.rs
+++ b/tests/dispatch/deferred_removals.rs
@@ -47,3 +47,23 @@
     removals.restore("b");
     assert!(removals.take_expired(at(9_000)).is_empty(), "it has registered again");
 }
+
+#[test]
+fn removals_take_effect_once_the_outage_was_none_for_others() {
+    let mut removals = DeferredRemovals::default();
+    removals.record_outage(at(1_000));
+    assert!(!removals.remove(at(1_100), "gone"));
+    removals.end_outage(at(1_300), at(1_000));
+    assert_eq!(removals.take_expired(at(1_300)), ["gone"]);
+    assert!(removals.remove(at(1_400), "later"));
+}
+
+#[test]
+fn a_mass_removal_after_the_failure_is_still_deferred() {
+    let mut removals = DeferredRemovals::default();
+    removals.record_outage(at(1_000));
+    removals.record_removals(at(1_200), 8, 10);
+    assert!(!removals.remove(at(1_200), "x"));
+    removals.end_outage(at(1_300), at(1_000));
+    assert!(removals.take_expired(at(1_300)).is_empty());
+}
