Test heads that break off at each place

Operators reported: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -2,6 +2,7 @@
 
 mod batch_jobs;
 mod crashing_prompts;
+mod cut_heads;
 mod endless_bytes;
 mod faulty_responses;
 mod faulty_targets;
