Log when the timers of a process run late

The postmortem of the responses without end asked for it: nothing in the logs told a process whose thread was busy from one that was stopped, or from a lost connection.

--- a/crates/clementinevale/tests/nodes/late_in_grace.rs
+++ b/crates/clementinevale/tests/nodes/late_in_grace.rs
@@ -39,7 +39,7 @@
         RawResponse { bytes: (head + &body).into_bytes(), delay, ending: RawEnding::KeepOpen }
     });
     fleet.deregister("plain-0");
-    std::thread::sleep(Duration::from_millis(1_000));
+    std::thread::sleep(Duration::from_secs(1));
     (fleet, target)
 }
 
--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -10,6 +10,7 @@
 mod job_checks;
 mod keeper_matrix;
 mod late_in_grace;
+mod late_timers;
 mod online_requests;
 mod repeated_refusals;
 mod request_limits;
--- a/crates/serving/src/entry/entry_node.rs
+++ b/crates/serving/src/entry/entry_node.rs
@@ -37,6 +37,7 @@
 use crate::keeper::load_quarantines;
 use crate::load_listener::start_load_listener;
 use crate::peer_sync::start_peer_sync;
+use crate::stall_watch::start_stall_watch;
 use crate::store_contact::start_outage_check;
 
 /// The settings of an entry.
@@ -94,6 +95,7 @@
         });
         start_peer_sync::<P>(&view, &identity, &timers);
         start_outage_check(&view, &identity, &timers);
+        start_stall_watch(clock, log.clone(), &timers);
         let metrics = EntryMetrics::new().map_err(io::Error::other)?;
         let drain = DrainGate::default();
         let limits = HttpLimits::default();
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -44,6 +44,7 @@
 use crate::load_listener::start_load_listener;
 use crate::peer_sync::start_peer_sync;
 use crate::permit_desk::PermitDesk;
+use crate::stall_watch::start_stall_watch;
 use crate::store_contact::start_outage_check;
 
 /// Minimum time between two watches of the operator's requests to retire instances.
@@ -103,6 +104,7 @@
         });
         start_peer_sync::<P>(&view, &identity, &timers);
         start_outage_check(&view, &identity, &timers);
+        start_stall_watch(clock, log.clone(), &timers);
         let state = Rc::new(KeeperState::<P> {
             adapter: PhantomData,
             estimate: Cell::default(),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -23,6 +23,7 @@
 mod quarantine_exchange;
 mod reservation_message;
 mod sidecar;
+mod stall_watch;
 mod store_contact;
 mod store_health;
 mod target_call;
--- a/crates/serving/src/sidecar/sidecar_node.rs
+++ b/crates/serving/src/sidecar/sidecar_node.rs
@@ -34,6 +34,7 @@
 use crate::sidecar::sidecar_handler::SidecarHandler;
 use crate::sidecar::sidecar_metrics::SidecarMetrics;
 use crate::sidecar::slot_gate::SlotGate;
+use crate::stall_watch::start_stall_watch;
 
 /// Slots of an engine until a request reports their number.
 const DEFAULT_SLOTS: u32 = 8;
@@ -73,6 +74,7 @@
     pub async fn run(self, shutdown: ShutdownSignal) -> io::Result<()> {
         let clock = ProcessClock::new();
         let timers = TimerService::start(clock);
+        start_stall_watch(clock, self.log.clone(), &timers);
         let address = self.settings.identity.internal_address();
         let listener = bind_listener(self.settings.identity.internal_listen)?;
         let socket = Rc::new(UdpSocket::bind(address)?);
--- a/crates/timeline/src/event_record.rs
+++ b/crates/timeline/src/event_record.rs
@@ -76,6 +76,8 @@
     PartQuarantined,
     /// A prompt part is served again.
     QuarantineEnded,
+    /// The timers of the process ran late.
+    TimersLate,
     /// Lines were dropped because there were too many.
     LinesDropped,
 }
@@ -100,6 +102,7 @@
                 | Self::DependencyRegained
                 | Self::PartQuarantined
                 | Self::QuarantineEnded
+                | Self::TimersLate
                 | Self::LinesDropped
         )
     }
--- a/crates/timer/src/lib.rs
+++ b/crates/timer/src/lib.rs
@@ -7,5 +7,6 @@
 mod timer_service;
 
 pub use crate::process_clock::ProcessClock;
+pub use crate::process_clock::processor_time;
 pub use crate::timer_service::TimerService;
 pub use crate::timer_service::TimerSubscription;
--- a/crates/timer/src/process_clock.rs
+++ b/crates/timer/src/process_clock.rs
@@ -44,9 +44,20 @@
     }
 }
 
+/// Returns the processor time that all threads of this process have used.
+#[must_use]
+pub fn processor_time() -> Duration {
+    read_clock(ClockId::ProcessCPUTime)
+}
+
 /// Returns the time since boot, including time in suspension.
 fn boot_time() -> Duration {
-    let time = clock_gettime(ClockId::Boottime);
+    read_clock(ClockId::Boottime)
+}
+
+/// Reads a clock that starts at zero.
+fn read_clock(id: ClockId) -> Duration {
+    let time = clock_gettime(id);
     let (seconds, nanos) = (time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs());
     Duration::from_secs(seconds) + Duration::from_nanos(nanos)
 }
