--- a/crates/clementinevale/tests/nodes/endless_bytes.rs
+++ b/crates/clementinevale/tests/nodes/endless_bytes.rs
@@ -316,3 +316,60 @@
         assert!(!matches!(outcome, CallerOutcome::Incorrect(_)), "{outcome:?}");
     }
 }
+
+/// Connects to an entry and sends a start and then a unit of bytes until the entry closes or the time is
+/// over; reads the responses if `is_reading`.
+fn flood_entry(entry: SocketAddr, start: &str, unit: &[u8], is_reading: bool) {
+    let mut stream = TcpStream::connect(entry).expect("the entry accepts");
+    stream.set_write_timeout(Some(Duration::from_millis(500))).expect("a timeout can be set");
+    if is_reading {
+        let mut responses = stream.try_clone().expect("the handle can be cloned");
+        std::thread::spawn(move || std::io::copy(&mut responses, &mut std::io::sink()));
+    }
+    let block = unit.repeat(BLOCK_BYTES.div_ceil(unit.len()));
+    let started_at = Instant::now();
+    let mut is_sent = stream.write_all(start.as_bytes()).is_ok();
+    while is_sent && started_at.elapsed() < Duration::from_secs(2) {
+        is_sent = stream.write_all(&block).is_ok();
+    }
+}
+
+// Guards against callers who send without end and keep an entry from handling anything else.
+#[rstest]
+#[case::requests("", b"GET /none/x HTTP/1.1\r\nHost: growers.example\r\n\r\n")]
+#[case::blank_lines("", b"\r\n")]
+#[case::header_lines("GET /none/x HTTP/1.1\r\n", b"x-filler: 0123456789\r\n")]
+#[case::after_a_request("GET /none/x HTTP/1.1\r\nHost: growers.example\r\n\r\n", b"\0")]
+#[case::chunks_of_one_byte(
+    "POST /status/x HTTP/1.1\r\nHost: growers.example\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"1\r\nx\r\n"
+)]
+#[case::chunk_extensions(
+    "POST /status/x HTTP/1.1\r\nHost: growers.example\r\nTransfer-Encoding: chunked\r\n\r\n1;x=",
+    b"x"
+)]
+fn an_entry_responds_while_callers_send_without_end(
+    #[case] start: &'static str,
+    #[case] unit: &'static [u8],
+    #[values(false, true)] is_reading: bool,
+) {
+    let size = NodeFleetSize { engines: 1, entries: 1, keepers: 1 };
+    let mut fleet = NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size);
+    let entry = fleet.entry_addresses()[0];
+    let times = ResponseTimes::start(&fleet);
+    let callers: Vec<_> = (0..4)
+        .map(|_| std::thread::spawn(move || flood_entry(entry, start, unit, is_reading)))
+        .collect();
+    let outcome = block_on(request_stream(entry, "advice", "s1", 4)).expect("the runtime starts");
+    for caller in callers {
+        caller.join().expect("the caller's thread finishes");
+    }
+    let (slowest, longest) = times.finish();
+    assert_eq!(outcome, CallerOutcome::Completed);
+    assert!(longest < MAX_RESPONSE_TIME, "{slowest} has responded after {longest:?}");
+    for node in &mut fleet.nodes {
+        assert_eq!(node.unexpected_exit(), None, "{} has exited by itself", node.name);
+        let peak = node.peak_memory().expect("the process runs");
+        assert!(peak <= MAX_PEAK_MEMORY, "{} has used {peak} bytes", node.name);
+    }
+}
