End pooled exchanges in time

A server that sent interim responses or parts of a body now and then held a probe of a sidecar of the own interface, or a call to a peer, for as long as it went on: only the head and the pause between two pieces had a limit. A keeper that froze within a response held the peer sync of an isolated process for 30 s.

Change: the exchange of the pool has its limit for the whole response.

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use monoio::time::timeout;
+
 use crate::ClientConnection;
 use crate::ClientRequest;
 use crate::ClientResponse;
@@ -149,7 +151,8 @@
     }
 
     /// Sends a request over a pooled connection and reads the whole response, whose body has at
-    /// most `limit` bytes. Connecting and the start of the response each have `timeout`.
+    /// most `limit` bytes. Connecting and the exchange each have `max_time`, however often the server
+    /// sends a few bytes.
     ///
     /// # Errors
     /// Fails if the connection does; `BodyTooLarge` over `limit` bytes.
@@ -157,11 +160,15 @@
         &self,
         address: SocketAddr,
         request: &ClientRequest,
-        timeout: Duration,
+        max_time: Duration,
         limit: usize,
     ) -> Result<ClientResponse, HttpFault> {
-        let mut connection = self.connect(address, timeout).await?;
-        let response = connection.exchange(request, timeout, limit).await?;
+        let mut connection = self.connect(address, max_time).await?;
+        let exchange = connection.exchange(request, max_time, limit);
+        let response = match timeout(max_time, exchange).await {
+            Err(_) => return Err(HttpFault::TimedOut("response")),
+            Ok(response) => response?,
+        };
         self.release(address, connection);
         Ok(response)
     }
--- a/tests/border/endless_bytes.rs
+++ b/tests/border/endless_bytes.rs
@@ -10,6 +10,7 @@
 
 use cv_http::ClientConnection;
 use cv_http::ClientRequest;
+use cv_http::ConnectionPool;
 use cv_http::HttpFault;
 use cv_http::HttpLimits;
 use cv_runtime::block_on;
@@ -154,3 +155,28 @@
     let read = read_first_piece(bytes);
     assert!(matches!(read, Err(HttpFault::Malformed(_))), "{read:?}");
 }
+
+// Guards against a probe, or a call to a peer, that is held for as long as a few bytes come now and
+// then.
+#[rstest]
+#[case::interim_responses("", b"HTTP/1.1 102 Processing\r\n\r\n")]
+#[case::header_line("HTTP/1.1 200 OK\r\nx-filler: ", b"0")]
+#[case::body("HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n", b"0")]
+fn a_pooled_exchange_ends_in_time(#[case] head: &'static str, #[case] unit: &'static [u8]) {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = RawServer::start(address, move |_| RawResponse {
+        bytes: head.as_bytes().to_vec(),
+        ending: RawEnding::Repeat(Arc::new(unit.to_vec()), Duration::from_millis(50)),
+        ..RawResponse::default()
+    });
+    let server = server.expect("a port is free");
+    let address = server.address();
+    let started_at = Instant::now();
+    let response = block_on(async move {
+        let pool = ConnectionPool::new(HttpLimits::default());
+        pool.exchange(address, &ClientRequest::new(Method::GET, "/x", ""), READ_TIMEOUT, 9999).await
+    });
+    let response = response.expect("the runtime starts");
+    assert!(matches!(response, Err(HttpFault::TimedOut(_))), "{response:?}");
+    assert!(started_at.elapsed() < READ_TIMEOUT + MAX_TIMER_DELAY, "{:?}", started_at.elapsed());
+}
