--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -173,6 +173,12 @@
         }
     }
 
+    /// Returns the id of the process, or `None` if it is not running.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns the largest resident memory that the process has had, in bytes, or `None` if it is
     /// not running.
     #[must_use]
