Tests: take the waits for a processor off the time of a timer

The test measured the machine as well: its thread shares eight processors with up to 64 threads of its own stand-ins. It now measures like the tests of processes, with one clock for both (RunClock), which leaves out the time for which a thread was ready to run without a processor.

--- a/tests/support/lib.rs
+++ b/tests/support/lib.rs
@@ -4,6 +4,7 @@
 mod node_fleet;
 mod process_fleet;
 mod raw_target;
+mod run_queue;
 mod server_process;
 mod small_fleet;
 
@@ -15,6 +16,7 @@
 pub use crate::process_fleet::ProcessFleet;
 pub use crate::raw_target::RawTarget;
 pub use crate::raw_target::RawTargetKind;
+pub use crate::run_queue::RunClock;
 pub use crate::server_process::ServerProcess;
 pub use crate::small_fleet::SmallFleet;
 pub use crate::small_fleet::call_once;
