Keepers: say what accepted items wait for

Nothing told the hypotheses of the incident apart: items_waiting counts only items of jobs that are owned and loaded, and no line is written for a job without progress.

Each keeper reviews its jobs twice a second. The gauge cv_keeper_items_unlisted counts items by what they wait for (WaitCause), cv_keeper_longest_stall_ms is the longest time without progress, and a job without progress for 3 s gets a job_stalled line with all that decides whether its items run; another when the cause changes or the job goes on. No decision depends on it.

--- a/crates/dispatch/src/job_tracker.rs
+++ b/crates/dispatch/src/job_tracker.rs
@@ -186,6 +186,23 @@
         unfinished.map(|(_, spec)| spec.tokens).sum()
     }
 
+    /// Returns a number that grows with each event of an item and each end of one, and falls when an
+    /// item has to begin anew.
+    #[must_use]
+    pub fn total_progress(&self) -> u64 {
+        let events: u64 = self.progress.iter().filter_map(|row| row.last_event).sum();
+        let ended = self.progress.iter().filter(|row| row.state == ItemState::Ended).count();
+        // More than the events of any item, so that listing a result counts as progress.
+        let listed = self.listed.len() as u64 * 1_000_000;
+        listed + events + ended as u64
+    }
+
+    /// Returns the number of items in a state.
+    #[must_use]
+    pub fn count_items(&self, state: ItemState) -> usize {
+        self.progress.iter().filter(|row| row.state == state).count()
+    }
+
     /// Records the start of a run of a waiting item.
     pub fn start(&mut self, item: usize) {
         if self.progress[item].state == ItemState::Waiting {
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -41,6 +41,7 @@
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::progress_replication::start_replication;
 use crate::keeper::stored_quarantines::StoredQuarantines;
+use crate::keeper::wait_review::start_wait_review;
 use crate::load_listener::start_load_listener;
 use crate::peer_sync::start_peer_sync;
 use crate::permit_desk::PermitDesk;
@@ -139,6 +140,7 @@
         monoio::spawn(watch_isolation(Rc::clone(&state)));
         start_dispatch(&state, &timers);
         start_replication(&state, &timers);
+        start_wait_review(&state, &timers);
         watch_retirement(&state);
         log.record(LinePriority::Essential, EventKind::Started, "keeper", || {
             format!("listen={address}")
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -18,6 +18,7 @@
 mod stored_keys;
 mod stored_quarantines;
 mod tracked_job;
+mod wait_review;
 
 pub use self::keeper_node::KeeperNode;
 pub use self::keeper_node::KeeperSettings;
--- a/crates/timeline/src/event_record.rs
+++ b/crates/timeline/src/event_record.rs
@@ -36,6 +36,8 @@
     JobAccepted,
     /// An instance took over a job.
     JobClaimed,
+    /// The items of a job make no progress, or make some again.
+    JobStalled,
     /// A chunk of a job was committed.
     ChunkCommitted,
     /// A job reached its final state.
