Two ways in which accepted items stall, as failing tests

A keeper that has missed jobs because its watch went silent, and a keeper that is registered but cannot read its work: in both, accepted items are not done 18 s later though all engines are idle.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -16,3 +16,4 @@
 mod request_limits;
 mod silent_connections;
 mod stale_views;
+mod stalled_items;
