Keepers: register only once the work is known

Callers saw accepted items that nobody ran. From its registration on, all processes leave a keeper's share of the jobs to it, but it owned none until it had read all work, page by page, and that read was repeated without a bound: a keeper that could not finish it was an owner in name only.

A keeper registers after its watch has loaded the work, and owns jobs as soon as its peers know of it. What the read after the registration was for, closes that the watch had not reported, is covered by the read of the closed jobs alone, without which no item starts.

--- a/crates/clementinevale/tests/nodes/stalled_items.rs
+++ b/crates/clementinevale/tests/nodes/stalled_items.rs
@@ -34,7 +34,12 @@
 
 /// Starts a fleet of two engines, one entry and two keepers.
 fn small_fleet() -> NodeFleet {
-    let size = NodeFleetSize { engines: 2, entries: 1, keepers: 2 };
+    fleet_with_keepers(2)
+}
+
+/// Starts a fleet of two engines, one entry and some keepers.
+fn fleet_with_keepers(keepers: u8) -> NodeFleet {
+    let size = NodeFleetSize { engines: 2, entries: 1, keepers };
     NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size)
 }
 
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -95,6 +95,7 @@
 ) {
     let changes: Vec<StoreChange> = match update {
         StoreUpdate::Snapshot(items) => {
+            state.work_loaded.open();
             restore_quarantines(state, &items);
             items.into_iter().map(StoreChange::Put).collect()
         }
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -39,6 +39,7 @@
 use crate::keeper::keeper_registration::maintain_registration;
 use crate::keeper::keeper_registration::watch_isolation;
 use crate::keeper::keeper_state::KeeperState;
+use crate::keeper::load_gate::LoadGate;
 use crate::keeper::progress_replication::start_replication;
 use crate::keeper::stored_quarantines::StoredQuarantines;
 use crate::keeper::wait_review::start_wait_review;
@@ -129,6 +130,7 @@
             view,
             withdrawals: RefCell::default(),
             work_available: Notify::new(),
+            work_loaded: LoadGate::default(),
         });
         let drain = DrainGate::default();
         let handler = KeeperHandler { state: Rc::clone(&state) };
--- a/crates/serving/src/keeper/keeper_registration.rs
+++ b/crates/serving/src/keeper/keeper_registration.rs
@@ -20,12 +20,9 @@
 use crate::CoordinationStore;
 use crate::PlatformAdapter;
 use crate::StoreCommit;
-use crate::StoreUpdate;
 use crate::fleet_view::KEEPERS_PREFIX;
-use crate::keeper::job_dispatch::apply_work_update;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::progress_replication::push_updates;
-use crate::keeper::stored_keys::WORK_PREFIX;
 use crate::store_contact::STORE_CONTACT_PATH;
 
 /// Time to live of the lease; a crashed keeper is noticed after this time.
@@ -56,11 +53,15 @@
 /// Number of consecutive checks that do not find the registration before it is made again.
 const MAX_MISSED_CHECKS: u32 = 2;
 
-/// Delay after a failed registration or a failed read of the work.
+/// Delay after a failed registration.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Registers the keeper, and again whenever its registration is lost, until it drains.
+///
+/// From the registration on, the other processes leave this keeper's share of the jobs to it, so it
+/// has to know the work before.
 pub(crate) async fn maintain_registration<P: PlatformAdapter>(state: Rc<KeeperState<P>>) {
+    state.work_loaded.wait().await;
     while !state.is_draining.get() {
         match register(&state).await {
             Some(lease) => {
@@ -111,8 +112,7 @@
     }
 }
 
-/// Waits until the other keepers know of this one, loads the work, and then returns when the
-/// registration is gone.
+/// Waits until the other keepers know of this one, and then returns when the registration is gone.
 ///
 /// A former owner of a job that does not know of the new owner would answer reads from results that
 /// are out of date. A keeper that cannot be queried has lost its lease once [`LEASE_TTL`] is over,
@@ -139,7 +139,8 @@
             break;
         }
     }
-    load_work(state).await;
+    // Jobs may have been closed since the work was loaded, and the watch may report that late.
+    state.knows_closed_jobs.set(false);
     state.is_known_to_peers.set(true);
     state.work_available.notify_one();
     let mut missed_checks = 0;
@@ -152,22 +153,6 @@
     }
 }
 
-/// Reads all jobs, and which are closed, from the store; retries until that succeeds.
-///
-/// Jobs may have been closed while this keeper had no contact with the store, and its watch may
-/// resume later than its lease.
-async fn load_work<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
-    loop {
-        match state.view.store_health.observe(state.store.range(WORK_PREFIX).await) {
-            Ok(snapshot) => {
-                state.knows_closed_jobs.set(true);
-                return apply_work_update(state, StoreUpdate::Snapshot(snapshot.items));
-            }
-            Err(_) => monoio::time::sleep(RETRY_DELAY).await,
-        }
-    }
-}
-
 /// Checks, for as long as the process runs, whether the store responds to other keepers but not to
 /// this one.
 ///
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -25,6 +25,7 @@
 use crate::StoreFault;
 use crate::keeper::job_table::JobTable;
 use crate::keeper::keeper_metrics::KeeperMetrics;
+use crate::keeper::load_gate::LoadGate;
 use crate::keeper::stored_quarantines::StoredQuarantines;
 use crate::keeper::tracked_job::TrackedJob;
 
@@ -85,6 +86,8 @@
     pub withdrawals: RefCell<Vec<(RunId, Rc<Notify>)>>,
     /// Notified when an item may be waiting for a run or a target may have room.
     pub work_available: Notify,
+    /// Open once all jobs have been read for the first time.
+    pub work_loaded: LoadGate,
 }
 
 impl<P: PlatformAdapter> KeeperState<P> {
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -13,6 +13,7 @@
 mod keeper_node;
 mod keeper_registration;
 mod keeper_state;
+mod load_gate;
 mod progress_replication;
 mod result_commits;
 mod stored_keys;
