Keepers: run a job that a read has found in the store

A caller that reads the results of a job makes the job's owner look it up in the store if its watch has not reported it. The owner answered from what it found, and went on not knowing the job. It now adds the job, after reading again which jobs are closed.

--- a/crates/serving/src/keeper/job_requests.rs
+++ b/crates/serving/src/keeper/job_requests.rs
@@ -236,7 +236,13 @@
 }
 
 /// Finds a job in memory or in the store; `Ok(None)` if the store confirms that it does not exist.
-async fn find_job<P: PlatformAdapter>(
+///
+/// A job that is found in the store has not been reported by the watch yet and is added, so that it
+/// runs if this keeper is the owner. The same holds for closes, which are read again before that.
+///
+/// # Errors
+/// Faults of the store; `Invalid` if the job cannot be decoded.
+pub(crate) async fn find_job<P: PlatformAdapter>(
     state: &KeeperState<P>,
     job_id: &str,
 ) -> Result<Option<JobSpec>, StoreFault> {
@@ -246,7 +252,13 @@
     match state.view.store_health.observe(state.store.get(&job_key(job_id)).await)? {
         None => Ok(None),
         Some(item) => match JobRecord::decode(&item.value) {
-            Ok(record) => record.read_spec(state, job_id).await.map(Some),
+            Ok(record) => {
+                let spec = record.read_spec(state, job_id).await?;
+                state.knows_closed_jobs.set(false);
+                state.jobs.add(spec.clone());
+                state.work_available.notify_one();
+                Ok(Some(spec))
+            }
             Err(fault) => Err(StoreFault::Invalid(fault.to_string())),
         },
     }
