Keepers: check with the owners of jobs that they own them

Callers saw accepted items that nobody ran. Each process computes the owner of a job from its own keeper set. After a failure of the store a process defers the removal of a keeper whose registration is gone, and each further failure prolongs that, so a dead keeper stays the owner of its jobs; where only some keepers hold on to it, each of two keepers may leave a job to the other. Nothing compared the sets.

The keeper that would own a job next asks the owner once a second whether it has the job (ClaimTable). An owner that does not know it reads it from the store. While nobody claims a job for 2 s, both read the registrations anew, past any deferral.

--- a/crates/clementinevale/tests/nodes/stalled_items.rs
+++ b/crates/clementinevale/tests/nodes/stalled_items.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cv_adapter_standin::StoreMode;
 use cv_runtime::block_on;
 use cv_standin::FaultMode;
 use cv_tests::NodeFleet;
@@ -32,6 +33,13 @@
 /// Time in which a keeper's registration lapses after its end, and another one takes its jobs.
 const TAKEOVER_TIME: Duration = Duration::from_secs(5);
 
+/// Time between two short failures of the store; within the grace that a failure gives to keepers to
+/// register again.
+const FAILURE_INTERVAL: Duration = Duration::from_millis(1_200);
+
+/// Duration of a short failure.
+const FAILURE_TIME: Duration = Duration::from_millis(15);
+
 /// Starts a fleet of two engines, one entry and two keepers.
 fn small_fleet() -> NodeFleet {
     fleet_with_keepers(2)
@@ -137,3 +145,27 @@
     let open = block_on(unfinished_jobs(entry, &accepted)).expect("the runtime starts");
     assert!(open.is_empty(), "{open:?} of {accepted:?}: {}", stall_lines(&fleet));
 }
+
+// Guards against a dead keeper that stays the owner of jobs for as long as calls to the store fail now
+// and then.
+#[test]
+fn items_run_while_the_removal_of_a_dead_keeper_is_deferred() {
+    let mut fleet = fleet_with_keepers(3);
+    let entry = fleet.entry_addresses()[0];
+    std::thread::sleep(LOAD_TIME);
+    let accepted = block_on(submit_all(entry, "d", 12)).expect("the runtime starts");
+    assert!(!accepted.is_empty());
+    let killed = keeper_index(&fleet, "keeper-72");
+    fleet.nodes[killed].kill();
+    let reading = std::thread::spawn(move || {
+        block_on(unfinished_jobs(entry, &accepted)).expect("the runtime starts")
+    });
+    while !reading.is_finished() {
+        fleet.store.set_mode(StoreMode::Busy);
+        std::thread::sleep(FAILURE_TIME);
+        fleet.store.set_mode(StoreMode::Up);
+        std::thread::sleep(FAILURE_INTERVAL);
+    }
+    let open = reading.join().expect("the jobs are read");
+    assert!(open.is_empty(), "{open:?}: {}", stall_lines(&fleet));
+}
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -450,6 +450,28 @@
         });
     }
 
+    /// Reads the keepers' registrations from the store and replaces the keeper set by them, also where
+    /// a removal is deferred.
+    ///
+    /// # Errors
+    /// Faults of the store.
+    pub(crate) async fn refresh_keepers<S: CoordinationStore>(
+        &self,
+        store: &S,
+    ) -> Result<(), StoreFault> {
+        let snapshot = self.store_health.observe(store.range(KEEPERS_PREFIX).await)?;
+        let mut keepers = KeeperSet::default();
+        for item in &snapshot.items {
+            let name = keeper_name(&item.key);
+            if let Some(record) = KeeperRecord::decode(name, &item.value) {
+                self.keeper_removals.borrow_mut().restore(name);
+                keepers.upsert(record);
+            }
+        }
+        self.keepers.replace(keepers);
+        Ok(())
+    }
+
     /// Applies an update of the keepers' registrations.
     fn apply_keeper_update(&self, update: StoreUpdate) {
         match update {
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cv_dispatch::ClaimTable;
 use cv_dispatch::RunSchedule;
 use cv_http::ConnectionPool;
 use cv_http::DrainGate;
@@ -40,6 +41,7 @@
 use crate::keeper::keeper_registration::watch_isolation;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::load_gate::LoadGate;
+use crate::keeper::owner_check::start_owner_check;
 use crate::keeper::progress_replication::start_replication;
 use crate::keeper::stored_quarantines::StoredQuarantines;
 use crate::keeper::wait_review::start_wait_review;
@@ -109,6 +111,7 @@
         start_stall_watch(clock, log.clone(), &timers);
         let state = Rc::new(KeeperState::<P> {
             adapter: PhantomData,
+            claims: RefCell::new(ClaimTable::default()),
             estimate: Cell::default(),
             identity,
             knows_closed_jobs: Cell::new(false),
@@ -142,6 +145,7 @@
         monoio::spawn(watch_isolation(Rc::clone(&state)));
         start_dispatch(&state, &timers);
         start_replication(&state, &timers);
+        start_owner_check(&state, &timers);
         start_wait_review(&state, &timers);
         watch_retirement(&state);
         log.record(LinePriority::Essential, EventKind::Started, "keeper", || {
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cv_dispatch::ClaimTable;
 use cv_dispatch::ResultsLoad;
 use cv_dispatch::RouteKind;
 use cv_dispatch::RouteRule;
@@ -44,6 +45,8 @@
 pub(crate) struct KeeperState<P: PlatformAdapter> {
     /// The platform adapter, of which only associated functions are used.
     pub adapter: PhantomData<P>,
+    /// Jobs whose owner has not confirmed that it owns them.
+    pub claims: RefCell<ClaimTable>,
     /// Name, zone and addresses of this process.
     pub identity: Rc<NodeIdentity>,
     /// Whether this keeper knows which jobs had been closed when it last had contact with the store.
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -14,6 +14,7 @@
 mod keeper_registration;
 mod keeper_state;
 mod load_gate;
+mod owner_check;
 mod progress_replication;
 mod result_commits;
 mod stored_keys;
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduling decisions in `cv-dispatch`.
 
 mod caller_waits;
+mod claim_table;
 mod crash_simulation;
 mod deferred_removals;
 mod dispatch_pass;
@@ -22,3 +23,4 @@
 mod sample_job;
 mod sidecar_subscriptions;
 mod slot_queue;
+mod stall_table;
