Owner check: one keeper at a time, by its own registration

Reading the whole keeper set anew could drop live keepers that had not registered again after an outage, and could undo a change that the watch had applied meanwhile; only the next owner asked, so nobody did if it was gone as well; a job that exists no more was looked up every second.

An unclaimed job now leads to a read of its owner's registration alone, and to its removal if that is gone and no registration was applied meanwhile. Keepers further down the ranking ask every fourth time. A job is looked up once at a time, one that does not exist counts as over, and one past its retention is not added again. The log has job_stalled cause=unclaimed with the owner and its reply.

--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -62,6 +62,8 @@
     config: RefCell<Option<Vec<u8>>>,
     random: RefCell<SeededRandom>,
     keepers: RefCell<KeeperSet>,
+    /// Number of registrations of keepers that were applied.
+    keeper_changes: Cell<u64>,
     keeper_removals: RefCell<DeferredRemovals>,
     targets: RefCell<TargetTable>,
     target_removals: RefCell<DeferredRemovals>,
@@ -85,6 +87,7 @@
             log,
             random: RefCell::new(SeededRandom::new(seed)),
             keepers: RefCell::default(),
+            keeper_changes: Cell::new(0),
             keeper_removals: RefCell::default(),
             targets: RefCell::default(),
             target_removals: RefCell::default(),
@@ -265,6 +268,7 @@
             keepers.upsert(keeper);
         }
         self.keepers.replace(keepers);
+        self.keeper_changes.set(self.keeper_changes.get() + 1);
         self.targets_loaded.set(true);
         self.keepers_loaded.set(true);
         self.loaded.notify_one();
@@ -450,26 +454,25 @@
         });
     }
 
-    /// Reads the keepers' registrations from the store and replaces the keeper set by them, also where
-    /// a removal is deferred.
+    /// Removes a keeper if the store confirms that its registration is gone, also where the removal is
+    /// deferred; returns whether it was removed. A keeper that has registered again meanwhile stays.
     ///
     /// # Errors
     /// Faults of the store.
-    pub(crate) async fn refresh_keepers<S: CoordinationStore>(
+    pub(crate) async fn remove_keeper_if_gone<S: CoordinationStore>(
         &self,
         store: &S,
-    ) -> Result<(), StoreFault> {
-        let snapshot = self.store_health.observe(store.range(KEEPERS_PREFIX).await)?;
-        let mut keepers = KeeperSet::default();
-        for item in &snapshot.items {
-            let name = keeper_name(&item.key);
-            if let Some(record) = KeeperRecord::decode(name, &item.value) {
-                self.keeper_removals.borrow_mut().restore(name);
-                keepers.upsert(record);
-            }
+        name: &str,
+    ) -> Result<bool, StoreFault> {
+        let changes = self.keeper_changes.get();
+        let key = format!("{KEEPERS_PREFIX}{name}");
+        let registration = self.store_health.observe(store.get(&key).await)?;
+        let is_gone = registration.is_none() && self.keeper_changes.get() == changes;
+        if is_gone {
+            self.keeper_removals.borrow_mut().restore(name);
+            self.keepers.borrow_mut().remove(name);
         }
-        self.keepers.replace(keepers);
-        Ok(())
+        Ok(is_gone)
     }
 
     /// Applies an update of the keepers' registrations.
@@ -512,6 +515,7 @@
             Some(record) => {
                 self.keeper_removals.borrow_mut().restore(name);
                 self.keepers.borrow_mut().upsert(record);
+                self.keeper_changes.set(self.keeper_changes.get() + 1);
             }
             None => self.log_rejected(&item.key, "not a keeper's registration"),
         }
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -52,7 +52,7 @@
 
 /// Time after its submission for which a job and its results are kept in the store; a job that is
 /// open is kept until all its results are listed.
-const RETENTION: Duration = Duration::from_mins(3);
+pub(crate) const RETENTION: Duration = Duration::from_mins(3);
 
 /// Starts the tasks that watch the store for jobs, review owned jobs and dispatch items.
 pub(crate) fn start_dispatch<P: PlatformAdapter>(
--- a/crates/serving/src/keeper/job_requests.rs
+++ b/crates/serving/src/keeper/job_requests.rs
@@ -18,6 +18,7 @@
 use crate::StoreCommit;
 use crate::StoreFault;
 use crate::keeper::close_notices::announce_close;
+use crate::keeper::job_dispatch::RETENTION;
 use crate::keeper::job_dispatch::mark_job_closed;
 use crate::keeper::job_record::JobRecord;
 use crate::keeper::keeper_state::KeeperState;
@@ -57,7 +58,7 @@
     }
     if !fits_token_limit(state, &spec) {
         // Another keeper may have accepted the job before.
-        return match find_job(state, &spec.id).await {
+        return match find_or_adopt_job(state, &spec.id).await {
             Ok(Some(_)) => empty_response(StatusCode::ACCEPTED),
             Ok(None) => empty_response(StatusCode::TOO_MANY_REQUESTS),
             Err(_) => empty_response(StatusCode::SERVICE_UNAVAILABLE),
@@ -126,7 +127,7 @@
         log_read(state, job_id, "nowhere", position, 0);
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let spec = match find_job(state, job_id).await {
+    let spec = match find_or_adopt_job(state, job_id).await {
         Ok(Some(spec)) => spec,
         Ok(None) => return empty_response(StatusCode::NOT_FOUND),
         Err(_) => return empty_response(StatusCode::SERVICE_UNAVAILABLE),
@@ -171,7 +172,7 @@
     job_id: &str,
     item: &str,
 ) -> CallResponse {
-    match find_job(state, job_id).await {
+    match find_or_adopt_job(state, job_id).await {
         Ok(Some(spec)) => match spec.items.into_iter().find(|spec| spec.id == item) {
             Some(spec) => (StatusCode::OK, Bytes::from(spec.body)),
             None => empty_response(StatusCode::NOT_FOUND),
@@ -186,7 +187,7 @@
     state: &Rc<KeeperState<P>>,
     job_id: &str,
 ) -> CallResponse {
-    match find_job(state, job_id).await {
+    match find_or_adopt_job(state, job_id).await {
         Ok(Some(_)) => {}
         Ok(None) => return empty_response(StatusCode::NOT_FOUND),
         Err(_) => return empty_response(StatusCode::SERVICE_UNAVAILABLE),
@@ -238,11 +239,12 @@
 /// Finds a job in memory or in the store; `Ok(None)` if the store confirms that it does not exist.
 ///
 /// A job that is found in the store has not been reported by the watch yet and is added, so that it
-/// runs if this keeper is the owner. The same holds for closes, which are read again before that.
+/// runs if this keeper is the owner. The same holds for closes, which are read again before that. One
+/// past its retention is about to be purged and is not added.
 ///
 /// # Errors
 /// Faults of the store; `Invalid` if the job cannot be decoded.
-pub(crate) async fn find_job<P: PlatformAdapter>(
+pub(crate) async fn find_or_adopt_job<P: PlatformAdapter>(
     state: &KeeperState<P>,
     job_id: &str,
 ) -> Result<Option<JobSpec>, StoreFault> {
@@ -254,9 +256,11 @@
         Some(item) => match JobRecord::decode(&item.value) {
             Ok(record) => {
                 let spec = record.read_spec(state, job_id).await?;
-                state.knows_closed_jobs.set(false);
-                state.jobs.add(spec.clone());
-                state.work_available.notify_one();
+                if state.age_since(spec.submitted_ms) <= RETENTION {
+                    state.knows_closed_jobs.set(false);
+                    state.jobs.add(spec.clone());
+                    state.work_available.notify_one();
+                }
                 Ok(Some(spec))
             }
             Err(fault) => Err(StoreFault::Invalid(fault.to_string())),
--- a/crates/serving/src/keeper/keeper_handler.rs
+++ b/crates/serving/src/keeper/keeper_handler.rs
@@ -28,8 +28,8 @@
 use crate::keeper::job_requests::submit_job;
 use crate::keeper::keeper_registration::KNOWN_KEEPERS_PATH;
 use crate::keeper::keeper_state::KeeperState;
-use crate::keeper::owner_check::CLAIMS_PATH;
-use crate::keeper::owner_check::respond_claims;
+use crate::keeper::owner_check::OWNED_PATH;
+use crate::keeper::owner_check::respond_owned;
 use crate::keeper::progress_replication::UPDATES_PATH;
 use crate::keeper::progress_replication::read_updates;
 use crate::keeper::progress_replication::receive_updates;
@@ -64,8 +64,8 @@
             return respond_store_contact(exchange, &self.state.view, has_contact).await;
         }
         let body = exchange.read_body(MAX_BODY_BYTES).await?;
-        if exchange.head().uri.path() == CLAIMS_PATH {
-            let (status, body) = respond_claims(&self.state, &body);
+        if exchange.head().uri.path() == OWNED_PATH {
+            let (status, body) = respond_owned(&self.state, &body);
             return exchange.respond(status, &HeaderMap::new(), &body).await;
         }
         if let Some(job) = exchange.head().uri.path().strip_prefix(CLOSED_PATH) {
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cv_dispatch::ClaimTable;
 use cv_dispatch::RunSchedule;
+use cv_dispatch::UnclaimedJobs;
 use cv_http::ConnectionPool;
 use cv_http::DrainGate;
 use cv_http::HttpLimits;
@@ -111,7 +111,6 @@
         start_stall_watch(clock, log.clone(), &timers);
         let state = Rc::new(KeeperState::<P> {
             adapter: PhantomData,
-            claims: RefCell::new(ClaimTable::default()),
             estimate: Cell::default(),
             identity,
             knows_closed_jobs: Cell::new(false),
@@ -124,12 +123,14 @@
             is_retiring: Cell::new(false),
             retiring: RefCell::default(),
             lease: Cell::default(),
+            lookups: RefCell::default(),
             metrics: KeeperMetrics::new().map_err(io::Error::other)?,
             pool: ConnectionPool::new(HttpLimits::default()),
             schedule: RefCell::new(RunSchedule::default()),
             jobs: JobTable::default(),
             stored_quarantines: StoredQuarantines::default(),
             store,
+            unclaimed: RefCell::new(UnclaimedJobs::default()),
             view,
             withdrawals: RefCell::default(),
             work_available: Notify::new(),
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -6,13 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cv_dispatch::ClaimTable;
 use cv_dispatch::ResultsLoad;
 use cv_dispatch::RouteKind;
 use cv_dispatch::RouteRule;
 use cv_dispatch::RunEstimate;
 use cv_dispatch::RunId;
 use cv_dispatch::RunSchedule;
+use cv_dispatch::UnclaimedJobs;
 use cv_http::ConnectionPool;
 use cv_policy::lease::LeaseClock;
 use tokio::sync::Notify;
@@ -45,8 +45,6 @@
 pub(crate) struct KeeperState<P: PlatformAdapter> {
     /// The platform adapter, of which only associated functions are used.
     pub adapter: PhantomData<P>,
-    /// Jobs whose owner has not confirmed that it owns them.
-    pub claims: RefCell<ClaimTable>,
     /// Name, zone and addresses of this process.
     pub identity: Rc<NodeIdentity>,
     /// Whether this keeper knows which jobs had been closed when it last had contact with the store.
@@ -71,6 +69,8 @@
     pub lease: Cell<Option<LeaseClock>>,
     /// Estimate of how long items run.
     pub estimate: Cell<RunEstimate>,
+    /// Jobs that are being looked up in the store, sorted.
+    pub lookups: RefCell<Vec<String>>,
     /// Metrics of this keeper.
     pub metrics: KeeperMetrics,
     /// Connections to targets, sidecars and other keepers.
@@ -85,6 +85,8 @@
     pub store: Rc<P::Store>,
     /// The configuration, the targets and the keepers that this process knows.
     pub view: Rc<FleetView>,
+    /// Jobs whose owner has not confirmed that it owns them.
+    pub unclaimed: RefCell<UnclaimedJobs>,
     /// Signals that withdraw runs from their targets, sorted by run id.
     pub withdrawals: RefCell<Vec<(RunId, Rc<Notify>)>>,
     /// Notified when an item may be waiting for a run or a target may have room.
@@ -149,8 +151,12 @@
 
     /// Returns the time since a job was submitted.
     pub fn job_age(&self, job: &TrackedJob) -> Duration {
-        let submitted = job.tracker.borrow().spec().submitted_ms;
-        Duration::from_millis(self.view.clock.wall_millis().saturating_sub(submitted))
+        self.age_since(job.tracker.borrow().spec().submitted_ms)
+    }
+
+    /// Returns the time since a moment, in milliseconds since the Unix epoch.
+    pub fn age_since(&self, millis: u64) -> Duration {
+        Duration::from_millis(self.view.clock.wall_millis().saturating_sub(millis))
     }
 
     /// Repeats a write until its outcome is known, the timeout is over, or the store is down and no
--- a/crates/serving/src/keeper/owner_check.rs
+++ b/crates/serving/src/keeper/owner_check.rs
@@ -1,6 +1,6 @@
-//! Checks with the owners of jobs that they know and own them.
+//! Checks with the owners of jobs that they own them.
 //!
-//! Each keeper computes the owner of a job from its own view. The keeper that would own a job next asks
+//! Each keeper computes the owner of a job from its own view. The keepers that would own a job next ask
 //! the owner, so that a job which the owner does not know, or leaves to another keeper, does not wait
 //! until their views agree by themselves.
 
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cv_dispatch::ClaimReply;
 use cv_dispatch::KeeperRecord;
+use cv_dispatch::OwnerReply;
 use cv_http::ClientRequest;
 use cv_timeline::EventKind;
 use cv_timeline::LinePriority;
@@ -20,17 +20,24 @@
 
 use crate::PlatformAdapter;
 use crate::keeper::job_requests::CallResponse;
-use crate::keeper::job_requests::find_job;
+use crate::keeper::job_requests::find_or_adopt_job;
 use crate::keeper::keeper_registration::MAX_PEER_RESPONSE_BYTES;
 use crate::keeper::keeper_registration::PEER_QUERY_TIMEOUT;
 use crate::keeper::keeper_state::KeeperState;
 
 /// Path at which a keeper says which of the given jobs it owns.
-pub(crate) const CLAIMS_PATH: &str = "/cv/claims";
+pub(crate) const OWNED_PATH: &str = "/cv/owned";
 
-/// Time between two checks.
+/// Time between two checks by the keeper that would own a job next.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Checks after which the keepers further down the ranking ask as well, in case that the next owner
+/// does not.
+const CHECKS_OF_NEXT_OWNER: u64 = 4;
+
+/// Checks after which jobs that are not known any more are forgotten.
+const CHECKS_UNTIL_FORGOTTEN: u64 = 60;
+
 /// Starts the task that checks the jobs of other owners for as long as the process runs.
 pub(crate) fn start_owner_check<P: PlatformAdapter>(
     state: &Rc<KeeperState<P>>,
@@ -39,29 +46,33 @@
     let ticks = timers.subscribe(CHECK_INTERVAL);
     let state = Rc::clone(state);
     monoio::spawn(async move {
-        loop {
+        for check in 1_u64.. {
             ticks.next().await;
-            state.claims.borrow_mut().retain(|job| state.jobs.get(job).is_some());
-            check_owners(&state).await;
+            if check.is_multiple_of(CHECKS_UNTIL_FORGOTTEN) {
+                state.unclaimed.borrow_mut().retain(|job| state.jobs.get(job).is_some());
+            }
+            check_owners(&state, check.is_multiple_of(CHECKS_OF_NEXT_OWNER)).await;
         }
     });
 }
 
-/// Asks each owner about the open jobs that this keeper would own next.
-async fn check_owners<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
+/// Asks each owner about the open jobs that this keeper would own next, or about all that this keeper
+/// knows if `asks_for_all`.
+async fn check_owners<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, asks_for_all: bool) {
     let keeper_set = state.view.keepers();
     let name = &state.identity.name;
     let mut questions: Vec<(&KeeperRecord, Vec<String>)> = Vec::new();
     for job in state.jobs.all() {
         let job_id = job.tracker.borrow().spec().id.clone();
-        if job.is_owned.get() || job.is_over() || state.claims.borrow().is_over(&job_id) {
+        if job.is_owned.get() || job.is_over() || state.unclaimed.borrow().is_over(&job_id) {
             continue;
         }
         let ranking = keeper_set.ranking_for(&job_id);
-        let [owner, next, ..] = ranking.as_slice() else {
+        let [owner, others @ ..] = ranking.as_slice() else {
             continue;
         };
-        if next.name != *name {
+        let is_next = others.first().is_some_and(|next| next.name == *name);
+        if owner.name == *name || !is_next && !asks_for_all {
             continue;
         }
         match questions.binary_search_by(|(other, _)| other.name.cmp(&owner.name)) {
@@ -69,28 +80,27 @@
             Err(position) => questions.insert(position, (owner, vec![job_id])),
         }
     }
-    let checks = questions.iter().map(|(owner, jobs)| check_owner(state, owner, jobs));
-    let is_refresh_due = join_all(checks).await.contains(&true);
-    if is_refresh_due {
-        refresh_keepers(state).await;
-    }
+    join_all(questions.iter().map(|(owner, jobs)| check_owner(state, owner, jobs))).await;
 }
 
-/// Asks one owner about jobs; returns whether the keeper set is to be read anew.
+/// Asks one owner about jobs, and checks its registration if it does not claim one for long.
 async fn check_owner<P: PlatformAdapter>(
     state: &KeeperState<P>,
     owner: &KeeperRecord,
     jobs: &[String],
-) -> bool {
+) {
     let replies = fetch_replies(state, owner, jobs).await;
     let now = state.view.clock.now();
-    let mut claims = state.claims.borrow_mut();
-    let mut is_refresh_due = false;
+    let mut overdue = Vec::new();
     for (index, job) in jobs.iter().enumerate() {
         let reply = replies.as_ref().and_then(|replies| replies.get(index).copied());
-        is_refresh_due |= claims.record(job, reply, now);
+        if let Some(time) = state.unclaimed.borrow_mut().record(job, reply, now) {
+            overdue.push((job.as_str(), time));
+        }
+    }
+    if !overdue.is_empty() {
+        check_registration(state, &owner.name, &overdue, replies.is_some()).await;
     }
-    is_refresh_due
 }
 
 /// Fetches an owner's replies about jobs, one each; `None` if it does not respond.
@@ -98,11 +108,11 @@
     state: &KeeperState<P>,
     owner: &KeeperRecord,
     jobs: &[String],
-) -> Option<Vec<ClaimReply>> {
+) -> Option<Vec<OwnerReply>> {
     let body = postcard::to_stdvec(jobs)
         .inspect_err(|fault| log::error!("cannot encode a question to {}: {fault}", owner.name))
         .ok()?;
-    let request = ClientRequest::new(Method::POST, CLAIMS_PATH, body);
+    let request = ClientRequest::new(Method::POST, OWNED_PATH, body);
     let (timeout, limit) = (PEER_QUERY_TIMEOUT, MAX_PEER_RESPONSE_BYTES);
     let response = state.pool.exchange(owner.address, &request, timeout, limit).await;
     let response = response
@@ -111,24 +121,29 @@
     postcard::from_bytes(&response.body).ok()
 }
 
-/// Responds to another keeper's question about jobs that this one should own.
-pub(crate) fn respond_claims<P: PlatformAdapter>(
+/// Responds to another keeper's question about jobs that this one should own by the other's view.
+pub(crate) fn respond_owned<P: PlatformAdapter>(
     state: &Rc<KeeperState<P>>,
     body: &[u8],
 ) -> CallResponse {
     let Ok(jobs) = postcard::from_bytes::<Vec<String>>(body) else {
         return (StatusCode::BAD_REQUEST, Bytes::new());
     };
-    let replies: Vec<ClaimReply> = jobs.iter().map(|job| claim_reply(state, job)).collect();
+    let replies: Vec<OwnerReply> = jobs.iter().map(|job| owner_reply(state, job)).collect();
     let now = state.view.clock.now();
-    let mut claims = state.claims.borrow_mut();
-    let mut is_refresh_due = false;
-    for (job, reply) in jobs.iter().zip(&replies) {
-        is_refresh_due |= claims.record(job, Some(*reply), now);
-    }
-    if is_refresh_due {
-        let state = Rc::clone(state);
-        monoio::spawn(async move { refresh_keepers(&state).await });
+    let keeper_set = state.view.keepers();
+    for (job, reply) in jobs.into_iter().zip(&replies) {
+        let Some(time) = state.unclaimed.borrow_mut().record(&job, Some(*reply), now) else {
+            continue;
+        };
+        // This keeper leaves the job to another one, which may be gone.
+        let owner = keeper_set.ranking_for(&job).first().map(|owner| owner.name.clone());
+        if let Some(owner) = owner.filter(|owner| *owner != state.identity.name) {
+            let state = Rc::clone(state);
+            monoio::spawn(async move {
+                check_registration(&state, &owner, &[(&job, time)], false).await;
+            });
+        }
     }
     match postcard::to_stdvec(&replies) {
         Ok(body) => (StatusCode::OK, Bytes::from(body)),
@@ -139,32 +154,62 @@
     }
 }
 
-/// Returns whether this keeper owns a job; one that it does not know is read from the store.
-fn claim_reply<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job_id: &str) -> ClaimReply {
+/// Returns whether this keeper owns a job; one that it does not know is looked up in the store.
+fn owner_reply<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job_id: &str) -> OwnerReply {
+    if state.unclaimed.borrow().is_over(job_id) {
+        return OwnerReply::Over;
+    }
     let Some(job) = state.jobs.get(job_id) else {
-        let (state, job_id) = (Rc::clone(state), job_id.to_owned());
-        monoio::spawn(async move {
-            if let Err(fault) = find_job(&state, &job_id).await {
-                log::debug!("cannot read job {job_id}, which a peer knows: {fault}");
-            }
-        });
-        return ClaimReply::Unclaimed;
+        look_up_job(state, job_id);
+        return OwnerReply::Unclaimed;
     };
     if job.is_over() {
-        ClaimReply::Over
+        OwnerReply::Over
     } else if job.is_owned.get() {
-        ClaimReply::Owned
+        OwnerReply::Owned
     } else {
-        ClaimReply::Unclaimed
+        OwnerReply::Unclaimed
     }
 }
 
-/// Reads the keeper set anew, since the keepers do not agree on the owner of a job.
-async fn refresh_keepers<P: PlatformAdapter>(state: &KeeperState<P>) {
-    let refreshed = state.view.refresh_keepers(&*state.store).await;
-    state.view.log.record(LinePriority::Essential, EventKind::DirectoryChanged, "keepers", || {
-        let names = state.view.keepers().encode_names().replace('\n', ",");
-        format!("refreshed={} keepers={names}", refreshed.is_ok())
+/// Starts to look a job up in the store, unless that is under way.
+fn look_up_job<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job_id: &str) {
+    let mut lookups = state.lookups.borrow_mut();
+    let Err(position) = lookups.binary_search_by(|other| other.as_str().cmp(job_id)) else {
+        return;
+    };
+    lookups.insert(position, job_id.to_owned());
+    let (state, job_id) = (Rc::clone(state), job_id.to_owned());
+    monoio::spawn(async move {
+        let found = find_or_adopt_job(&state, &job_id).await;
+        state.lookups.borrow_mut().retain(|other| *other != job_id);
+        match found {
+            Ok(Some(_)) => {}
+            Ok(None) => {
+                let now = state.view.clock.now();
+                state.unclaimed.borrow_mut().record(&job_id, Some(OwnerReply::Over), now);
+            }
+            Err(fault) => log::debug!("cannot read job {job_id}, which a peer knows: {fault}"),
+        }
+    });
+}
+
+/// Removes a keeper that claims none of the jobs it should own, and whose registration is gone from the
+/// store, past any deferral of its removal.
+async fn check_registration<P: PlatformAdapter>(
+    state: &KeeperState<P>,
+    owner: &str,
+    jobs: &[(&str, Duration)],
+    has_replied: bool,
+) {
+    let is_removed = state.view.remove_keeper_if_gone(&*state.store, owner).await;
+    state.view.log.record(LinePriority::Essential, EventKind::JobStalled, jobs[0].0, || {
+        let time = jobs[0].1.as_millis();
+        let count = jobs.len();
+        format!(
+            "cause=unclaimed owner={owner} replied={has_replied} stalled_ms={time} jobs={count} \
+             owner_removed={is_removed:?}"
+        )
     });
     state.work_available.notify_one();
 }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,7 +1,6 @@
 //! Tests of the scheduling decisions in `cv-dispatch`.
 
 mod caller_waits;
-mod claim_table;
 mod crash_simulation;
 mod deferred_removals;
 mod dispatch_pass;
@@ -24,3 +23,4 @@
 mod sidecar_subscriptions;
 mod slot_queue;
 mod stall_table;
+mod unclaimed_jobs;
