Watches: a silent one is noticed whichever page its changes are on

Callers saw accepted items that nobody ran for up to 26.5 s after a takeover. A keeper whose watch of the work had gone silent compared its revision with the newest one of the first page of cv/work/ alone; jobs behind it went unnoticed until the watch timed out.

Commits that add or close a job, or change a stored quarantine, now also write cv/work/newest in the same transaction. The check of the work's watch reads this one key (WatchedPrefix::with_marker) in place of up to a megabyte. The key lies under the prefix, so that the watch delivers it with the change and its revision never runs ahead of a healthy watch; keepers ignore unknown keys.

--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -31,6 +31,7 @@
 use crate::StoreHealth;
 use crate::StoreUpdate;
 use crate::StoredItem;
+use crate::WatchedPrefix;
 use crate::peer_sync::ViewSnapshot;
 use crate::quarantine_desk::QuarantineDesk;
 
@@ -120,21 +121,19 @@
         });
     }
 
-    /// Starts a task that passes all updates of the keys with `prefix` to `apply`.
+    /// Starts a task that passes all updates of the watched keys to `apply`.
     pub(crate) fn watch_prefix<S: CoordinationStore>(
         self: &Rc<Self>,
         store: &Rc<S>,
-        prefix: &'static str,
+        keys: impl Into<WatchedPrefix<'static>>,
         interval: Duration,
         apply: impl FnMut(StoreUpdate) + 'static,
     ) {
-        let (view, store) = (Rc::clone(self), Rc::clone(store));
+        let (view, store, keys) = (Rc::clone(self), Rc::clone(store), keys.into());
         monoio::spawn(async move {
             let random = SeededRandom::new(view.random_number());
             let store_health = &view.store_health;
-            PrefixWatcher { interval, store_health, prefix, random, store: &*store }
-                .run(apply)
-                .await;
+            PrefixWatcher { interval, store_health, keys, random, store: &*store }.run(apply).await;
         });
     }
 
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -18,6 +18,7 @@
 use crate::StoreCommit;
 use crate::StoreFault;
 use crate::StoreUpdate;
+use crate::WatchedPrefix;
 use crate::keeper::item_expiry::start_expiry;
 use crate::keeper::item_run::ItemRun;
 use crate::keeper::job_record::JobRecord;
@@ -25,6 +26,7 @@
 use crate::keeper::result_commits::load_results;
 use crate::keeper::result_commits::start_commits;
 use crate::keeper::stored_keys::CLOSED_PREFIX;
+use crate::keeper::stored_keys::WORK_MARKER_KEY;
 use crate::keeper::stored_keys::WORK_PREFIX;
 use crate::keeper::stored_keys::WorkKey;
 use crate::keeper::stored_keys::closed_key;
@@ -60,7 +62,8 @@
     timers: &TimerService,
 ) {
     let watching_state = Rc::clone(state);
-    state.view.watch_prefix(&state.store, WORK_PREFIX, WATCH_INTERVAL, move |update| {
+    let keys = WatchedPrefix::from(WORK_PREFIX).with_marker(WORK_MARKER_KEY);
+    state.view.watch_prefix(&state.store, keys, WATCH_INTERVAL, move |update| {
         apply_work_update(&watching_state, update);
     });
     let reviews = timers.subscribe(REVIEW_INTERVAL);
--- a/crates/serving/src/keeper/job_record.rs
+++ b/crates/serving/src/keeper/job_record.rs
@@ -14,6 +14,7 @@
 use crate::keeper::stored_keys::job_key;
 use crate::keeper::stored_keys::overflow_key;
 use crate::keeper::stored_keys::overflow_prefix;
+use crate::keeper::stored_keys::with_work_marker;
 
 /// Maximum size of the part of a job under one key, in bytes. A page of the store's responses holds
 /// a megabyte, in base64.
@@ -45,7 +46,7 @@
             numbered.map(|(part, value)| put(overflow_key(&spec.id, part), value.to_vec())),
         );
         let expected = vec![ExpectedKey { key: job_key(&spec.id), revision: 0 }];
-        Ok(StoreCommit { expected, puts, removals: Vec::new() })
+        Ok(with_work_marker(StoreCommit { expected, puts, removals: Vec::new() }))
     }
 
     /// Decodes the value of a job's own key.
--- a/crates/serving/src/keeper/job_requests.rs
+++ b/crates/serving/src/keeper/job_requests.rs
@@ -25,6 +25,7 @@
 use crate::keeper::stored_keys::decode_results;
 use crate::keeper::stored_keys::job_key;
 use crate::keeper::stored_keys::result_prefix;
+use crate::keeper::stored_keys::with_work_marker;
 use crate::keeper::tracked_job::TrackedJob;
 
 /// Maximum time for the write that accepts or closes a job.
@@ -191,7 +192,7 @@
         Ok(None) => return empty_response(StatusCode::NOT_FOUND),
         Err(_) => return empty_response(StatusCode::SERVICE_UNAVAILABLE),
     }
-    let commit = StoreCommit::put(&closed_key(job_id), Vec::new(), 0);
+    let commit = with_work_marker(StoreCommit::put(&closed_key(job_id), Vec::new(), 0));
     match state.commit_with_retry(&commit, WRITE_TIMEOUT).await {
         Ok(_) => {
             mark_job_closed(state, job_id);
--- a/crates/serving/src/keeper/stored_keys.rs
+++ b/crates/serving/src/keeper/stored_keys.rs
@@ -3,9 +3,16 @@
 use cv_dispatch::ItemResult;
 use cv_dispatch::PromptPart;
 
+use crate::StoreCommit;
+use crate::StorePut;
+
 /// Prefix of the keys that keepers watch: those of job records and of closed jobs.
 pub(crate) const WORK_PREFIX: &str = "cv/work/";
 
+/// Key without a value that is written with each key under [`WORK_PREFIX`] that keepers have to learn
+/// of; its revision is the newest of theirs.
+pub(crate) const WORK_MARKER_KEY: &str = "cv/work/newest";
+
 /// Prefix of the keys of job records.
 const JOB_PREFIX: &str = "cv/work/job/";
 
@@ -77,6 +84,13 @@
     format!("{RESULT_PREFIX}{job_id}/{position:06}")
 }
 
+/// Adds the write of [`WORK_MARKER_KEY`] to a commit that changes keys under [`WORK_PREFIX`].
+pub(crate) fn with_work_marker(mut commit: StoreCommit) -> StoreCommit {
+    let key = WORK_MARKER_KEY.to_owned();
+    commit.puts.push(StorePut { key, lease: 0, value: Vec::new() });
+    commit
+}
+
 /// Encodes a result segment as postcard.
 pub(crate) fn encode_results(results: &[ItemResult]) -> Result<Vec<u8>, postcard::Error> {
     postcard::to_stdvec(results)
--- a/crates/serving/src/keeper/stored_quarantines.rs
+++ b/crates/serving/src/keeper/stored_quarantines.rs
@@ -16,6 +16,7 @@
 use crate::keeper::stored_keys::QUARANTINE_PREFIX;
 use crate::keeper::stored_keys::WorkKey;
 use crate::keeper::stored_keys::quarantine_key;
+use crate::keeper::stored_keys::with_work_marker;
 
 /// Time for which a write is repeated; afterwards the next review makes it again.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -130,7 +131,7 @@
         (None, Some(part)) => (*part, StoreCommit::remove(&[quarantine_key(*part)])),
         (None, None) => return,
     };
-    let is_added = added.is_some();
+    let (is_added, commit) = (added.is_some(), with_work_marker(commit));
     drop(parts);
     stored.is_writing.set(true);
     let state = Rc::clone(state);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -27,6 +27,7 @@
 mod store_contact;
 mod store_health;
 mod target_call;
+mod watched_prefix;
 
 pub use crate::coordination_store::CommitOutcome;
 pub use crate::coordination_store::CoordinationStore;
@@ -68,3 +69,4 @@
 pub use crate::sidecar::SidecarNode;
 pub use crate::sidecar::SidecarSettings;
 pub use crate::store_health::StoreHealth;
+pub use crate::watched_prefix::WatchedPrefix;
--- a/crates/serving/src/prefix_watcher.rs
+++ b/crates/serving/src/prefix_watcher.rs
@@ -9,6 +9,7 @@
 use crate::StoreFault;
 use crate::StoreHealth;
 use crate::StoredItem;
+use crate::WatchedPrefix;
 
 /// Longest time for which one watch call waits for a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
@@ -40,8 +41,8 @@
     pub interval: Duration,
     /// Records whether the store responds.
     pub store_health: &'a StoreHealth,
-    /// Prefix of the keys.
-    pub prefix: &'a str,
+    /// The watched keys.
+    pub keys: WatchedPrefix<'a>,
     /// Adds jitter to the backoffs of many processes.
     pub random: SeededRandom,
     /// The store.
@@ -53,7 +54,7 @@
     pub async fn run(mut self, mut apply: impl FnMut(StoreUpdate)) {
         let mut backoff = MIN_BACKOFF;
         loop {
-            match self.store_health.observe(self.store.range(self.prefix).await) {
+            match self.store_health.observe(self.store.range(self.keys.prefix).await) {
                 Ok(snapshot) => {
                     apply(StoreUpdate::Snapshot(snapshot.items));
                     if self.watch_from(snapshot.revision, &mut apply).await {
@@ -76,7 +77,7 @@
     async fn watch_from(&mut self, mut revision: u64, apply: &mut impl FnMut(StoreUpdate)) -> bool {
         loop {
             let watched = monoio::select! {
-                watched = self.store.watch(self.prefix, revision, WATCH_TIMEOUT) => watched,
+                watched = self.store.watch(self.keys.prefix, revision, WATCH_TIMEOUT) => watched,
                 () = self.watch_stalled(revision) => return true,
             };
             match self.store_health.observe(watched) {
@@ -100,14 +101,14 @@
         loop {
             monoio::time::sleep(STALL_CHECK_INTERVAL).await;
             // A failure of the store also ends the watch itself, so it is ignored here.
-            let recent = self.store_health.observe(self.store.recent_revision(self.prefix).await);
-            let newest = recent.unwrap_or(0);
+            let recent = self.store.recent_revision(self.keys.marker).await;
+            let newest = self.store_health.observe(recent).unwrap_or(0);
             if newest > revision {
                 monoio::time::sleep(WATCH_DELAY).await;
                 log::warn!(
                     "watch of {} stalled at revision {revision}, reading all keys again: the store \
                      is at {newest}",
-                    self.prefix
+                    self.keys.prefix
                 );
                 return;
             }
--- a/tests/adapter/store_client.rs
+++ b/tests/adapter/store_client.rs
@@ -7,9 +7,11 @@
 
 use cv_adapter::GrowersPlatform;
 use cv_adapter_standin::PlatformStore;
+use cv_adapter_standin::StandinThread;
 use cv_runtime::block_on;
 use cv_serving::CoordinationStore;
 use cv_serving::PlatformAdapter;
+use serde_json::json;
 
 #[test]
 fn the_timeout_grows_after_a_failed_call() {
@@ -24,3 +26,27 @@
     })
     .expect("a runtime");
 }
+
+/// Starts a store that holds six keys with the prefix `many/`, on pages of two.
+fn paged_store() -> (PlatformStore, StandinThread) {
+    let store = PlatformStore::default();
+    store.set_page_keys(2);
+    for number in 0..6 {
+        store.write(&format!("many/{number}"), &json!(number));
+    }
+    let thread = store.start(SocketAddr::from(([127, 0, 0, 1], 0))).expect("the store listens");
+    (store, thread)
+}
+
+#[test]
+fn the_recent_revision_counts_keys_behind_the_first_page() {
+    let (store, thread) = paged_store();
+    store.write("many/4", &json!("changed"));
+    block_on(async {
+        let client = GrowersPlatform::store(thread.address);
+        let read = client.range("many/").await.expect("the store responds");
+        let newest = read.items.iter().map(|item| item.revision).max();
+        assert_eq!(client.recent_revision("many/").await.ok(), newest);
+    })
+    .expect("a runtime");
+}
