Store client: reads that are slow beside quick calls, and single failed pages

A read that takes 0.9 s never succeeded while other calls were quick: all calls share the count of failures that picks the timeout, and each quick response set it back to 0.7 s. A range of several pages began anew when one page failed. A keeper that could not read its work owned nothing, and its share of the jobs stood still.

CallTimeouts (cv-dispatch) keeps the shared timeouts, and a longer one for a kind of reads that timed out while other calls got responses, or whose last response took long. In an outage, when no call gets a response, nothing is longer than before. Pages after the first are read up to three times; the first one fails at once, as before, so that an outage is noticed as early.

The stand-in can refuse single pages.

--- a/tests/adapter/store_client.rs
+++ b/tests/adapter/store_client.rs
@@ -11,6 +11,7 @@
 use cv_runtime::block_on;
 use cv_serving::CoordinationStore;
 use cv_serving::PlatformAdapter;
+use futures::future::join;
 use serde_json::json;
 
 #[test]
@@ -50,3 +51,51 @@
     })
     .expect("a runtime");
 }
+
+#[test]
+fn a_range_goes_on_at_the_page_that_was_refused() {
+    let (store, thread) = paged_store();
+    store.refuse_pages_after("many/3", 2);
+    block_on(async {
+        let client = GrowersPlatform::store(thread.address);
+        let read = client.range("many/").await.expect("the refused page is read again");
+        let keys: Vec<&str> = read.items.iter().map(|item| item.key.as_str()).collect();
+        assert_eq!(keys, ["many/0", "many/1", "many/2", "many/3", "many/4", "many/5"]);
+    })
+    .expect("a runtime");
+    assert_eq!(store.call_count("/kv-range"), 5, "no other page is read twice");
+}
+
+#[test]
+fn a_range_fails_once_a_page_was_refused_a_few_times() {
+    let (store, thread) = paged_store();
+    store.refuse_pages_after("many/1", usize::MAX);
+    block_on(async {
+        let client = GrowersPlatform::store(thread.address);
+        assert!(client.range("many/").await.is_err());
+    })
+    .expect("a runtime");
+}
+
+#[test]
+fn slow_reads_succeed_beside_quick_calls() {
+    let store = PlatformStore::default();
+    let thread = store.start(SocketAddr::from(([127, 0, 0, 1], 0))).expect("the store listens");
+    store.set_read_delay("slow/keys/", Duration::from_millis(900));
+    block_on(async {
+        let client = GrowersPlatform::store(thread.address);
+        let quick_call = async || {
+            for _ in 0..20 {
+                monoio::time::sleep(Duration::from_millis(50)).await;
+                assert!(client.get("quick").await.is_ok());
+            }
+        };
+        let (first, ()) = join(client.range("slow/keys/"), quick_call()).await;
+        assert!(first.is_err(), "the first read does not time out");
+        for _ in 0..2 {
+            let (read, ()) = join(client.range("slow/keys/"), quick_call()).await;
+            assert!(read.is_ok(), "a later read times out as well");
+        }
+    })
+    .expect("a runtime");
+}
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduling decisions in `cv-dispatch`.
 
+mod call_timeouts;
 mod caller_waits;
 mod crash_simulation;
 mod deferred_removals;
