Watches: read all keys again once the store is back

After a process had lost the store, a watch whose connection survived could lack changes, and a view copied from a peer could bring back a dead keeper or cancel a deferred removal.

StoreHealth counts how often the store came back: after it was down and silent for a second, or after a view was copied. A watch that began before ends then, and its keys are read again.

--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -258,6 +258,8 @@
         for target in snapshot.targets {
             self.upsert_target(target);
         }
+        // The peer may know less than the watches have told before.
+        self.store_health.record_missed_changes();
         let mut keepers = KeeperSet::default();
         for keeper in snapshot.keepers {
             self.keeper_removals.borrow_mut().restore(&keeper.name);
--- a/crates/serving/src/prefix_watcher.rs
+++ b/crates/serving/src/prefix_watcher.rs
@@ -73,12 +73,15 @@
     ///
     /// When the store discards its history, it ends watches and may let them resume without the
     /// changes in between. A watch that has ended is therefore never resumed: all keys are read
-    /// again.
+    /// again. So they are once the store is back: the connection of a watch may outlast changes that
+    /// were lost on it.
     async fn watch_from(&mut self, mut revision: u64, apply: &mut impl FnMut(StoreUpdate)) -> bool {
+        let returns = self.store_health.returns();
         loop {
             let watched = monoio::select! {
                 watched = self.store.watch(self.keys.prefix, revision, WATCH_TIMEOUT) => watched,
                 () = self.watch_stalled(revision) => return true,
+                () = self.store_health.wait_for_return(returns) => return true,
             };
             match self.store_health.observe(watched) {
                 // A watch that is about to lose its history may end without reporting changes, so
--- a/crates/serving/src/store_health.rs
+++ b/crates/serving/src/store_health.rs
@@ -23,11 +23,17 @@
 /// again.
 const FAILURE_MEMORY: Duration = Duration::from_secs(4);
 
+/// Time without a response after which a store that was down may have lost what watches that survived
+/// should have told.
+const MIN_OUTAGE: Duration = Duration::from_secs(1);
+
 /// Records the successes and failures of calls to the store.
 #[derive(Debug)]
 pub struct StoreHealth {
     clock: ProcessClock,
     failures: Cell<u32>,
+    /// Whether changes may have been missed since the last response.
+    has_missed_changes: Cell<bool>,
     /// When the first of the recent failures happened.
     failing_since: Cell<Option<MonotonicTime>>,
     /// When the first call succeeded.
@@ -37,6 +43,8 @@
     log: LineLog,
     /// Notified when a call succeeds.
     recovered: Notify,
+    /// Number of times that the store came back after changes may have been missed.
+    returns: Cell<u64>,
 }
 
 impl StoreHealth {
@@ -46,12 +54,14 @@
         Self {
             clock,
             failures: Cell::new(0),
+            has_missed_changes: Cell::new(false),
             failing_since: Cell::default(),
             first_success: Cell::default(),
             last_failure: Cell::default(),
             last_success: Cell::default(),
             log,
             recovered: Notify::new(),
+            returns: Cell::new(0),
         }
     }
 
@@ -92,6 +102,29 @@
         }
     }
 
+    /// Returns how often the store came back after changes may have been missed.
+    #[must_use]
+    pub fn returns(&self) -> u64 {
+        self.returns.get()
+    }
+
+    /// Resolves when the store has come back more than `returns` times.
+    pub async fn wait_for_return(&self, returns: u64) {
+        loop {
+            let recovered = self.recovered.notified();
+            if self.returns.get() > returns {
+                return;
+            }
+            recovered.await;
+        }
+    }
+
+    /// Records that what watches have told was replaced by what another process knows, so that the next
+    /// response counts as a return of the store.
+    pub fn record_missed_changes(&self) {
+        self.has_missed_changes.set(true);
+    }
+
     /// Returns the time since the last successful call, or `None` if there was none.
     #[must_use]
     pub fn time_since_success(&self) -> Option<Duration> {
@@ -132,6 +165,9 @@
     /// Records a call that the store has responded to.
     fn record_success(&self) {
         if !self.is_up() {
+            if self.time_since_success().is_some_and(|time| time >= MIN_OUTAGE) {
+                self.record_missed_changes();
+            }
             self.log.record(
                 LinePriority::Essential,
                 EventKind::DependencyRegained,
@@ -139,6 +175,9 @@
                 || format!("failures={}", self.failures.get()),
             );
         }
+        if self.has_missed_changes.replace(false) {
+            self.returns.set(self.returns.get() + 1);
+        }
         self.failures.set(0);
         let now = self.clock.now();
         self.last_success.set(Some(now));
--- a/tests/adapter/main.rs
+++ b/tests/adapter/main.rs
@@ -4,6 +4,7 @@
 mod directory;
 mod headers;
 mod jobs;
+mod prefix_watcher;
 mod prompts_and_limits;
 mod store_client;
 mod store_health;
