Deferred removals: a bound while the store responds

Each failed call of a process prolonged all its deferred removals, so with one failure every 2.5 s a dead keeper or target stayed for ever, and two processes could disagree on the owner of a job for as long.

StoreHealth now sums the time between responses that followed each other without a failure. A missing key counts as removed once the store has responded for twice the grace period since it was missed. Time in which the store does not respond doesn't count, so that the grace after an outage stays as it was.

deferred_removals::a_removal_takes_effect_although_single_calls_go_on_failing fails with the new condition taken out (trial on a scratch copy) and passes with it; the existing tests of the deferral pass unchanged.

--- a/crates/dispatch/src/deferred_removals.rs
+++ b/crates/dispatch/src/deferred_removals.rs
@@ -7,6 +7,10 @@
 /// Grace period after the store's last failure, in which live instances register again.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_500);
 
+/// Time for which the store responds, all told, after which a missing key counts as removed although
+/// single calls go on failing.
+const MAX_RESPONDING_TIME: Duration = REREGISTRATION_GRACE.saturating_mul(2);
+
 /// Share of all keys above which a simultaneous removal counts as a failure of the store.
 ///
 /// Registrations that lapsed while the store was away vanish together; instances that leave do so
@@ -19,10 +23,22 @@
 /// Keys that are missing from the store although their owners may still be alive.
 #[derive(Clone, Debug, Default)]
 pub struct DeferredRemovals {
-    /// Missing keys, sorted, each with the time from which it counts as removed.
-    missing: Vec<(String, MonotonicTime)>,
+    /// Missing keys, sorted by key.
+    missing: Vec<MissingKey>,
     /// When the store was last seen failing.
     last_outage: Option<MonotonicTime>,
+    /// Time for which the store has responded so far.
+    responding_time: Duration,
+}
+
+/// A key that is missing from the store.
+#[derive(Clone, Debug)]
+struct MissingKey {
+    key: String,
+    /// Time for which the store had responded when the key was missed.
+    responding_time: Duration,
+    /// When the key counts as removed, unless the store fails again.
+    until: MonotonicTime,
 }
 
 impl DeferredRemovals {
@@ -31,6 +47,11 @@
         self.last_outage = Some(now);
     }
 
+    /// Records for how long the store has responded, all told.
+    pub fn record_responding_time(&mut self, time: Duration) {
+        self.responding_time = time;
+    }
+
     /// Records that `removed` of `known` keys vanish in one update; a mass removal counts as an
     /// outage, since the process may not have seen the store fail.
     pub fn record_removals(&mut self, now: MonotonicTime, removed: usize, known: usize) {
@@ -46,8 +67,8 @@
             return;
         }
         self.last_outage = None;
-        for (_, until) in &mut self.missing {
-            *until = now;
+        for row in &mut self.missing {
+            row.until = now;
         }
     }
 
@@ -61,7 +82,9 @@
             return true;
         };
         if let Err(position) = self.position(key) {
-            self.missing.insert(position, (key.to_owned(), grace_end));
+            let responding_time = self.responding_time;
+            let row = MissingKey { key: key.to_owned(), responding_time, until: grace_end };
+            self.missing.insert(position, row);
         }
         false
     }
@@ -73,21 +96,22 @@
         }
     }
 
-    /// Removes and returns the keys whose grace period has ended without a new registration.
+    /// Removes and returns the keys whose grace period has ended without a new registration, and those
+    /// that did not return in [`MAX_RESPONDING_TIME`].
     pub fn take_expired(&mut self, now: MonotonicTime) -> Vec<String> {
         // Nothing can be registered while the store is failing, so the last outage counts.
         let grace_end = self.last_outage.map(|time| time + REREGISTRATION_GRACE);
-        if grace_end.is_some_and(|time| time > now) {
-            return Vec::new();
-        }
-        let (expired, missing) = self.missing.drain(..).partition(|(_, until)| *until <= now);
-        self.missing = missing;
-        let expired: Vec<(String, MonotonicTime)> = expired;
-        expired.into_iter().map(|(key, _)| key).collect()
+        let is_over = grace_end.is_none_or(|time| time <= now);
+        let responding_time = self.responding_time;
+        let expired = self.missing.extract_if(.., |row| {
+            let responded = responding_time.saturating_sub(row.responding_time);
+            is_over && row.until <= now || responded >= MAX_RESPONDING_TIME
+        });
+        expired.map(|row| row.key).collect()
     }
 
     /// Returns the index of a missing key, or the index at which to insert it.
     fn position(&self, key: &str) -> Result<usize, usize> {
-        self.missing.binary_search_by(|(other, _)| other.as_str().cmp(key))
+        self.missing.binary_search_by(|row| row.key.as_str().cmp(key))
     }
 }
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -504,8 +504,10 @@
         }
     }
 
-    /// Reports the store's last failure to `removals` and returns the current time.
+    /// Reports to `removals` when the store failed and for how long it has responded; returns the
+    /// current time.
     fn record_store_outage(&self, removals: &RefCell<DeferredRemovals>) -> MonotonicTime {
+        removals.borrow_mut().record_responding_time(self.store_health.responding_time());
         if let Some(time) = self.store_health.last_failure() {
             removals.borrow_mut().record_outage(time);
         }
--- a/crates/serving/src/store_health.rs
+++ b/crates/serving/src/store_health.rs
@@ -27,6 +27,9 @@
 /// should have told.
 const MIN_OUTAGE: Duration = Duration::from_secs(1);
 
+/// Longest time between two responses in which the store counts as responding.
+const MAX_RESPONSE_GAP: Duration = Duration::from_secs(1);
+
 /// Records the successes and failures of calls to the store.
 #[derive(Debug)]
 pub struct StoreHealth {
@@ -41,6 +44,8 @@
     last_failure: Cell<Option<MonotonicTime>>,
     last_success: Cell<Option<MonotonicTime>>,
     log: LineLog,
+    /// Time between all responses that followed each other without a failure.
+    responding_time: Cell<Duration>,
     /// Notified when a call succeeds.
     recovered: Notify,
     /// Number of times that the store came back after changes may have been missed.
@@ -60,6 +65,7 @@
             last_failure: Cell::default(),
             last_success: Cell::default(),
             log,
+            responding_time: Cell::default(),
             recovered: Notify::new(),
             returns: Cell::new(0),
         }
@@ -131,6 +137,12 @@
         self.last_success.get().map(|time| self.clock.now().since(time))
     }
 
+    /// Returns the time for which the store has responded so far, without that around failures.
+    #[must_use]
+    pub fn responding_time(&self) -> Duration {
+        self.responding_time.get()
+    }
+
     /// Returns the time of the last failed call, or `None` if there was none.
     #[must_use]
     pub fn last_failure(&self) -> Option<MonotonicTime> {
@@ -180,7 +192,12 @@
         }
         self.failures.set(0);
         let now = self.clock.now();
-        self.last_success.set(Some(now));
+        if let Some(previous) = self.last_success.replace(Some(now))
+            && self.last_failure.get().is_none_or(|failure| failure <= previous)
+        {
+            let added = now.since(previous).min(MAX_RESPONSE_GAP);
+            self.responding_time.set(self.responding_time.get() + added);
+        }
         self.first_success.set(self.first_success.get().or(Some(now)));
         self.recovered.notify_waiters();
     }
--- a/tests/dispatch/deferred_removals.rs
+++ b/tests/dispatch/deferred_removals.rs
@@ -1,5 +1,7 @@
 //! Deferral of removals around an outage of the coordination store.
 
+use std::time::Duration;
+
 use cv_dispatch::DeferredRemovals;
 use cv_policy::MonotonicTime;
 
@@ -67,3 +69,28 @@
     removals.end_outage(at(1_300), at(1_000));
     assert!(removals.take_expired(at(1_300)).is_empty());
 }
+
+#[test]
+fn a_removal_takes_effect_although_single_calls_go_on_failing() {
+    let mut removals = DeferredRemovals::default();
+    removals.record_outage(at(1_000));
+    assert!(!removals.remove(at(1_100), "dead"));
+    for second in 0..6 {
+        removals.record_responding_time(Duration::from_secs(second));
+        removals.record_outage(at(1_500 + second * 1_200));
+        let removed = removals.take_expired(at(1_600 + second * 1_200));
+        assert_eq!(removed.is_empty(), second < 5, "{second}");
+    }
+}
+
+#[test]
+fn the_time_of_an_outage_ends_no_deferral() {
+    let mut removals = DeferredRemovals::default();
+    removals.record_responding_time(Duration::from_mins(1));
+    removals.record_outage(at(1_000));
+    assert!(!removals.remove(at(1_100), "x"));
+    for second in 2..60 {
+        removals.record_outage(at(second * 1_000));
+        assert!(removals.take_expired(at(second * 1_000 + 500)).is_empty());
+    }
+}
