--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -31,6 +31,7 @@
 use crate::StoreHealth;
 use crate::StoreUpdate;
 use crate::StoredItem;
+use crate::WatchedPrefix;
 use crate::peer_sync::ViewSnapshot;
 use crate::quarantine_desk::QuarantineDesk;
 
@@ -123,21 +124,19 @@
         });
     }
 
-    /// Starts a task that passes all updates of the keys with `prefix` to `apply`.
+    /// Starts a task that passes all updates of the watched keys to `apply`.
     pub(crate) fn watch_prefix<S: CoordinationStore>(
         self: &Rc<Self>,
         store: &Rc<S>,
-        prefix: &'static str,
+        keys: impl Into<WatchedPrefix<'static>>,
         interval: Duration,
         apply: impl FnMut(StoreUpdate) + 'static,
     ) {
-        let (view, store) = (Rc::clone(self), Rc::clone(store));
+        let (view, store, keys) = (Rc::clone(self), Rc::clone(store), keys.into());
         monoio::spawn(async move {
             let random = SeededRandom::new(view.random_number());
             let store_health = &view.store_health;
-            PrefixWatcher { interval, store_health, prefix, random, store: &*store }
-                .run(apply)
-                .await;
+            PrefixWatcher { interval, store_health, keys, random, store: &*store }.run(apply).await;
         });
     }
 
@@ -262,6 +261,8 @@
         for target in snapshot.targets {
             self.upsert_target(target);
         }
+        // The peer may know less than the watches have told before.
+        self.store_health.record_missed_changes();
         let mut keepers = KeeperSet::default();
         for keeper in snapshot.keepers {
             self.keeper_removals.borrow_mut().restore(&keeper.name);
@@ -529,8 +530,10 @@
         }
     }
 
-    /// Reports the store's last failure to `removals` and returns the current time.
+    /// Reports to `removals` when the store failed and for how long it has responded; returns the
+    /// current time.
     fn record_store_outage(&self, removals: &RefCell<DeferredRemovals>) -> MonotonicTime {
+        removals.borrow_mut().record_responding_time(self.store_health.responding_time());
         if let Some(time) = self.store_health.last_failure() {
             removals.borrow_mut().record_outage(time);
         }
