Sidecar queue: a refill that is overdue is still due

Callers saw batch items that waited in the queue of a sidecar whose engine had free slots. `SlotQueue::next_tick` named the refill after a preemption only while it lay in the future. A queue that was asked at or after that time named none, so nothing filled the slot until another request came or ended. The same held for a slot that `set_slots` added.

`next_tick` now names the time from which the next waiting request can start, if a slot is free for it, past or not. It requests no tick while the slots are occupied or the engine takes no request yet, so each such tick starts at least one request.

Run before the change, both batch_requests_do_not_wait_in_front_of_* tests of tests/dispatch/slot_queue.rs failed (no tick was due); they pass now. a_refill_for_which_the_engine_takes_no_request_yet_* passed before and guards against ticks without effect.

--- a/crates/dispatch/src/slot_queue.rs
+++ b/crates/dispatch/src/slot_queue.rs
@@ -234,23 +234,33 @@
     #[must_use]
     pub fn next_tick(&self, now: MonotonicTime) -> Option<MonotonicTime> {
         let timeout = self.online_waiting.iter().map(|request| request.deadline).min();
-        let refill = self.preempted_at.map(|time| time + REFILL_DELAY);
-        let refill = refill.filter(|time| !self.batch_waiting.is_empty() && *time > now);
         let probe = (self.occupied_by_others > 0).then_some(self.next_probe);
-        let token = self.next_token(now);
-        timeout.into_iter().chain(refill).chain(probe).chain(token).min()
+        let start = self.next_start(now);
+        timeout.into_iter().chain(probe).chain(start).min()
     }
 
-    /// Returns when the engine takes the next request, if one waits for that alone.
-    fn next_token(&self, now: MonotonicTime) -> Option<MonotonicTime> {
-        let online =
-            !self.online_waiting.is_empty() && self.online_running.len() < self.usable_slots();
+    /// Returns when the next waiting request can start if no other slot becomes free. A time in the
+    /// past is returned, too: the queue may be asked only after it.
+    fn next_start(&self, now: MonotonicTime) -> Option<MonotonicTime> {
         let running = self.online_running.len() + self.batch_running.len();
-        let batch = !self.batch_waiting.is_empty() && running < self.usable_slots();
-        let count = if online { 1.0 } else { BATCH_TOKENS };
+        if !self.online_waiting.is_empty() && self.online_running.len() < self.usable_slots() {
+            Some(self.next_tokens(now, 1.0))
+        } else if !self.batch_waiting.is_empty() && running < self.usable_slots() {
+            let refill = self.preempted_at.map_or(now, |time| time + REFILL_DELAY);
+            Some(refill.max(self.next_tokens(now, BATCH_TOKENS)))
+        } else {
+            None
+        }
+    }
+
+    /// Returns when the engine takes `count` requests at once, or zero if it does so now.
+    fn next_tokens(&self, now: MonotonicTime, count: f64) -> MonotonicTime {
         let wait = self.request_bucket.wait_for(now, count);
-        // Rounded up, so that the token is there when the tick comes.
-        ((online || batch) && !wait.is_zero()).then(|| now + wait + Duration::from_millis(1))
+        if wait.is_zero() {
+            return MonotonicTime::ZERO;
+        }
+        // Rounded up, so that the tokens are there when the tick comes.
+        now + wait + Duration::from_millis(1)
     }
 
     /// Returns whether the engine takes no further request at the moment, however many slots are
--- a/tests/dispatch/slot_queue.rs
+++ b/tests/dispatch/slot_queue.rs
@@ -99,6 +99,43 @@
     assert_eq!(queue.next_tick(at(5_000)), None);
 }
 
+#[test]
+fn batch_requests_do_not_wait_in_front_of_free_slots_after_a_late_wake() {
+    for woken_ms in [70, 75, 5_000] {
+        let mut queue = queue_full_of_batch();
+        let mut commands = Vec::new();
+        queue.admit(at(10), TicketId(3), &online(0), &mut commands);
+        commands.clear();
+        queue.finish(at(20), TicketId(3), &mut commands);
+        assert_eq!(queue.next_tick(at(woken_ms)), Some(at(70)), "woken at {woken_ms} ms");
+        queue.tick(at(woken_ms), &mut commands);
+        assert_eq!(commands, [QueueCommand::Start(TicketId(2))], "woken at {woken_ms} ms");
+        assert_eq!(queue.next_tick(at(woken_ms)), None);
+    }
+}
+
+#[test]
+fn batch_requests_do_not_wait_in_front_of_slots_that_were_added() {
+    let mut queue = queue_full_of_batch();
+    let mut commands = Vec::new();
+    queue.admit(at(0), TicketId(3), &batch(9_000), &mut commands);
+    queue.set_slots(4);
+    let tick = queue.next_tick(at(100)).expect("a slot is free");
+    queue.tick(tick.max(at(100)), &mut commands);
+    assert_eq!(commands, [QueueCommand::Start(TicketId(3))]);
+}
+
+#[test]
+fn a_refill_for_which_the_engine_takes_no_request_yet_requests_no_tick_before_that() {
+    let mut queue = queue_full_of_batch();
+    let mut commands = Vec::new();
+    queue.admit(at(10), TicketId(3), &online(0), &mut commands);
+    queue.set_request_limit(at(10), Some(1.0));
+    queue.finish(at(20), TicketId(3), &mut commands);
+    let tick = queue.next_tick(at(100)).expect("a batch request waits");
+    assert!(tick > at(1_000) && tick < at(1_100), "{tick:?}");
+}
+
 #[test]
 fn online_requests_with_too_long_an_expected_wait_are_refused() {
     let mut queue = SlotQueue::new(1);
