Keepers: a run past a sidecar lives by its own bytes

Callers saw items that stood still for up to a minute at a target that answered nothing. A run that was sent straight to a target, since its sidecar was silent, counted as alive once that sidecar reported again, although the report says nothing about the run's own connection.

`RunSchedule` now knows which runs go past the sidecar and lets the reports count for the others only. Connections of both kinds have the same bound of 4 s without a byte.

The new test of tests/dispatch/placement.rs uses the new function and could not be run before.

--- a/crates/dispatch/src/run_schedule.rs
+++ b/crates/dispatch/src/run_schedule.rs
@@ -51,6 +51,8 @@
     id: RunId,
     /// Id of the target.
     target: String,
+    /// Whether it runs through the target's sidecar.
+    through_sidecar: bool,
 }
 
 /// The runs that one keeper has in progress.
@@ -100,16 +102,33 @@
         })
     }
 
-    /// Records the start of a run at a target; `due_ms` is when its item is due, in milliseconds
-    /// since the Unix epoch.
+    /// Records the start of a run through a target's sidecar; `due_ms` is when its item is due, in
+    /// milliseconds since the Unix epoch.
     pub fn begin_run(&mut self, target: &str, due_ms: u64, now: MonotonicTime) -> RunId {
+        self.add_run(target, due_ms, now, true)
+    }
+
+    /// Records the start of a run straight at a target, see [`Self::begin_run`].
+    pub fn begin_direct_run(&mut self, target: &str, due_ms: u64, now: MonotonicTime) -> RunId {
+        self.add_run(target, due_ms, now, false)
+    }
+
+    /// Adds a run, with or without a sidecar.
+    fn add_run(
+        &mut self,
+        target: &str,
+        due_ms: u64,
+        now: MonotonicTime,
+        through_sidecar: bool,
+    ) -> RunId {
         match self.position(target) {
             Ok(position) => self.run_counts[position].1 += 1,
             Err(position) => self.run_counts.insert(position, (target.to_owned(), 1)),
         }
         let id = RunId(self.next_run);
         self.next_run += 1;
-        self.runs.push(ActiveRun { due_ms, last_output: now, id, target: target.to_owned() });
+        let target = target.to_owned();
+        self.runs.push(ActiveRun { due_ms, last_output: now, id, target, through_sidecar });
         id
     }
 
@@ -122,10 +141,11 @@
 
     /// Returns whether a run counts as lost, so that its item restarts elsewhere.
     ///
-    /// A run lives as long as it produces output or its sidecar reports. An instance that is frozen,
-    /// slow or disconnected often goes on a few seconds later, so its run is given that time unless
-    /// the item, which has `spare` time until it has to run, would be late. A target that is missing
-    /// from the directory is not by itself lost.
+    /// A run lives as long as it produces output or the sidecar that it goes through reports; that
+    /// report says nothing about a run without it. An instance that is frozen, slow or disconnected
+    /// often goes on a few seconds later, so its run is given that time unless the item, which has
+    /// `spare` time until it has to run, would be late. A target that is missing from the directory
+    /// is not by itself lost.
     #[must_use]
     pub fn is_lost(
         &self,
@@ -138,7 +158,7 @@
             return false;
         };
         let run = &self.runs[position];
-        let row = targets.get(&run.target);
+        let row = targets.get(&run.target).filter(|_| run.through_sidecar);
         let since_report = row.and_then(|row| row.time_since_report(now));
         let since_output = now.since(run.last_output);
         let silence = since_report.map_or(since_output, |time| time.min(since_output));
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -41,13 +41,9 @@
 /// Maximum time to connect to a target or its sidecar.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Maximum time until a target without a sidecar sends the head of its response; long, because an
-/// item may queue for a slot.
-const HEAD_TIMEOUT: Duration = Duration::from_mins(1);
-
-/// Maximum time without any byte on the connection to a sidecar, which sends signs of life while an
-/// item waits. The sidecar itself abandons a run without output after 2.5 s.
-const SIDECAR_SILENCE: Duration = Duration::from_secs(4);
+/// Maximum time without any byte on a connection. A sidecar sends signs of life while an item waits,
+/// and abandons a run without output after 2.5 s; a target without one may only be frozen.
+const MAX_SILENCE: Duration = Duration::from_secs(4);
 
 /// Time between two checks of whether a run is lost while it waits for output.
 const LOSS_CHECK_INTERVAL: Duration = Duration::from_millis(700);
@@ -144,7 +140,11 @@
             return;
         };
         let is_trial = decision != QuarantineDecision::Admit;
-        let id = state.schedule.borrow_mut().begin_run(&target.id, due_ms, now);
+        let id = if target.through_sidecar {
+            state.schedule.borrow_mut().begin_run(&target.id, due_ms, now)
+        } else {
+            state.schedule.borrow_mut().begin_direct_run(&target.id, due_ms, now)
+        };
         job.tracker.borrow_mut().start(item);
         let withdrawn = Rc::new(Notify::new());
         // Run ids increase, so pushing at the end keeps the list sorted.
@@ -266,9 +266,9 @@
             request_id_of: |headers| P::response_metadata(headers).request_id,
         };
         let wait = if self.target.through_sidecar {
-            HeadWait::Silence(SIDECAR_SILENCE)
+            HeadWait::Silence(MAX_SILENCE)
         } else {
-            HeadWait::Total(HEAD_TIMEOUT)
+            HeadWait::Total(MAX_SILENCE)
         };
         let (id, request) = self.request();
         let opened = monoio::select! {
@@ -353,16 +353,13 @@
         }
     }
 
-    /// Reads the next piece of the response, which a sidecar sends within [`SIDECAR_SILENCE`].
+    /// Reads the next piece of the response, which has to come within [`MAX_SILENCE`].
     async fn read_piece(
         &self,
         connection: &mut ClientConnection,
     ) -> Result<Option<Bytes>, HttpFault> {
-        if !self.target.through_sidecar {
-            return connection.read_piece().await;
-        }
-        let read = timeout(SIDECAR_SILENCE, connection.read_piece()).await;
-        read.unwrap_or(Err(HttpFault::TimedOut("sidecar")))
+        let read = timeout(MAX_SILENCE, connection.read_piece()).await;
+        read.unwrap_or(Err(HttpFault::TimedOut("response piece")))
     }
 
     /// Adds all complete events to the item's output; returns how many there were.
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -309,6 +309,20 @@
     assert!(!schedule.is_lost(run, &targets, at(9_500), spare), "it waits in a queue");
 }
 
+#[test]
+fn a_run_past_a_sidecar_does_not_live_on_because_the_sidecar_reports_again() {
+    let mut targets = table_of_two();
+    let ip = "10.0.0.1".parse().expect("an address");
+    let mut schedule = RunSchedule::default();
+    let run = schedule.begin_direct_run("near", 18_000, at(0));
+    let spare = Duration::from_secs(9);
+    targets.record_report_from(ip, &LoadReport::default(), at(3_400));
+    assert!(!schedule.is_lost(run, &targets, at(3_400), spare), "it may only be frozen");
+    assert!(schedule.is_lost(run, &targets, at(3_500), spare));
+    schedule.record_output(run, at(3_400));
+    assert!(!schedule.is_lost(run, &targets, at(3_500), spare));
+}
+
 #[test]
 fn a_run_on_a_silent_instance_restarts_sooner_if_its_item_is_nearly_due() {
     let mut schedule = RunSchedule::default();
