Target calls: bound the sending of a request

The wait for a response's head was bounded, but a peer that stopped reading within the request's body held the call for the 30 s of the connection's write timeout, while reports of its sidecar kept the run alive.

Found by reading. No test shows it: the bodies of the tests' items fit into the socket buffers.

--- a/crates/serving/src/target_call.rs
+++ b/crates/serving/src/target_call.rs
@@ -92,7 +92,7 @@
     }
 
     /// Sends a request over a connection and waits for the head of its response, for up to
-    /// `head_timeout` between two heads.
+    /// `head_timeout` to send it and between two heads.
     async fn send(
         &self,
         mut connection: ClientConnection,
@@ -100,15 +100,8 @@
         request_id: Option<&str>,
         head_timeout: Duration,
     ) -> Result<(ClientConnection, ResponseHead), TargetFault> {
-        if self.is_sidecar && !request.body.is_empty() {
-            let sent = connection.send_expecting_continue(request, CONTINUE_TIMEOUT).await;
-            sent.map_err(|fault| match fault {
-                SendFault::BeforeBody(fault) => TargetFault::NotSent(fault),
-                SendFault::BodyStarted(fault) => TargetFault::Unknown(fault),
-            })?;
-        } else {
-            connection.send(request).await.map_err(TargetFault::Unknown)?;
-        }
+        let sent = timeout(head_timeout, self.send_request(&mut connection, request)).await;
+        sent.unwrap_or(Err(TargetFault::Unknown(HttpFault::TimedOut("request"))))?;
         for _ in 0..MAX_STRAY_RESPONSES {
             let head = connection.read_head(&request.method, head_timeout).await;
             let head = head.map_err(TargetFault::Unknown)?;
@@ -122,6 +115,22 @@
         Err(TargetFault::Unknown(HttpFault::Malformed("responses to other requests")))
     }
 
+    /// Sends a request, to a sidecar only once it asks for the body.
+    async fn send_request(
+        &self,
+        connection: &mut ClientConnection,
+        request: &ClientRequest,
+    ) -> Result<(), TargetFault> {
+        if self.is_sidecar && !request.body.is_empty() {
+            let sent = connection.send_expecting_continue(request, CONTINUE_TIMEOUT).await;
+            return sent.map_err(|fault| match fault {
+                SendFault::BeforeBody(fault) => TargetFault::NotSent(fault),
+                SendFault::BodyStarted(fault) => TargetFault::Unknown(fault),
+            });
+        }
+        connection.send(request).await.map_err(TargetFault::Unknown)
+    }
+
     /// Returns a connection to the pool after the server has refused a request on it, with a response
     /// of the given headers. Only the request's id tells that response from a copy that may follow
     /// later, so a connection without it is closed.
