Keepers: a stored segment that cannot be read no longer ends a job's commits

Callers saw accepted items without an end: their runs had completed, but no result of the job was listed again.

When a write met a stored segment that could not be decoded, or the results could not be encoded, the commit task ended with its segment still pending. While a segment is pending no other one is formed, so the job committed nothing until it was lost and regained. A new owner that could not decode a segment skipped it without advancing the position, took the list as complete and ignored every segment behind it; its own writes then met the segment that it had skipped.

A commit is now a turn (CommitTurn) that aborts its pending segment and frees the job for the next turn when it is dropped, however it ends. A load that cannot decode a segment fails and is repeated by the review, so an owner never answers with a list that is shorter than one callers may have read.

The case of the encoding has no test: it cannot be made to fail.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -17,3 +17,4 @@
 mod silent_connections;
 mod stale_views;
 mod stalled_items;
+mod unreadable_values;
--- a/crates/serving/src/keeper/result_commits.rs
+++ b/crates/serving/src/keeper/result_commits.rs
@@ -31,16 +31,30 @@
 /// Time for which a write is repeated before the job's ownership is checked again.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The turn of the one task that may commit a job's results.
+///
+/// A segment is pending only during a turn. However the turn ends, the next one can list the results.
+struct CommitTurn {
+    /// The job whose results are committed.
+    job: Rc<TrackedJob>,
+}
+
+impl Drop for CommitTurn {
+    fn drop(&mut self) {
+        self.job.tracker.borrow_mut().abort_segment();
+        self.job.is_committing.set(false);
+    }
+}
+
 /// Starts a task that commits the results of a job's ended items, unless one is running.
 pub(crate) fn start_commits<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job: &Rc<TrackedJob>) {
     if job.is_committing.replace(true) {
         return;
     }
-    let (state, job) = (Rc::clone(state), Rc::clone(job));
+    let (state, turn) = (Rc::clone(state), CommitTurn { job: Rc::clone(job) });
     monoio::spawn(async move {
         monoio::time::sleep(COMMIT_DELAY).await;
-        commit_segments(&state, &job).await;
-        job.is_committing.set(false);
+        commit_segments(&state, &turn.job).await;
     });
 }
 
@@ -64,7 +78,7 @@
         let value = match value {
             Ok(value) => value,
             Err(fault) => {
-                log::error!("cannot encode the results for {key}, which stay uncommitted: {fault}");
+                log::error!("cannot encode the results for {key}, committed later: {fault}");
                 return;
             }
         };
@@ -102,7 +116,6 @@
                 log::error!(
                     "the store refuses the results at {key}, which are committed later: {detail}"
                 );
-                job.tracker.borrow_mut().abort_segment();
                 return false;
             }
             Err(_) if job.is_owned.get() => {
@@ -127,7 +140,6 @@
 ) -> bool {
     let Some(item) = items.first() else {
         log::error!("write of results at position {position}: conflict without a stored value");
-        job.tracker.borrow_mut().abort_segment();
         return false;
     };
     if item.value == value {
@@ -137,10 +149,9 @@
         match decode_results(&item.value) {
             Ok(results) => job.tracker.borrow_mut().adopt_segment(position, results),
             Err(fault) => {
-                log::error!(
-                    "cannot decode the results at {}; commits of this job stop: {fault}",
-                    item.key
-                );
+                // The value may only have been damaged on the way here.
+                log::error!("cannot decode the results at {}, tried again: {fault}", item.key);
+                return false;
             }
         }
         log_results_listed(state, job, "another owner's");
@@ -166,27 +177,34 @@
     if !job.results.get().is_current(load) {
         return;
     }
-    job.tracker.borrow_mut().abort_segment();
-    for item in &snapshot.items {
-        let mut tracker = job.tracker.borrow_mut();
+    let is_complete = adopt_segments(job, &snapshot.items);
+    job.update_results(|results| results.finish(load, is_complete));
+    log_results_listed(state, job, if is_complete { "loaded" } else { "loaded in part" });
+    job.changed.notify_waiters();
+    state.work_available.notify_one();
+}
+
+/// Lists the results of stored segments; returns whether all of them could be decoded.
+///
+/// Without the segments that follow one that cannot be decoded, a list is shorter than one that
+/// callers may have read.
+fn adopt_segments(job: &TrackedJob, items: &[StoredItem]) -> bool {
+    let mut tracker = job.tracker.borrow_mut();
+    tracker.abort_segment();
+    for item in items {
         let position = tracker.listed().len();
-        if item.key < result_key(&job_id, position) {
+        if item.key < result_key(&tracker.spec().id, position) {
             continue;
         }
         match decode_results(&item.value) {
             Ok(results) => tracker.adopt_segment(position, results),
             Err(fault) => {
-                log::error!(
-                    "cannot decode the results at {}, which are skipped: {fault}",
-                    item.key
-                );
+                log::error!("cannot decode the results at {}, read again: {fault}", item.key);
+                return false;
             }
         }
     }
-    job.update_results(|results| results.finish(load, true));
-    log_results_listed(state, job, "loaded");
-    job.changed.notify_waiters();
-    state.work_available.notify_one();
+    true
 }
 
 /// Records how many results of a job callers can read, and what changed the number.
