Keepers: a job whose record cannot be read at first is read again

Nothing else reads the job again.

A job that is in the store but not known here is now in the job table's list of unread jobs. Its read is repeated until the job is added, or the watch or the read itself says that it is gone. After an answer that does not fit, the record is fetched anew, because it may be the record that was damaged; so a record that cannot be decoded takes the same way.

--- a/crates/clementinevale/tests/nodes/unreadable_values.rs
+++ b/crates/clementinevale/tests/nodes/unreadable_values.rs
@@ -5,6 +5,8 @@
 use cv_runtime::block_on;
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
+use cv_tests::node_caller::CallerOutcome;
+use cv_tests::node_caller::submit_job_with_body;
 
 use crate::job_checks::EVENTS_PER_ITEM;
 use crate::job_checks::read_all_results;
@@ -57,3 +59,21 @@
     fleet.store.delete(key);
     block_on(async { read_all_results(&entries, "job", 4).await }).expect("the runtime starts");
 }
+
+// Guards against a keeper that gives up a large job whose parts it cannot read at first.
+#[test]
+fn a_large_job_runs_after_its_parts_could_not_be_read() {
+    let mut fleet = small_fleet();
+    let entries = fleet.entry_addresses();
+    let body = "q83v".repeat(10_000);
+    block_on(async {
+        let outcome = submit_job_with_body(entries[0], "large", 100, EVENTS_PER_ITEM, &body).await;
+        assert_eq!(outcome, CallerOutcome::Completed);
+    })
+    .expect("the runtime starts");
+    fleet.store.hide_keys(Some("cv/rest/"));
+    restart_keepers(&mut fleet);
+    std::thread::sleep(ATTEMPT_TIME);
+    fleet.store.hide_keys(None);
+    block_on(async { read_all_results(&entries, "large", 100).await }).expect("the runtime starts");
+}
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -5,6 +5,7 @@
 
 use cv_dispatch::BatchOrder;
 use cv_dispatch::DispatchPass;
+use cv_dispatch::JobSpec;
 use cv_dispatch::ResultsLoad;
 use cv_dispatch::ThawDetector;
 use cv_policy::MonotonicTime;
@@ -47,7 +48,7 @@
 /// Time between two reviews of all jobs.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Delay before a failed read of a job's overflow parts is retried.
+/// Delay before a failed read of a job is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Time after its submission for which a job and its results are kept in the store; a job that is
@@ -118,48 +119,71 @@
     state.work_available.notify_one();
 }
 
-/// Adds a job that this or another keeper has accepted; starts a read of a split job.
+/// Adds a job that this or another keeper has accepted; starts a read of one that is split, or whose
+/// value cannot be decoded.
 fn add_job<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job_id: &str, value: &[u8]) {
-    let spec = match JobRecord::decode(value) {
-        Ok(record) if record.is_split() => {
-            if state.jobs.get(job_id).is_none() {
-                let (state, job_id) = (Rc::clone(state), job_id.to_owned());
-                monoio::spawn(async move { load_split_job(&state, &job_id, record).await });
+    let record = match JobRecord::decode(value) {
+        Ok(record) if record.is_split() => Some(record),
+        Ok(record) => match record.decode_spec() {
+            Ok(spec) => {
+                state.jobs.add(spec);
+                return;
             }
-            return;
-        }
-        Ok(record) => record.decode_spec(),
-        Err(fault) => Err(fault),
+            Err(_) => None,
+        },
+        Err(_) => None,
     };
-    match spec {
-        Ok(spec) => {
-            state.jobs.add(spec);
-        }
-        Err(fault) => log::error!("cannot decode job {job_id}, which does not run here: {fault}"),
+    if state.jobs.begin_read(job_id) {
+        let (state, job_id) = (Rc::clone(state), job_id.to_owned());
+        monoio::spawn(async move { load_job(&state, &job_id, record).await });
     }
 }
 
-/// Reads and adds a job whose record is split. If it is closed during the read, the job table adds
-/// it as closed.
-async fn load_split_job<P: PlatformAdapter>(
+/// Reads a job, again until it is added or no longer in the store. If it is closed during the read,
+/// the job table adds it as closed.
+async fn load_job<P: PlatformAdapter>(
     state: &KeeperState<P>,
     job_id: &str,
-    record: JobRecord,
+    mut record: Option<JobRecord>,
 ) {
-    loop {
-        match record.read_spec(state, job_id).await {
-            Ok(spec) => {
+    while state.jobs.is_unread(job_id) {
+        let read = read_job(state, job_id, record.as_ref()).await;
+        // The job may have been added or removed during the read.
+        if !state.jobs.is_unread(job_id) {
+            return;
+        }
+        match read {
+            Ok(Some(spec)) => {
                 state.jobs.add(spec);
                 return state.work_available.notify_one();
             }
-            Err(fault @ StoreFault::Invalid(_)) => {
-                return log::error!("cannot read job {job_id}, which does not run here: {fault}");
+            Ok(None) => return state.jobs.remove(job_id),
+            Err(fault) => {
+                if matches!(fault, StoreFault::Invalid(_)) {
+                    log::error!("cannot read job {job_id}, which does not run here yet: {fault}");
+                    record = None;
+                }
+                monoio::time::sleep(READ_RETRY_DELAY).await;
             }
-            Err(_) => monoio::time::sleep(READ_RETRY_DELAY).await,
         }
     }
 }
 
+/// Reads a job by its record, which is fetched if it is not given; `None` if the job does not exist.
+async fn read_job<P: PlatformAdapter>(
+    state: &KeeperState<P>,
+    job_id: &str,
+    record: Option<&JobRecord>,
+) -> Result<Option<JobSpec>, StoreFault> {
+    if let Some(record) = record {
+        return record.read_spec(state, job_id).await.map(Some);
+    }
+    match JobRecord::fetch(state, job_id).await? {
+        Some(record) => record.read_spec(state, job_id).await.map(Some),
+        None => Ok(None),
+    }
+}
+
 /// Marks a job as closed by its caller, which stops its runs.
 pub(crate) fn mark_job_closed<P: PlatformAdapter>(state: &KeeperState<P>, job_id: &str) {
     let Some(job) = state.jobs.mark_closed(job_id) else {
--- a/crates/serving/src/keeper/job_record.rs
+++ b/crates/serving/src/keeper/job_record.rs
@@ -56,6 +56,20 @@
         postcard::from_bytes(value)
     }
 
+    /// Reads a job's record from the store; `None` if the job does not exist.
+    ///
+    /// # Errors
+    /// Faults of the store; `Invalid` if the value is not a job record.
+    pub async fn fetch<P: PlatformAdapter>(
+        state: &KeeperState<P>,
+        job_id: &str,
+    ) -> Result<Option<Self>, StoreFault> {
+        let read = state.store.get(&job_key(job_id)).await;
+        let item = state.view.store_health.observe(read)?;
+        let record = item.map(|item| Self::decode(&item.value)).transpose();
+        record.map_err(|fault| StoreFault::Invalid(fault.to_string()))
+    }
+
     /// Returns whether the job has overflow parts under other keys.
     pub fn is_split(&self) -> bool {
         self.others > 0
--- a/crates/serving/src/keeper/job_table.rs
+++ b/crates/serving/src/keeper/job_table.rs
@@ -14,6 +14,8 @@
     closed: RefCell<Vec<String>>,
     /// Jobs with their ids, sorted by id.
     rows: RefCell<Vec<(String, Rc<TrackedJob>)>>,
+    /// Ids of jobs in the store whose records are being read, sorted.
+    unread: RefCell<Vec<String>>,
 }
 
 impl JobTable {
@@ -27,6 +29,7 @@
     /// Adds a job unless it is known, and returns it. A job already known to be closed is added
     /// as closed.
     pub fn add(&self, spec: JobSpec) -> Rc<TrackedJob> {
+        self.unread.borrow_mut().retain(|id| *id != spec.id);
         let mut rows = self.rows.borrow_mut();
         match rows.binary_search_by(|(id, _)| id.as_str().cmp(&spec.id)) {
             Ok(position) => Rc::clone(&rows[position].1),
@@ -42,6 +45,24 @@
         }
     }
 
+    /// Records that a job's record has to be read; returns whether a read of it has to begin, because
+    /// the job is neither known nor being read.
+    pub fn begin_read(&self, job_id: &str) -> bool {
+        let mut unread = self.unread.borrow_mut();
+        match unread.binary_search_by(|id| id.as_str().cmp(job_id)) {
+            Err(position) if self.get(job_id).is_none() => {
+                unread.insert(position, job_id.to_owned());
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns whether a job's record is still to be read: the job is neither known nor removed.
+    pub fn is_unread(&self, job_id: &str) -> bool {
+        self.unread.borrow().binary_search_by(|id| id.as_str().cmp(job_id)).is_ok()
+    }
+
     /// Records that a job is closed, whether it is known or not, and returns it if it is known.
     pub fn mark_closed(&self, job_id: &str) -> Option<Rc<TrackedJob>> {
         let mut closed = self.closed.borrow_mut();
@@ -55,6 +76,7 @@
     /// Removes a job and the mark that it is closed; the tasks working on it are notified and stop.
     pub fn remove(&self, job_id: &str) {
         self.closed.borrow_mut().retain(|id| id != job_id);
+        self.unread.borrow_mut().retain(|id| id != job_id);
         let mut rows = self.rows.borrow_mut();
         if let Ok(position) = rows.binary_search_by(|(id, _)| id.as_str().cmp(job_id)) {
             let (_, job) = rows.remove(position);
