Keepers: a read of the closed jobs counts only if nothing was forgotten since

Items of a job could start after its close had been acknowledged, and a read that hangs kept all items of a keeper waiting.

Whether a keeper knows the closed jobs, and whether a task reads them, were two flags. A read that had begun before a freeze set the first one again when it ended, although the freeze had cleared it; and while the second one was set no other read began, however old the one in progress was.

CloseKnowledge, in crates/dispatch, holds both. A read carries the mark of its beginning and counts only if the keeper has not forgotten since; after that a new read begins whether the old one has ended or not. A mere silence of the store does not discard the read that ends it: on a store that takes longer than the silence no read would ever count.

Evidence: with the rule of the two flags put into the new type (a trial), two of its four tests fail: a_read_that_began_before_the_keeper_forgot_does_not_count and a_read_that_does_not_end_holds_up_no_later_one. All four pass now. No test of whole nodes shows the old fault.

--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cv_dispatch::BatchOrder;
+use cv_dispatch::CloseKnowledge;
 use cv_dispatch::DispatchPass;
 use cv_dispatch::JobSpec;
 use cv_dispatch::ResultsLoad;
@@ -81,7 +82,7 @@
             let now = state.view.clock.now();
             if thaw.may_read_backlog(now) {
                 // Responses that arrived during the freeze are no sign of contact with the store.
-                state.knows_closed_jobs.set(false);
+                state.forget_closed_jobs();
             }
             thaw.tick(now);
             dispatch_items(&state);
@@ -289,27 +290,27 @@
 /// The watch of the jobs recovers by itself, and later than other calls to the store.
 fn knows_closed_jobs<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) -> bool {
     if !state.has_store_contact() {
-        state.knows_closed_jobs.set(false);
+        state.update_closes(CloseKnowledge::lapse);
         // Nobody can close a job while the store responds to no keeper.
         return state.is_outage_confirmed.get();
     }
-    if !state.knows_closed_jobs.get() && !state.is_reading_closed.replace(true) {
+    if let Some(mark) = state.update_closes(CloseKnowledge::begin_read) {
         let state = Rc::clone(state);
         monoio::spawn(async move {
             let read = state.store.range(CLOSED_PREFIX).await;
-            if let Ok(snapshot) = state.view.store_health.observe(read) {
-                for item in snapshot.items {
-                    if let Some(WorkKey::Closed(job_id)) = WorkKey::parse(&item.key) {
-                        mark_job_closed(&state, job_id);
-                    }
+            let read = state.view.store_health.observe(read);
+            let is_complete = read.is_ok();
+            for item in read.map(|snapshot| snapshot.items).unwrap_or_default() {
+                if let Some(WorkKey::Closed(job_id)) = WorkKey::parse(&item.key) {
+                    mark_job_closed(&state, job_id);
                 }
-                state.knows_closed_jobs.set(true);
+            }
+            if state.update_closes(|closes| closes.finish_read(mark, is_complete)) {
                 state.work_available.notify_one();
             }
-            state.is_reading_closed.set(false);
         });
     }
-    state.knows_closed_jobs.get()
+    state.closes.get().is_known()
 }
 
 /// Starts runs of waiting items in batch order, until no service has room.
--- a/crates/serving/src/keeper/keeper_registration.rs
+++ b/crates/serving/src/keeper/keeper_registration.rs
@@ -158,10 +158,11 @@
 /// resume later than its lease.
 async fn load_work<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
     loop {
+        let mark = state.closes.get().mark();
         match state.view.store_health.observe(state.store.range(WORK_PREFIX).await) {
             Ok(snapshot) => {
-                state.knows_closed_jobs.set(true);
-                return apply_work_update(state, StoreUpdate::Snapshot(snapshot.items));
+                apply_work_update(state, StoreUpdate::Snapshot(snapshot.items));
+                return state.update_closes(|closes| closes.confirm(mark));
             }
             Err(_) => monoio::time::sleep(RETRY_DELAY).await,
         }
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cv_dispatch::CloseKnowledge;
 use cv_dispatch::ResultsLoad;
 use cv_dispatch::RouteKind;
 use cv_dispatch::RouteRule;
@@ -46,9 +47,7 @@
     /// Name, zone and addresses of this process.
     pub identity: Rc<NodeIdentity>,
     /// Whether this keeper knows which jobs had been closed when it last had contact with the store.
-    pub knows_closed_jobs: Cell<bool>,
-    /// Whether a task is reading which jobs are closed.
-    pub is_reading_closed: Cell<bool>,
+    pub closes: Cell<CloseKnowledge>,
     /// Whether the store responds to other keepers but not to this one.
     pub is_isolated: Cell<bool>,
     /// Whether the store was last seen to respond to no keeper at all.
@@ -122,6 +121,20 @@
         is_eligible && (lease.holds(now) || self.is_outage_confirmed.get())
     }
 
+    /// Changes what is known of the closed jobs.
+    pub fn update_closes<T>(&self, update: impl FnOnce(&mut CloseKnowledge) -> T) -> T {
+        let mut closes = self.closes.get();
+        let outcome = update(&mut closes);
+        self.closes.set(closes);
+        outcome
+    }
+
+    /// Records that others may have closed jobs unnoticed; items start again after a read that begins
+    /// from now on.
+    pub fn forget_closed_jobs(&self) {
+        self.update_closes(CloseKnowledge::forget);
+    }
+
     /// Releases the ownership of all jobs; their results are loaded again before they are next run.
     pub fn release_ownership(&self) {
         for job in self.jobs.all() {
--- a/crates/serving/src/keeper/wait_review.rs
+++ b/crates/serving/src/keeper/wait_review.rs
@@ -93,7 +93,7 @@
     add(WaitCause::CommitPending, tracker.count_items(ItemState::Ended));
     let has_quarantines = !state.view.quarantine.quarantined().is_empty();
     for item in tracker.waiting_items() {
-        let cause = if !state.knows_closed_jobs.get() && !state.is_outage_confirmed.get() {
+        let cause = if !state.closes.get().is_known() && !state.is_outage_confirmed.get() {
             WaitCause::ClosesUnknown
         } else if state.with_route(job, |_| ()).is_none() {
             WaitCause::RouteMissing
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduling decisions in `cv-dispatch`.
 
 mod caller_waits;
+mod close_knowledge;
 mod crash_simulation;
 mod deferred_removals;
 mod dispatch_pass;
