--- a/crates/serving/src/keeper/job_requests.rs
+++ b/crates/serving/src/keeper/job_requests.rs
@@ -258,7 +258,7 @@
             Ok(record) => {
                 let spec = record.read_spec(state, job_id).await?;
                 if state.age_since(spec.submitted_ms) <= RETENTION {
-                    state.knows_closed_jobs.set(false);
+                    state.forget_closed_jobs();
                     state.jobs.add(spec.clone());
                     state.work_available.notify_one();
                 }
--- a/crates/serving/src/keeper/keeper_registration.rs
+++ b/crates/serving/src/keeper/keeper_registration.rs
@@ -72,6 +72,8 @@
                 state.lease.set(None);
                 state.is_known_to_peers.set(false);
                 state.release_ownership();
+                // Other keepers accept this one's share of the jobs until it is registered again.
+                state.view.store_health.record_missed_changes();
                 state.view.log.record(
                     LinePriority::Essential,
                     EventKind::LeaseLost,
@@ -140,7 +142,7 @@
         }
     }
     // Jobs may have been closed since the work was loaded, and the watch may report that late.
-    state.knows_closed_jobs.set(false);
+    state.forget_closed_jobs();
     state.is_known_to_peers.set(true);
     state.work_available.notify_one();
     let mut missed_checks = 0;
