Soak: accepted jobs are done within 18 s, and a failure says what the keepers tell

The soak gave jobs 25 s after the last fault, the platform 18 (finishS), so a fault that heals itself after 18 to 25 s did not show. A failure now names each job with the last job_claimed and job_stalled line of each keeper.

--- a/crates/clementinevale/tests/soak/guarantee_check.rs
+++ b/crates/clementinevale/tests/soak/guarantee_check.rs
@@ -45,6 +45,8 @@
     jobs: (u64, u64),
     /// Items of jobs that were refused at each attempt.
     refused: Vec<String>,
+    /// Accepted jobs that were not done in time, and what was listed of them.
+    unfinished: Vec<(String, String)>,
 }
 
 impl GuaranteeCheck {
@@ -53,6 +55,11 @@
         self.lock().violations.push(violation);
     }
 
+    /// Records an accepted job that was not done in time, and what was listed of it.
+    pub fn report_unfinished(&self, job: &str, listed: String) {
+        self.lock().unfinished.push((job.to_owned(), listed));
+    }
+
     /// Records the outcome of a request whose id is not used again.
     pub fn record_outcome(&self, id: &str, is_at_most_once: bool, outcome: &CallerOutcome) {
         let mut state = self.lock();
@@ -117,6 +124,9 @@
             fleet.target_log.runs().into_iter().map(|run| run.request_id).collect();
         run_ids.sort_unstable();
         let mut violations = std::mem::take(&mut state.violations);
+        for (job, listed) in &state.unfinished {
+            violations.push(format!("job {job}: {listed}; {}", keeper_account(fleet, job)));
+        }
         for pair in run_ids.windows(2) {
             if pair[0] == pair[1] && state.at_most_once.binary_search(&pair[0]).is_ok() {
                 violations.push(format!("request {} ran twice", pair[0]));
@@ -228,3 +238,21 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns each keeper's last lines of a job's ownership and of its stalls.
+fn keeper_account(fleet: &NodeFleet, job: &str) -> String {
+    let names_job = |line: &str| {
+        line.split(|letter: char| !letter.is_ascii_alphanumeric()).any(|word| word == job)
+    };
+    let mut account = Vec::new();
+    for keeper in fleet.nodes.iter().filter(|node| node.name.starts_with("keeper-")) {
+        let output = keeper.output();
+        for kind in ["job_claimed", "job_stalled"] {
+            let mut lines = output.lines().rev();
+            let last = lines.find(|line| line.contains(kind) && names_job(line));
+            let text = last.map_or_else(|| format!("no {kind}"), str::to_owned);
+            account.push(format!("{}: {text}", keeper.name));
+        }
+    }
+    account.join("\n  ")
+}
--- a/crates/clementinevale/tests/soak/soak_jobs.rs
+++ b/crates/clementinevale/tests/soak/soak_jobs.rs
@@ -48,8 +48,8 @@
 /// Maximum time until the close of a job is acknowledged, or given up.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Maximum time from the end of the faults until all accepted jobs are done.
-const FINISH_TIMEOUT: Duration = Duration::from_secs(25);
+/// Maximum time from the end of the faults until all accepted jobs are done (`finishS`).
+const FINISH_TIME: Duration = Duration::from_secs(18);
 
 /// Submits, reads and closes the jobs of a run.
 pub struct JobLoad<'a> {
@@ -139,11 +139,13 @@
             }
             if self.faults_are_over.load(Ordering::Relaxed) {
                 let since = *over_since.get_or_insert_with(Instant::now);
-                if since.elapsed() > FINISH_TIMEOUT {
+                if since.elapsed() > FINISH_TIME {
                     let listed = known.len();
-                    return self.check.report(format!(
-                        "job {id}: {listed} of {ITEMS} results {FINISH_TIMEOUT:?} after the faults"
-                    ));
+                    self.check.report_unfinished(
+                        id,
+                        format!("{listed} of {ITEMS} results {FINISH_TIME:?} after the faults"),
+                    );
+                    return;
                 }
             }
             monoio::time::sleep(READ_INTERVAL).await;
