Soak: pages of the store are small for most seeds, and finished jobs fill the first ones

Each seed now draws pages of 4 to 60 keys or of 500, and 100 to 200 jobs of one item are submitted before the faults. The waiting tokens allow for them: a keeper that does not own a finished job may count its items.

--- a/crates/clementinevale/tests/soak/main.rs
+++ b/crates/clementinevale/tests/soak/main.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cv_policy::SeededRandom;
 use cv_tests::FleetOptions;
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
@@ -21,6 +22,7 @@
 use crate::fault_schedule::FaultSchedule;
 use crate::guarantee_check::GuaranteeCheck;
 use crate::soak_jobs::JobLoad;
+use crate::soak_jobs::submit_history;
 use crate::soak_load::run_callers;
 
 /// Seeds that have failed before, each with the cause.
@@ -50,9 +52,24 @@
 /// Requests that wait at an engine whose slots are taken.
 const ENGINE_QUEUE: u32 = 4;
 
-/// Tokens that may wait on a batch route of a fleet of the smallest size; each item has 20.
+/// Tokens of each item.
+const ITEM_TOKENS: u64 = 20;
+
+/// Tokens that may wait on a batch route of a fleet of the smallest size, beside the history's.
 const QUEUED_TOKENS: u64 = 1_200;
 
+/// Sets the random numbers of the store's contents apart from those of the faults.
+const STORE_SALT: u64 = 0x5707_e000;
+
+/// Least keys of a small page of the store, and the number of such sizes.
+const SMALL_PAGE_KEYS: (usize, usize) = (4, 57);
+
+/// Keys of a page of the platform's store.
+const PAGE_KEYS: usize = 500;
+
+/// Least jobs of the history, and the number of such sizes.
+const HISTORY_JOBS: (usize, usize) = (100, 101);
+
 #[test]
 fn guarantees_hold_under_random_faults() {
     let seconds = environment_variable("CV_SOAK_SECONDS").and_then(|text| text.parse().ok());
@@ -71,15 +88,21 @@
 fn run_seed(seed: u64, seconds: Duration) -> Vec<String> {
     let scale = environment_variable("CV_SOAK_SCALE").and_then(|text| text.parse().ok());
     let scale: u8 = scale.unwrap_or(1).clamp(1, MAX_SCALE);
+    let mut random = SeededRandom::new(seed ^ STORE_SALT);
+    let history = HISTORY_JOBS.0 + random.below(HISTORY_JOBS.1);
     let size = NodeFleetSize { engines: 3 * scale, entries: 2 * scale, keepers: 2 * scale };
     let options = FleetOptions {
         engine_queue: ENGINE_QUEUE,
         has_node_proxies: true,
-        queued_tokens: QUEUED_TOKENS * u64::from(scale),
+        queued_tokens: QUEUED_TOKENS * u64::from(scale) + history as u64 * ITEM_TOKENS,
         ..FleetOptions::default()
     };
     let mut fleet = NodeFleet::start_with(env!("CARGO_BIN_EXE_clementinevale"), size, options);
     let entries = fleet.entry_addresses();
+    let has_small_pages = random.below(4) > 0;
+    let small_page = SMALL_PAGE_KEYS.0 + random.below(SMALL_PAGE_KEYS.1);
+    fleet.store.set_page_keys(if has_small_pages { small_page } else { PAGE_KEYS });
+    submit_history(&entries, seed, history);
     let check = GuaranteeCheck::default();
     let (is_finished, faults_are_over) = (AtomicBool::new(false), AtomicBool::new(false));
     std::thread::scope(|scope| {
--- a/crates/clementinevale/tests/soak/soak_jobs.rs
+++ b/crates/clementinevale/tests/soak/soak_jobs.rs
@@ -51,6 +51,15 @@
 /// Maximum time from the end of the faults until all accepted jobs are done (`finishS`).
 const FINISH_TIME: Duration = Duration::from_secs(18);
 
+/// Concurrent callers that submit the history.
+const HISTORY_CALLERS: usize = 8;
+
+/// Number of events of an item of the history.
+const HISTORY_EVENTS: u64 = 2;
+
+/// Maximum time for which the history is submitted.
+const HISTORY_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// Submits, reads and closes the jobs of a run.
 pub struct JobLoad<'a> {
     pub check: &'a GuaranteeCheck,
@@ -158,6 +167,25 @@
     }
 }
 
+/// Submits small jobs ahead of the faults, whose records then fill the store's first pages; gives up
+/// those that are not accepted in time.
+pub fn submit_history(entries: &[SocketAddr], seed: u64, count: usize) {
+    let started_at = Instant::now();
+    let submissions = (0..HISTORY_CALLERS).map(|caller| async move {
+        for number in (caller..count).step_by(HISTORY_CALLERS) {
+            let id = format!("h{seed}x{number}");
+            let entry = entries[number % entries.len()];
+            while submit_job(entry, &id, 1, HISTORY_EVENTS).await != CallerOutcome::Completed {
+                if started_at.elapsed() > HISTORY_TIMEOUT {
+                    return;
+                }
+                monoio::time::sleep(RETRY_INTERVAL).await;
+            }
+        }
+    });
+    block_on(join_all(submissions)).expect("the runtime starts");
+}
+
 /// Returns the ids of a job's items.
 fn item_ids(job: &str) -> Vec<String> {
     (0..ITEMS).map(|item| item_id(job, item)).collect()
