Soak: three keepers, which the operator also retires and replaces by new ones

With two keepers there is one takeover at a time and no retirement. A generator of its own draws which keeper is killed, frozen, terminated or retired; the older faults still name the processes that they named. A keeper whose status says that it is empty is removed with its disk, and one of a new name and address takes its place. Logs of removed processes are kept too.

--- a/crates/clementinevale/tests/soak/fault_schedule.rs
+++ b/crates/clementinevale/tests/soak/fault_schedule.rs
@@ -10,6 +10,7 @@
 use cv_tests::NodeFleet;
 use cv_tests::Signal;
 use cv_tests::engine_id;
+use serde_json::json;
 
 use crate::guarantee_check::GuaranteeCheck;
 
@@ -25,6 +26,12 @@
 /// Time that a process needs after its start to install its signal handlers.
 const SIGNAL_SETUP_TIME: Duration = Duration::from_millis(100);
 
+/// Mean number of faults of the first kinds between two that disturb keepers.
+const FAULTS_PER_KEEPER_FAULT: usize = 3;
+
+/// Sets the random numbers of the faults of keepers apart from those of the other faults.
+const KEEPER_SALT: u64 = 0x6b65_6570;
+
 /// Maximum time until a terminated process has exited; longer than its grace period of 4 s.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -70,6 +77,10 @@
 #[derive(Debug)]
 pub struct FaultSchedule {
     random: SeededRandom,
+    /// Draws the faults of keepers, apart from the others, so that older seeds keep theirs.
+    keeper_random: SeededRandom,
+    /// Names of the keepers that the operator retires.
+    retired: Vec<String>,
     /// Draws the targets' ways of responding, apart from the faults, so that older seeds keep theirs.
     response_random: SeededRandom,
     /// Actions to run, each with its due time.
@@ -81,8 +92,14 @@
 impl FaultSchedule {
     /// Creates a schedule from a seed.
     pub fn new(seed: u64) -> Self {
-        let (random, response_random) = (SeededRandom::new(seed), SeededRandom::new(!seed));
-        Self { random, response_random, undos: Vec::new(), version: 1 }
+        Self {
+            random: SeededRandom::new(seed),
+            keeper_random: SeededRandom::new(seed ^ KEEPER_SALT),
+            retired: Vec::new(),
+            response_random: SeededRandom::new(!seed),
+            undos: Vec::new(),
+            version: 1,
+        }
     }
 
     /// Injects faults for the given duration, then undoes all.
@@ -96,11 +113,95 @@
             report_crashes(fleet, check);
             self.inject(fleet, check);
             self.change_responses(fleet);
+            self.replace_retired(fleet, check);
+            if self.keeper_random.below(FAULTS_PER_KEEPER_FAULT) == 0 {
+                self.disturb_keeper(fleet, check);
+            }
         }
         fleet.request_limit.store(0, Ordering::Relaxed);
         fleet.has_unframed_streams.store(false, Ordering::Relaxed);
         let last_due = self.undos.iter().map(|(due, _)| *due).max();
         self.undo_due(fleet, last_due.unwrap_or(end), check);
+        self.replace_retired(fleet, check);
+    }
+
+    /// Kills, freezes, terminates or retires a random keeper.
+    fn disturb_keeper(&mut self, fleet: &mut NodeFleet, check: &GuaranteeCheck) {
+        let keepers = keeper_indexes(fleet);
+        let node = keepers[self.keeper_random.below(keepers.len())];
+        let random = &mut self.keeper_random;
+        let fault_end =
+            Instant::now() + Duration::from_millis(random.below(MAX_FAULT_DURATION_MS) as u64);
+        match random.below(4) {
+            0 => self.kill(fleet, node, fault_end, check),
+            1 => {
+                let freeze = Duration::from_millis(random.below(MAX_FREEZE_MS) as u64);
+                self.freeze(fleet, node, Instant::now() + freeze, check);
+            }
+            2 => self.terminate(fleet, node, fault_end, check),
+            _ => {
+                let name = fleet.nodes[node].name.clone();
+                fleet.store.write(&format!("op/retire/{name}"), &json!({ "finishByS": 10 }));
+                self.retired.push(name);
+            }
+        }
+    }
+
+    /// Replaces the retired keepers that say that they are empty.
+    fn replace_retired(&mut self, fleet: &mut NodeFleet, check: &GuaranteeCheck) {
+        let is_empty = |fleet: &NodeFleet, name: &str| {
+            let status = fleet.store.read(&format!("status/retire/{name}"));
+            status.is_some_and(|status| status["state"] == "completed")
+        };
+        for name in std::mem::take(&mut self.retired) {
+            let index = fleet.nodes.iter().position(|node| node.name == name);
+            let Some(index) = index.filter(|_| is_empty(fleet, &name)) else {
+                self.retired.push(name);
+                continue;
+            };
+            check.disturbances.end(index);
+            self.undos.retain(|(_, undo)| undo.disturbed_node() != Some(index));
+            fleet.replace_keeper(index);
+            fleet.store.delete(&format!("op/retire/{name}"));
+            self.retired.retain(|other| *other != name);
+        }
+    }
+
+    /// Kills a process until a later time.
+    fn kill(&mut self, fleet: &mut NodeFleet, node: usize, until: Instant, check: &GuaranteeCheck) {
+        check.disturbances.begin(node);
+        fleet.nodes[node].kill();
+        self.undos.push((until, FaultUndo::Start(node)));
+    }
+
+    /// Stops a process until a later time.
+    fn freeze(&mut self, fleet: &NodeFleet, node: usize, until: Instant, check: &GuaranteeCheck) {
+        check.disturbances.begin(node);
+        fleet.nodes[node].signal(Signal::STOP);
+        self.undos.push((until, FaultUndo::Continue(node)));
+    }
+
+    /// Terminates a process, unless it has just started, until a later time.
+    fn terminate(
+        &mut self,
+        fleet: &mut NodeFleet,
+        node: usize,
+        until: Instant,
+        check: &GuaranteeCheck,
+    ) {
+        if fleet.nodes[node].age() <= SIGNAL_SETUP_TIME {
+            return;
+        }
+        check.disturbances.begin(node);
+        // A stopped process does not handle SIGTERM.
+        fleet.nodes[node].signal(Signal::CONT);
+        if let Err(detail) = fleet.nodes[node].terminate(EXIT_TIMEOUT) {
+            check.report(format!(
+                "{} did not exit cleanly after SIGTERM: {detail}",
+                fleet.nodes[node].name
+            ));
+        }
+        self.undos.push((until, FaultUndo::Start(node)));
     }
 
     /// Changes whether the targets name a limit, and whether their streams end with their
@@ -120,39 +221,25 @@
 
     /// Injects one random fault and schedules its end.
     fn inject(&mut self, fleet: &mut NodeFleet, check: &GuaranteeCheck) {
-        let node = self.random.below(fleet.nodes.len());
+        // The schedules of older seeds name two keepers for each two entries.
+        let entry_count = fleet.entry_addresses().len();
+        let older_count = usize::from(fleet.engine_count()) + 2 * entry_count;
+        let node = self.random.below(older_count);
         let fault_end =
             Instant::now() + Duration::from_millis(self.random.below(MAX_FAULT_DURATION_MS) as u64);
         match self.random.below(16) {
-            0 | 1 => {
-                check.disturbances.begin(node);
-                fleet.nodes[node].kill();
-                self.undos.push((fault_end, FaultUndo::Start(node)));
-            }
+            0 | 1 => self.kill(fleet, node, fault_end, check),
             2 | 3 => {
-                check.disturbances.begin(node);
-                fleet.nodes[node].signal(Signal::STOP);
                 let freeze = Duration::from_millis(self.random.below(MAX_FREEZE_MS) as u64);
-                self.undos.push((Instant::now() + freeze, FaultUndo::Continue(node)));
-            }
-            4 if fleet.nodes[node].age() > SIGNAL_SETUP_TIME => {
-                check.disturbances.begin(node);
-                // A stopped process does not handle SIGTERM.
-                fleet.nodes[node].signal(Signal::CONT);
-                if let Err(detail) = fleet.nodes[node].terminate(EXIT_TIMEOUT) {
-                    check.report(format!(
-                        "{} did not exit cleanly after SIGTERM: {detail}",
-                        fleet.nodes[node].name
-                    ));
-                }
-                self.undos.push((fault_end, FaultUndo::Start(node)));
+                self.freeze(fleet, node, Instant::now() + freeze, check);
             }
+            4 => self.terminate(fleet, node, fault_end, check),
             // A signal ends a process that has not yet installed its handlers. Seeds 21, 51, 103,
             // 107 and 109 sent one right after the start.
             5 if fleet.nodes[node].age() > SIGNAL_SETUP_TIME => {
                 fleet.nodes[node].signal(Signal::HUP);
             }
-            4 | 5 => {}
+            5 => {}
             6 => {
                 let modes = [StoreMode::Busy, StoreMode::LosesResponses, StoreMode::Silent];
                 fleet.store.set_mode(modes[self.random.below(modes.len())]);
@@ -257,6 +344,12 @@
     }
 }
 
+/// Returns the positions of the keepers in the fleet's nodes.
+fn keeper_indexes(fleet: &NodeFleet) -> Vec<usize> {
+    let first = usize::from(fleet.engine_count()) + fleet.entry_addresses().len();
+    (first..fleet.nodes.len()).collect()
+}
+
 /// Reports processes that have exited by themselves and restarts them.
 fn report_crashes(fleet: &mut NodeFleet, check: &GuaranteeCheck) {
     for node in &mut fleet.nodes {
--- a/crates/clementinevale/tests/soak/main.rs
+++ b/crates/clementinevale/tests/soak/main.rs
@@ -49,6 +49,9 @@
 /// Number of concurrent callers of a fleet of the smallest size.
 const CALLERS: u64 = 4;
 
+/// Number of keepers of a fleet of the smallest size.
+const KEEPERS: u8 = 3;
+
 /// Requests that wait at an engine whose slots are taken.
 const ENGINE_QUEUE: u32 = 4;
 
@@ -90,7 +93,7 @@
     let scale: u8 = scale.unwrap_or(1).clamp(1, MAX_SCALE);
     let mut random = SeededRandom::new(seed ^ STORE_SALT);
     let history = HISTORY_JOBS.0 + random.below(HISTORY_JOBS.1);
-    let size = NodeFleetSize { engines: 3 * scale, entries: 2 * scale, keepers: 2 * scale };
+    let size = NodeFleetSize { engines: 3 * scale, entries: 2 * scale, keepers: KEEPERS * scale };
     let options = FleetOptions {
         engine_queue: ENGINE_QUEUE,
         has_node_proxies: true,
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -125,6 +125,8 @@
     pub request_limit: Arc<AtomicU32>,
     /// All processes: sidecars, entries, keepers.
     pub nodes: Vec<NodeProcess>,
+    /// Host of the next keeper that replaces another one.
+    next_keeper_host: u8,
     options: FleetOptions,
     size: NodeFleetSize,
     /// The platform's store.
@@ -281,6 +283,7 @@
             resume_status: Arc::default(),
             request_limit: Arc::default(),
             nodes: Vec::new(),
+            next_keeper_host: 70 + size.keepers,
             options,
             size,
             store,
@@ -348,6 +351,17 @@
         }
     }
 
+    /// Removes a keeper with its disk, and starts one with a new name and address in its place.
+    pub fn replace_keeper(&mut self, index: usize) {
+        let binary = self.nodes[index].binary.display().to_string();
+        let host = self.next_keeper_host;
+        self.next_keeper_host += 1;
+        self.add_node(&binary, "keeper", host, "", None);
+        let mut removed = self.nodes.swap_remove(index);
+        removed.kill();
+        self.nodes[index].start();
+    }
+
     /// Returns the number of model engines.
     #[must_use]
     pub fn engine_count(&self) -> u8 {
@@ -427,14 +441,19 @@
         self.store.delete(&format!("servers/{id}"));
     }
 
-    /// Copies the processes' logs to a folder that outlives the fleet.
+    /// Copies the processes' logs, those of removed ones too, to a folder that outlives the fleet.
     ///
     /// # Errors
     /// Fails if the folder or a file in it cannot be written.
     pub fn copy_logs(&self, folder: &std::path::Path) -> std::io::Result<()> {
         std::fs::create_dir_all(folder)?;
-        for node in &self.nodes {
-            std::fs::write(folder.join(format!("{}.log", node.name)), node.output())?;
+        for entry in std::fs::read_dir(self.folder.path())? {
+            let path = entry?.path();
+            if let Some(name) =
+                path.file_name().filter(|_| path.extension() == Some("log".as_ref()))
+            {
+                std::fs::copy(&path, folder.join(name))?;
+            }
         }
         Ok(())
     }
