Soak: silent connections, reads and calls that fail in part, and repeated stops

What the rig could not do: connections that carry nothing any more while new ones work (to the store, between processes, to targets), reads of single prefixes that are slow or refused, a store that refuses a share of its calls, and a process that is stopped for 1 to 3 s three times. A generator of their own draws them, so the older faults of a seed stay. HalfOpen leaves silent only the connections that carried bytes in its time; FaultProxy::silence_connections does so for all open ones and needs no end.

--- a/crates/clementinevale/tests/soak/fault_schedule.rs
+++ b/crates/clementinevale/tests/soak/fault_schedule.rs
@@ -7,6 +7,7 @@
 use cv_adapter_standin::StoreMode;
 use cv_policy::SeededRandom;
 use cv_standin::FaultMode;
+use cv_standin::FaultProxy;
 use cv_tests::NodeFleet;
 use cv_tests::Signal;
 use cv_tests::engine_id;
@@ -26,6 +27,28 @@
 /// Time that a process needs after its start to install its signal handlers.
 const SIGNAL_SETUP_TIME: Duration = Duration::from_millis(100);
 
+/// Maximum time for which a process that is stopped again and again stops and runs, in milliseconds.
+const STOP_AND_RUN_MS: (usize, usize) = (3_000, 800);
+
+/// Least time of such a stop, in milliseconds.
+const MIN_STOP_MS: usize = 1_000;
+
+/// Number of such stops.
+const REPEATED_STOPS: usize = 3;
+
+/// Prefixes whose reads are slow or refused while the others work.
+const READ_PREFIXES: [&str; 5] =
+    ["cv/work/", "cv/work/end/", "cv/result/", "cv/keeper/", "servers/"];
+
+/// Delays of slow reads, in milliseconds: longer than most calls wait, and than any call.
+const READ_DELAYS_MS: [u64; 2] = [900, 10_000];
+
+/// Mean number of faults of the first kinds between two of a part of the system.
+const FAULTS_PER_PARTIAL_FAULT: usize = 2;
+
+/// Sets the random numbers of these faults apart from those of the other faults.
+const PARTIAL_SALT: u64 = 0x7061_7274;
+
 /// Mean number of faults of the first kinds between two that disturb keepers.
 const FAULTS_PER_KEEPER_FAULT: usize = 3;
 
@@ -52,6 +75,12 @@
     Settle(usize),
     /// Restore the connections of the other processes to one.
     NodeConnection(usize),
+    /// Serve the reads of all prefixes.
+    Reads,
+    /// Stop a process again.
+    Stop(usize),
+    /// Serve all calls of the store.
+    StoreShare,
     /// Restore the connections of callers to an entry.
     CallerConnection(usize),
     /// Restore the connection between a sidecar and its engine.
@@ -64,11 +93,16 @@
         match self {
             Self::Continue(node)
             | Self::Start(node)
+            | Self::Stop(node)
             | Self::Settle(node)
             | Self::NodeConnection(node)
             | Self::CallerConnection(node)
             | Self::TargetConnection(node) => Some(node),
-            Self::Register(_) | Self::StoreUp | Self::StoreConnection(_) => None,
+            Self::Reads
+            | Self::Register(_)
+            | Self::StoreConnection(_)
+            | Self::StoreShare
+            | Self::StoreUp => None,
         }
     }
 }
@@ -79,6 +113,8 @@
     random: SeededRandom,
     /// Draws the faults of keepers, apart from the others, so that older seeds keep theirs.
     keeper_random: SeededRandom,
+    /// Draws the faults of a part of the system, apart from the others.
+    partial_random: SeededRandom,
     /// Names of the keepers that the operator retires.
     retired: Vec<String>,
     /// Draws the targets' ways of responding, apart from the faults, so that older seeds keep theirs.
@@ -95,6 +131,7 @@
         Self {
             random: SeededRandom::new(seed),
             keeper_random: SeededRandom::new(seed ^ KEEPER_SALT),
+            partial_random: SeededRandom::new(seed ^ PARTIAL_SALT),
             retired: Vec::new(),
             response_random: SeededRandom::new(!seed),
             undos: Vec::new(),
@@ -117,6 +154,9 @@
             if self.keeper_random.below(FAULTS_PER_KEEPER_FAULT) == 0 {
                 self.disturb_keeper(fleet, check);
             }
+            if self.partial_random.below(FAULTS_PER_PARTIAL_FAULT) == 0 {
+                self.disturb_part(fleet, check);
+            }
         }
         fleet.request_limit.store(0, Ordering::Relaxed);
         fleet.has_unframed_streams.store(false, Ordering::Relaxed);
@@ -147,6 +187,50 @@
         }
     }
 
+    /// Injects a fault that leaves other connections, reads or calls as they are, or stops a process
+    /// again and again.
+    fn disturb_part(&mut self, fleet: &NodeFleet, check: &GuaranteeCheck) {
+        let random = &mut self.partial_random;
+        let node = random.below(fleet.nodes.len());
+        let end =
+            Instant::now() + Duration::from_millis(random.below(MAX_FAULT_DURATION_MS) as u64);
+        match random.below(6) {
+            0 => fleet.nodes[node].store_proxy.silence_connections(),
+            1 | 2 => {
+                let process = &fleet.nodes[node];
+                let proxies = [&process.node_proxy, &process.target_proxy];
+                check.disturbances.begin(node);
+                proxies.into_iter().flatten().for_each(FaultProxy::silence_connections);
+                self.undos.push((end, FaultUndo::Settle(node)));
+            }
+            3 => {
+                let prefix = READ_PREFIXES[random.below(READ_PREFIXES.len())];
+                let choice = random.below(READ_DELAYS_MS.len() + 1);
+                match READ_DELAYS_MS.get(choice) {
+                    Some(delay) => {
+                        fleet.store.set_read_delay(prefix, Duration::from_millis(*delay));
+                    }
+                    None => fleet.store.refuse_reads(prefix),
+                }
+                self.undos.push((end, FaultUndo::Reads));
+            }
+            4 => {
+                fleet.store.refuse_share(10 + random.below(70));
+                self.undos.push((end, FaultUndo::StoreShare));
+            }
+            _ => {
+                let mut until = Instant::now();
+                for _ in 0..REPEATED_STOPS {
+                    self.undos.push((until, FaultUndo::Stop(node)));
+                    let stop = MIN_STOP_MS + random.below(STOP_AND_RUN_MS.0 - MIN_STOP_MS);
+                    until += Duration::from_millis(stop as u64);
+                    self.undos.push((until, FaultUndo::Continue(node)));
+                    until += Duration::from_millis(random.below(STOP_AND_RUN_MS.1) as u64);
+                }
+            }
+        }
+    }
+
     /// Replaces the retired keepers that say that they are empty.
     fn replace_retired(&mut self, fleet: &mut NodeFleet, check: &GuaranteeCheck) {
         let is_empty = |fleet: &NodeFleet, name: &str| {
@@ -316,6 +400,15 @@
                 check.disturbances.end(node);
             }
             match undo {
+                FaultUndo::Stop(node) => {
+                    check.disturbances.begin(node);
+                    fleet.nodes[node].signal(Signal::STOP);
+                }
+                FaultUndo::Reads => {
+                    fleet.store.set_read_delay("", Duration::ZERO);
+                    fleet.store.refuse_reads("");
+                }
+                FaultUndo::StoreShare => fleet.store.refuse_share(0),
                 FaultUndo::Continue(node) => fleet.nodes[node].signal(Signal::CONT),
                 FaultUndo::Register(engine) => fleet.register(&engine_id(engine), "ready"),
                 FaultUndo::Start(node) => fleet.nodes[node].start(),
--- a/crates/standin/src/fault_proxy.rs
+++ b/crates/standin/src/fault_proxy.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cv_http::bind_listener;
@@ -14,6 +16,7 @@
 use monoio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::silence_check::SilenceCheck;
 use crate::unframed_response::copy_unframed;
 
 /// Size of the read buffer, in bytes.
@@ -55,6 +58,8 @@
 pub struct FaultProxy {
     address: SocketAddr,
     mode: Arc<watch::Sender<FaultMode>>,
+    /// Number of times that the open connections went silent.
+    silences: Arc<AtomicU64>,
     _thread: ServingThread,
 }
 
@@ -74,6 +79,8 @@
     pub fn start_at(address: SocketAddr, upstream: SocketAddr) -> io::Result<Self> {
         let mode = Arc::new(watch::channel(FaultMode::Pass).0);
         let shared_mode = Arc::clone(&mode);
+        let silences = Arc::new(AtomicU64::new(0));
+        let shared_silences = Arc::clone(&silences);
         let (sender, bound) = std::sync::mpsc::channel();
         let thread = ServingThread::spawn("fault-proxy", move |shutdown| async move {
             let listener = bind_listener(address);
@@ -83,7 +90,9 @@
                 monoio::select! {
                     () = shutdown.triggered() => return,
                     accepted = listener.accept() => if let Ok((stream, _)) = accepted {
-                        monoio::spawn(relay(stream, upstream, Arc::clone(&shared_mode)));
+                        let (mode, silences) =
+                            (Arc::clone(&shared_mode), Arc::clone(&shared_silences));
+                        monoio::spawn(relay(stream, upstream, mode, silences));
                     }
                 }
             }
@@ -91,7 +100,7 @@
         let address = bound
             .recv()
             .map_err(|_| io::Error::other("the proxy's thread failed to bind a port"))??;
-        Ok(Self { address, mode, _thread: thread })
+        Ok(Self { address, mode, silences, _thread: thread })
     }
 
     /// Returns the address on which the proxy listens.
@@ -100,6 +109,11 @@
         self.address
     }
 
+    /// Makes the open connections carry nothing from now on; new ones are unaffected.
+    pub fn silence_connections(&self) {
+        self.silences.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Changes the injected fault, for open connections too.
     pub fn set_mode(&self, mode: FaultMode) {
         self.mode.send_replace(mode);
@@ -107,7 +121,13 @@
 }
 
 /// Relays one connection until it closes or a fault closes it.
-async fn relay(client: TcpStream, upstream: SocketAddr, mode: Arc<watch::Sender<FaultMode>>) {
+async fn relay(
+    client: TcpStream,
+    upstream: SocketAddr,
+    mode: Arc<watch::Sender<FaultMode>>,
+    silences: Arc<AtomicU64>,
+) {
+    let check = SilenceCheck::new(silences);
     let mut modes = mode.subscribe();
     let mode_at_start = *modes.borrow();
     match mode_at_start {
@@ -121,8 +141,8 @@
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
-    let requests = copy(client_read, server_write, mode.subscribe(), false);
-    let responses = copy(server_read, client_write, mode.subscribe(), true);
+    let requests = copy(client_read, server_write, mode.subscribe(), check.clone(), false);
+    let responses = copy(server_read, client_write, mode.subscribe(), check, true);
     monoio::select! {
         _ = modes.wait_for(|mode| matches!(mode, FaultMode::Disconnect | FaultMode::TurnAway)) => {}
         // If one direction closes, the other one can still finish.
@@ -146,6 +166,7 @@
     mut from: R,
     mut to: W,
     modes: watch::Receiver<FaultMode>,
+    check: SilenceCheck,
     is_response: bool,
 ) {
     let mut forwarded = 0;
@@ -204,7 +225,7 @@
             | FaultMode::LoseResponse
             | FaultMode::SendGarbage(..) => {}
         }
-        if has_discarded {
+        if has_discarded || check.is_silent() {
             continue;
         }
         forwarded += forward_length;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 mod key_value;
 mod plain_service;
 mod raw_server;
+mod silence_check;
 mod unframed_response;
 
 pub use crate::engine::EngineReport;
