--- a/crates/clementinevale/tests/soak/fault_schedule.rs
+++ b/crates/clementinevale/tests/soak/fault_schedule.rs
@@ -49,6 +49,13 @@
 /// Sets the random numbers of these faults apart from those of the other faults.
 const PARTIAL_SALT: u64 = 0x7061_7274;
 
+/// Upper bound of the time until the keepers that were killed at the end start again, in
+/// milliseconds.
+const MAX_LAST_OUTAGE_MS: usize = 1_000;
+
+/// Sets the random numbers of the last fault apart from those of the other faults.
+const LAST_FAULT_SALT: u64 = 0x6c61_7374;
+
 /// Mean number of faults of the first kinds between two that disturb keepers.
 const FAULTS_PER_KEEPER_FAULT: usize = 3;
 
@@ -113,6 +120,8 @@
     random: SeededRandom,
     /// Draws the faults of keepers, apart from the others, so that older seeds keep theirs.
     keeper_random: SeededRandom,
+    /// Draws the last fault, apart from the others.
+    last_random: SeededRandom,
     /// Draws the faults of a part of the system, apart from the others.
     partial_random: SeededRandom,
     /// Names of the keepers that the operator retires.
@@ -131,6 +140,7 @@
         Self {
             random: SeededRandom::new(seed),
             keeper_random: SeededRandom::new(seed ^ KEEPER_SALT),
+            last_random: SeededRandom::new(seed ^ LAST_FAULT_SALT),
             partial_random: SeededRandom::new(seed ^ PARTIAL_SALT),
             retired: Vec::new(),
             response_random: SeededRandom::new(!seed),
@@ -163,6 +173,24 @@
         let last_due = self.undos.iter().map(|(due, _)| *due).max();
         self.undo_due(fleet, last_due.unwrap_or(end), check);
         self.replace_retired(fleet, check);
+        if self.last_random.below(2) == 0 {
+            self.restart_keepers(fleet, check);
+        }
+    }
+
+    /// Kills all keepers at once and starts them again within a second.
+    fn restart_keepers(&mut self, fleet: &mut NodeFleet, check: &GuaranteeCheck) {
+        let keepers = keeper_indexes(fleet);
+        for node in &keepers {
+            check.disturbances.begin(*node);
+            fleet.nodes[*node].kill();
+        }
+        let outage = self.last_random.below(MAX_LAST_OUTAGE_MS) as u64;
+        std::thread::sleep(Duration::from_millis(outage));
+        for node in keepers {
+            fleet.nodes[node].start();
+            check.disturbances.end(node);
+        }
     }
 
     /// Kills, freezes, terminates or retires a random keeper.
