--- a/crates/clementinevale/tests/soak/fault_schedule.rs
+++ b/crates/clementinevale/tests/soak/fault_schedule.rs
@@ -53,6 +53,10 @@
 /// milliseconds.
 const MAX_LAST_OUTAGE_MS: usize = 1_000;
 
+/// Time before the end from which on the keepers hear nothing over their connections to the store, if
+/// the last fault is the loss of a keeper.
+const SILENT_TIME: Duration = Duration::from_secs(1);
+
 /// Sets the random numbers of the last fault apart from those of the other faults.
 const LAST_FAULT_SALT: u64 = 0x6c61_7374;
 
@@ -152,6 +156,8 @@
     /// Injects faults for the given duration, then undoes all.
     pub fn run(&mut self, fleet: &mut NodeFleet, duration: Duration, check: &GuaranteeCheck) {
         let end = Instant::now() + duration;
+        let restarts_keepers = self.last_random.below(2) == 0;
+        let mut has_silenced = restarts_keepers;
         while Instant::now() < end {
             std::thread::sleep(Duration::from_millis(
                 self.random.below(MAX_FAULT_INTERVAL_MS) as u64
@@ -167,14 +173,23 @@
             if self.partial_random.below(FAULTS_PER_PARTIAL_FAULT) == 0 {
                 self.disturb_part(fleet, check);
             }
+            if !has_silenced && Instant::now() + SILENT_TIME >= end {
+                has_silenced = true;
+                for node in keeper_indexes(fleet) {
+                    fleet.nodes[node].store_proxy.silence_connections();
+                }
+            }
         }
         fleet.request_limit.store(0, Ordering::Relaxed);
         fleet.has_unframed_streams.store(false, Ordering::Relaxed);
         let last_due = self.undos.iter().map(|(due, _)| *due).max();
         self.undo_due(fleet, last_due.unwrap_or(end), check);
         self.replace_retired(fleet, check);
-        if self.last_random.below(2) == 0 {
+        if restarts_keepers {
             self.restart_keepers(fleet, check);
+        } else {
+            let keepers = keeper_indexes(fleet);
+            fleet.replace_keeper(keepers[self.last_random.below(keepers.len())]);
         }
     }
 
