Soak: some finished jobs are closed, and the silence before the loss of a keeper lasts 3 s

The keys of closed jobs come first under cv/work/, so any close of a job changed the first page, which hides what happens on later ones; a quarter of the history is closed, and pages hold 4, 8, 15, 30, 60 or 500 keys. In one second of silence hardly a job was accepted.

--- a/crates/clementinevale/tests/soak/fault_schedule.rs
+++ b/crates/clementinevale/tests/soak/fault_schedule.rs
@@ -55,7 +55,7 @@
 
 /// Time before the end from which on the keepers hear nothing over their connections to the store, if
 /// the last fault is the loss of a keeper.
-const SILENT_TIME: Duration = Duration::from_secs(1);
+const SILENT_TIME: Duration = Duration::from_secs(3);
 
 /// Sets the random numbers of the last fault apart from those of the other faults.
 const LAST_FAULT_SALT: u64 = 0x6c61_7374;
--- a/crates/clementinevale/tests/soak/main.rs
+++ b/crates/clementinevale/tests/soak/main.rs
@@ -64,11 +64,8 @@
 /// Sets the random numbers of the store's contents apart from those of the faults.
 const STORE_SALT: u64 = 0x5707_e000;
 
-/// Least keys of a small page of the store, and the number of such sizes.
-const SMALL_PAGE_KEYS: (usize, usize) = (4, 57);
-
-/// Keys of a page of the platform's store.
-const PAGE_KEYS: usize = 500;
+/// Most keys of a page of the store; the platform's pages hold 500.
+const PAGE_KEYS: [usize; 6] = [4, 8, 15, 30, 60, 500];
 
 /// Least jobs of the history, and the number of such sizes.
 const HISTORY_JOBS: (usize, usize) = (100, 101);
@@ -102,9 +99,9 @@
     };
     let mut fleet = NodeFleet::start_with(env!("CARGO_BIN_EXE_clementinevale"), size, options);
     let entries = fleet.entry_addresses();
-    let has_small_pages = random.below(4) > 0;
-    let small_page = SMALL_PAGE_KEYS.0 + random.below(SMALL_PAGE_KEYS.1);
-    fleet.store.set_page_keys(if has_small_pages { small_page } else { PAGE_KEYS });
+    let page_keys = PAGE_KEYS[random.below(PAGE_KEYS.len())];
+    fleet.store.set_page_keys(page_keys);
+    println!("seed {seed}: pages of {page_keys} keys, {history} jobs before the faults");
     submit_history(&entries, seed, history);
     let check = GuaranteeCheck::default();
     let (is_finished, faults_are_over) = (AtomicBool::new(false), AtomicBool::new(false));
--- a/crates/clementinevale/tests/soak/soak_jobs.rs
+++ b/crates/clementinevale/tests/soak/soak_jobs.rs
@@ -167,8 +167,8 @@
     }
 }
 
-/// Submits small jobs ahead of the faults, whose records then fill the store's first pages; gives up
-/// those that are not accepted in time.
+/// Submits small jobs ahead of the faults and closes some, whose records then fill the store's first
+/// pages; gives up those that are not accepted in time.
 pub fn submit_history(entries: &[SocketAddr], seed: u64, count: usize) {
     let started_at = Instant::now();
     let submissions = (0..HISTORY_CALLERS).map(|caller| async move {
@@ -181,6 +181,10 @@
                 }
                 monoio::time::sleep(RETRY_INTERVAL).await;
             }
+            if number % JOBS_PER_CLOSE == 0 {
+                // A job that could not be closed stays as one that is done.
+                close_job(entry, &id).await;
+            }
         }
     });
     block_on(join_all(submissions)).expect("the runtime starts");
