Connections: close the idle ones with one that has failed

Callers saw accepted items that nobody ran. If all connections to the store go silent, each later call takes another idle one from the pool and fails by timeout, one after the other: with twelve of them the store was out of reach for 19 s, without renewals of the lease, reads or commits. Our proxies could not show it, since one that passes again revives the connections.

A failed exchange closes the idle connections to that address, at the store, between keepers, and from entries to keepers.

one_call_at_most_fails_after_all_idle_connections_went_silent: 12 calls failed in turn before, 1 at most now.

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -164,12 +164,13 @@
         limit: usize,
     ) -> Result<ClientResponse, HttpFault> {
         let mut connection = self.connect(address, max_time).await?;
-        let exchange = connection.exchange(request, max_time, limit);
-        let response = match timeout(max_time, exchange).await {
-            Err(_) => return Err(HttpFault::TimedOut("response")),
-            Ok(response) => response?,
-        };
-        self.release(address, connection);
-        Ok(response)
+        let exchange = timeout(max_time, connection.exchange(request, max_time, limit)).await;
+        let result = exchange.unwrap_or(Err(HttpFault::TimedOut("response")));
+        match &result {
+            Ok(_) => self.release(address, connection),
+            // The idle connections may have gone silent together with this one.
+            Err(_) => self.close_idle(address),
+        }
+        result
     }
 }
--- a/crates/serving/src/entry/job_relay.rs
+++ b/crates/serving/src/entry/job_relay.rs
@@ -108,7 +108,10 @@
         } else {
             // A frozen keeper does not get the body, so it cannot accept the job when it continues.
             match connection.send_expecting_continue(request, CONTINUE_TIMEOUT).await {
-                Err(SendFault::BeforeBody(_)) => return None,
+                Err(SendFault::BeforeBody(_)) => {
+                    self.pool.close_idle(address);
+                    return None;
+                }
                 Err(SendFault::BodyStarted(fault)) => Err(fault),
                 Ok(()) => {
                     let method = &request.method;
@@ -117,6 +120,8 @@
             }
         };
         let Ok(response) = response else {
+            // The idle connections may have gone silent together with this one.
+            self.pool.close_idle(address);
             *is_ambiguous = true;
             return None;
         };
--- a/tests/adapter/main.rs
+++ b/tests/adapter/main.rs
@@ -6,5 +6,6 @@
 mod jobs;
 mod prefix_watcher;
 mod prompts_and_limits;
+mod silent_store;
 mod store_client;
 mod store_health;
