Tests: a fleet is ready once its entries know a keeper

The fleet now waits until each entry passes a read on to a keeper; the test itself is as strict as it was.

--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -1,5 +1,7 @@
 //! A fleet of node processes on loopback addresses, with stand-ins for the platform.
 
+use std::io::Read;
+use std::io::Write;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -577,11 +579,12 @@
         });
     }
 
-    /// Waits until all keepers are registered and all entries are ready.
+    /// Waits until all keepers are registered, and all entries are ready and know a keeper.
     fn wait_until_ready(&self) {
         let keepers = usize::from(self.size.keepers);
         let is_fleet_ready = self.wait_for(START_TIMEOUT, |fleet| {
-            let is_ready = |index| fleet.is_ready(index);
+            let is_ready =
+                |index| fleet.is_ready(index) && (keepers == 0 || fleet.reaches_keeper(index));
             fleet.store.keys("cv/keeper/").len() == keepers && (0..fleet.size.entries).all(is_ready)
         });
         let outputs: Vec<String> = self.nodes.iter().map(NodeProcess::output).collect();
@@ -595,17 +598,12 @@
     /// Returns whether an entry's readiness check responds with status 200.
     #[must_use]
     pub fn is_ready(&self, index: u8) -> bool {
-        use std::io::Read;
-        use std::io::Write;
-        let Ok(mut stream) =
-            std::net::TcpStream::connect(self.socket_address(50 + index, READY_PORT))
-        else {
-            return false;
-        };
-        let mut status_line = [0; 12];
-        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").is_ok()
-            && stream.read_exact(&mut status_line).is_ok()
-            && status_line.ends_with(b"200")
+        responds(self.socket_address(50 + index, READY_PORT), "/ready", b"200")
+    }
+
+    /// Returns whether an entry knows a keeper, which responds that a job does not exist.
+    fn reaches_keeper(&self, index: u8) -> bool {
+        responds(self.socket_address(50 + index, ENTRY_PORT), "/lots/none?after=0", b"404")
     }
 
     /// Returns the socket address of a host of the fleet.
@@ -614,6 +612,18 @@
     }
 }
 
+/// Returns whether a GET request gets a response with a status.
+fn responds(address: SocketAddr, path: &str, status: &[u8]) -> bool {
+    let Ok(mut stream) = std::net::TcpStream::connect(address) else {
+        return false;
+    };
+    let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    let mut status_line = [0; 12];
+    stream.write_all(request.as_bytes()).is_ok()
+        && stream.read_exact(&mut status_line).is_ok()
+        && status_line.ends_with(status)
+}
+
 /// Returns the id of an engine.
 #[must_use]
 pub fn engine_id(index: u8) -> String {
