Store contact: a process that was stopped vouches for nothing

After an outage of the store, entries and keepers dropped a live target when a process that had been stopped during the outage answered for it: no call of its own had failed, so the time for which it made no calls counted as contact, and the others took the failures for theirs alone.

ContactHistory (cv-dispatch) ends the contact at a failure and at two seconds without a successful call. The decision whether failures concerned one process alone moves there from store_contact. Keepers still answer one another's question for contact by has_store_contact, which is unchanged.

--- a/crates/clementinevale/tests/nodes/stale_views.rs
+++ b/crates/clementinevale/tests/nodes/stale_views.rs
@@ -7,6 +7,7 @@
 use cv_standin::FaultMode;
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
+use cv_tests::Signal;
 use cv_tests::engine_id;
 use cv_tests::node_caller::close_job;
 use futures::future::join_all;
@@ -139,3 +140,26 @@
         assert!(!node.output().contains("state=gone"), "{}: {}", node.name, node.output());
     }
 }
+
+// Guards against the word of a process that was stopped during an outage of the store, and takes the
+// time for which it made no calls for contact.
+#[test]
+fn a_process_that_was_stopped_does_not_vouch_for_the_store() {
+    let fleet = small_fleet();
+    let (stopped, others): (Vec<_>, Vec<_>) =
+        fleet.nodes.iter().partition(|node| node.name == "keeper-71");
+    stopped[0].signal(Signal::STOP);
+    for node in &others {
+        node.store_proxy.set_mode(FaultMode::TurnAway);
+    }
+    std::thread::sleep(Duration::from_millis(3_500));
+    fleet.deregister(&engine_id(1));
+    for node in &others {
+        node.store_proxy.set_mode(FaultMode::Pass);
+    }
+    stopped[0].signal(Signal::CONT);
+    std::thread::sleep(Duration::from_millis(1_800));
+    for node in others.iter().filter(|node| !node.name.starts_with("sidecar")) {
+        assert!(!node.output().contains("state=gone"), "{}: {}", node.name, node.output());
+    }
+}
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -413,16 +413,15 @@
         peers.get((self.random_fraction() * peers.len() as f64) as usize).copied()
     }
 
-    /// Applies all deferred removals, since `peer` has had contact with the store while this process
-    /// had none.
-    pub(crate) fn end_outage(&self, peer: SocketAddr) {
-        let Some(last_failure) = self.store_health.last_failure() else {
+    /// Applies all deferred removals if `peer` has had contact with the store for so long that the
+    /// failures concerned this process alone.
+    pub(crate) fn end_own_outage(&self, peer: SocketAddr, peer_contact: Duration) {
+        let Some(last_failure) = self.store_health.forget_own_failures(peer_contact) else {
             return;
         };
         self.log.record(LinePriority::Essential, EventKind::DependencyRegained, "store", || {
             format!("failed for this process alone, peer={peer}")
         });
-        self.store_health.forget_failures();
         let now = self.clock.now();
         self.target_removals.borrow_mut().end_outage(now, last_failure);
         self.keeper_removals.borrow_mut().end_outage(now, last_failure);
--- a/crates/serving/src/store_contact.rs
+++ b/crates/serving/src/store_contact.rs
@@ -51,16 +51,14 @@
         let pool = ConnectionPool::new(HttpLimits::default());
         loop {
             ticks.next().await;
-            let Some(failing_since) = view.store_health.failing_since() else {
+            if !view.store_health.has_failed_recently() {
                 continue;
-            };
+            }
             let Some(peer) = view.random_peer(&seeds, own_address) else {
                 continue;
             };
-            let contact_time = fetch_contact_time(&pool, peer).await;
-            let failing_time = view.clock.now().since(failing_since);
-            if contact_time.is_some_and(|time| time > failing_time) {
-                view.end_outage(peer);
+            if let Some(contact_time) = fetch_contact_time(&pool, peer).await {
+                view.end_own_outage(peer, contact_time);
             }
         }
     });
--- a/crates/serving/src/store_health.rs
+++ b/crates/serving/src/store_health.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use cv_dispatch::ContactHistory;
 use cv_policy::MonotonicTime;
 use cv_timeline::EventKind;
 use cv_timeline::LineLog;
@@ -19,10 +20,6 @@
 /// all watches at the same moment and goes on responding.
 const BURST_TIME: Duration = Duration::from_millis(25);
 
-/// Time without a failure after which the next one begins anew; longer than instances take to register
-/// again.
-const FAILURE_MEMORY: Duration = Duration::from_secs(4);
-
 /// Time without a response after which a store that was down may have lost what watches that survived
 /// should have told.
 const MIN_OUTAGE: Duration = Duration::from_secs(1);
@@ -37,10 +34,7 @@
     failures: Cell<u32>,
     /// Whether changes may have been missed since the last response.
     has_missed_changes: Cell<bool>,
-    /// When the first of the recent failures happened.
-    failing_since: Cell<Option<MonotonicTime>>,
-    /// When the first call succeeded.
-    first_success: Cell<Option<MonotonicTime>>,
+    history: Cell<ContactHistory>,
     last_failure: Cell<Option<MonotonicTime>>,
     last_success: Cell<Option<MonotonicTime>>,
     log: LineLog,
@@ -60,8 +54,7 @@
             clock,
             failures: Cell::new(0),
             has_missed_changes: Cell::new(false),
-            failing_since: Cell::default(),
-            first_success: Cell::default(),
+            history: Cell::default(),
             last_failure: Cell::default(),
             last_success: Cell::default(),
             log,
@@ -143,35 +136,38 @@
         self.responding_time.get()
     }
 
-    /// Returns the time of the last failed call, or `None` if there was none.
+    /// Returns the time of the last failed call, or `None` if there was none, or all of late concerned
+    /// this process alone.
     #[must_use]
     pub fn last_failure(&self) -> Option<MonotonicTime> {
-        self.last_failure.get()
+        self.history.get().last_failure()
     }
 
-    /// Returns the start of the failures that may have kept instances from renewing their
-    /// registrations, or `None` if there were none of late.
+    /// Returns whether calls have failed of late.
     #[must_use]
-    pub fn failing_since(&self) -> Option<MonotonicTime> {
-        let last_failure = self.last_failure.get()?;
-        let is_recent = self.clock.now().since(last_failure) < FAILURE_MEMORY;
-        self.failing_since.get().filter(|_| is_recent)
+    pub fn has_failed_recently(&self) -> bool {
+        self.history.get().failing_time(self.clock.now()).is_some()
     }
 
     /// Returns the time for which the store has responded to each call, or `None` if it does not.
     #[must_use]
     pub fn contact_time(&self) -> Option<Duration> {
-        if !self.is_up() {
-            return None;
-        }
-        let since = self.last_failure.get().max(self.first_success.get())?;
-        Some(self.clock.now().since(since))
+        self.history.get().contact_time(self.clock.now())
+    }
+
+    /// Forgets the recent failures if a peer that has had contact for `peer_contact` shows that they
+    /// concerned this process alone; returns the time of the last one then.
+    pub fn forget_own_failures(&self, peer_contact: Duration) -> Option<MonotonicTime> {
+        let now = self.clock.now();
+        self.update_history(|history| history.forget_own_failures(now, peer_contact))
     }
 
-    /// Forgets the failures until now, which concerned this process alone.
-    pub fn forget_failures(&self) {
-        self.last_failure.set(None);
-        self.failing_since.set(None);
+    /// Updates the history of the calls.
+    fn update_history<T>(&self, update: impl FnOnce(&mut ContactHistory) -> T) -> T {
+        let mut history = self.history.get();
+        let result = update(&mut history);
+        self.history.set(history);
+        result
     }
 
     /// Records a call that the store has responded to.
@@ -198,7 +194,7 @@
             let added = now.since(previous).min(MAX_RESPONSE_GAP);
             self.responding_time.set(self.responding_time.get() + added);
         }
-        self.first_success.set(self.first_success.get().or(Some(now)));
+        self.update_history(|history| history.record_success(now));
         self.recovered.notify_waiters();
     }
 
@@ -206,9 +202,7 @@
     fn record_failure(&self, fault: &StoreFault) {
         let now = self.clock.now();
         let last_failure = self.last_failure.replace(Some(now));
-        if last_failure.is_none_or(|time| now.since(time) >= FAILURE_MEMORY) {
-            self.failing_since.set(Some(now));
-        }
+        self.update_history(|history| history.record_failure(now));
         let is_same_burst = last_failure.is_some_and(|time| now.since(time) < BURST_TIME);
         if is_same_burst && self.failures.get() > 0 {
             return;
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod call_timeouts;
 mod caller_waits;
+mod contact_history;
 mod crash_simulation;
 mod deferred_removals;
 mod dispatch_pass;
