Quarantine: a trial without a verdict is soon followed by another elsewhere

Callers saw items held whose prompt shares a part that is in quarantine without guilt. The trial that would end the quarantine went to one and the same target while that looked usable, and a trial that was begun but never judged, as its engine or sidecar went silent or its keeper died, delayed the next by 20, 80 and 120 s like one that ended its engine.

The delay now grows with the losses that followed trials. A trial without one is followed by the next after 3 s. Each trial, and each 3 s in which a due one is not begun, moves on to the next target, in an order that all processes know; the records between processes are unchanged. A part that ends the engine of each trial still gets trials at 5, 20, 80 and 120 s only.

Run before the change: a_trial_that_brings_no_verdict_is_soon_followed_by_another and trials_that_brought_no_verdict_do_not_prolong_* of tests/dispatch/quarantine.rs failed, and a_trial_that_ends_with_its_keeper_* of crashing_prompts, whose item was not listed 14 s after its keeper was killed. All pass now, with the other tests of tests/dispatch and crashing_prompts. a_part_that_ends_the_engine_of_each_trial_* passed before, too. The tests of turns use the new argument of `choose_for_trial` and could not be run before; the existing test of it passes turn 0.

--- a/crates/clementinevale/tests/nodes/crashing_prompts.rs
+++ b/crates/clementinevale/tests/nodes/crashing_prompts.rs
@@ -313,6 +313,33 @@
     assert!(last.into_iter().all(|call| call.outcome == CallerOutcome::Completed));
 }
 
+// Guards against an item that waits because the keeper died that ran the trial.
+#[test]
+fn a_trial_that_ends_with_its_keeper_does_not_prolong_the_quarantine() {
+    /// Number of events of the item; enough to kill its keeper meanwhile.
+    const ITEM_EVENTS: u64 = 300;
+    let mut fleet = crashing_fleet();
+    let entries = fleet.entry_addresses();
+    find_out_crashing_part(&entries);
+    fleet.crash_rule.set_parts(&[]);
+    let prompt = format!("a1:9,{CRASHING_PART}:9,c4:9");
+    let submitted = block_on(submit_prompts(entries[0], "held", &[&prompt], ITEM_EVENTS));
+    assert_eq!(submitted.expect("the runtime starts"), CallerOutcome::Completed);
+    let id = item_id("held", 0);
+    let is_tried =
+        |fleet: &NodeFleet| fleet.target_log.runs().iter().any(|run| run.request_id == id);
+    assert!(fleet.wait_for(Duration::from_secs(12), is_tried), "no trial began");
+    for node in nodes_with_role(&mut fleet, "keeper") {
+        node.kill();
+        node.start();
+    }
+    let is_listed = |_: &NodeFleet| {
+        let read = block_on(read_results(entries[1], "held", 0)).expect("the runtime starts");
+        read.is_ok_and(|read| read["results"].as_array().is_some_and(|list| list.len() == 1))
+    };
+    assert!(fleet.wait_for(Duration::from_secs(14), is_listed), "the item is still held");
+}
+
 #[test]
 fn a_trial_that_gets_no_slot_does_not_prolong_the_quarantine() {
     let fleet = crashing_fleet();
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -120,8 +120,9 @@
         chosen
     }
 
-    /// Chooses the target whose sidecar runs the trials of a part in quarantine, the same for all
-    /// processes that know the same targets.
+    /// Chooses the target whose sidecar runs the next trial of a part in quarantine, the same for all
+    /// processes that know the same targets. With each turn another one does, since a target that
+    /// looks usable may still answer nothing.
     #[must_use]
     pub fn choose_for_trial(
         self,
@@ -129,15 +130,18 @@
         now: MonotonicTime,
         service: &str,
         part: PromptPart,
+        turn: usize,
     ) -> Option<TargetChoice> {
         let usable = targets.rows().iter().filter(|row| {
             row.record.service == service && row.is_usable(now) && row.has_sidecar(now)
         });
-        let chosen = usable.max_by_key(|row| {
+        let mut usable: Vec<&TargetRow> = usable.collect();
+        usable.sort_by_cached_key(|row| {
             let address = row.record.address.to_string();
             stable_hash(&[&part.to_string(), &address])
-        })?;
-        Some(target_choice(chosen, now, 0.0))
+        });
+        let position = turn.checked_rem(usable.len())?;
+        Some(target_choice(usable[position], now, 0.0))
     }
 }
 
--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -24,9 +24,16 @@
 /// Time from the start of a quarantine to the first trial.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(5);
 
-/// Factor by which the delay grows with each trial.
+/// Factor by which the delay grows with each trial that ended its engine.
 const TRIAL_DELAY_GROWTH: u32 = 4;
 
+/// Time after which a trial without a verdict counts as unanswered, and the next may begin. An
+/// engine that survives no trial ends within the first tokens of its response.
+const VERDICT_TIME: Duration = Duration::from_secs(3);
+
+/// Most by which the times of a trial and of the loss that it caused differ between processes.
+const TIME_ERROR: Duration = Duration::from_secs(1);
+
 /// Longest delay between two trials. Each failed trial costs an engine with all of its runs.
 const MAX_TRIAL_DELAY: Duration = Duration::from_mins(2);
 
@@ -82,11 +89,39 @@
         self.served_at.is_some()
     }
 
-    /// Returns when the next request with the part may be tried.
+    /// Returns when the next request with the part may be tried: soon after a trial that brought no
+    /// verdict, and ever later after those that ended their engines.
     pub fn trial_due(&self) -> Option<MonotonicTime> {
-        let growth = TRIAL_DELAY_GROWTH.saturating_pow(self.trials.into());
+        let since = self.quarantined_at?;
+        if let Some(tried_at) = self.tried_at
+            && !self.has_loss_since(tried_at.before(TIME_ERROR))
+        {
+            return Some(tried_at.max(since) + VERDICT_TIME);
+        }
+        let growth = TRIAL_DELAY_GROWTH.saturating_pow(self.failed_trials());
         let delay = FIRST_TRIAL_DELAY.saturating_mul(growth).min(MAX_TRIAL_DELAY);
-        Some(self.quarantined_at.max(self.tried_at)? + delay)
+        Some(self.tried_at.max(Some(since))? + delay)
+    }
+
+    /// Returns how often the trials have moved on to another target: with each that was begun, and
+    /// whenever one is due that no target begins.
+    pub fn trial_turn(&self, now: MonotonicTime) -> usize {
+        let overdue = self.trial_due().map_or(Duration::ZERO, |due| now.since(due));
+        usize::from(self.trials) + (overdue.as_secs() / VERDICT_TIME.as_secs()) as usize
+    }
+
+    /// Returns the number of trials that ended their engines.
+    fn failed_trials(&self) -> u32 {
+        let first = self.quarantined_at.map(|since| (since + FIRST_TRIAL_DELAY).before(TIME_ERROR));
+        let losses = self.losses.iter().filter(|loss| first.is_some_and(|first| loss.at >= first));
+        // After a restart the losses are unknown.
+        let restored = usize::from(self.trials > 0 && self.tried_at.is_none());
+        losses.count().max(restored).min(self.trials.into()) as u32
+    }
+
+    /// Returns whether a loss is among the evidence that came at a time or later.
+    fn has_loss_since(&self, time: MonotonicTime) -> bool {
+        self.losses.last().is_some_and(|loss| loss.at >= time)
     }
 
     /// Returns whether a loss is among the evidence.
@@ -146,7 +181,7 @@
         self.trials = 1;
     }
 
-    /// Records a trial, after which the next one is due later.
+    /// Records that a trial begins.
     pub fn record_trial(&mut self, now: MonotonicTime) {
         self.trials = self.trials.saturating_add(1);
         self.tried_at = Some(now);
--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -81,6 +81,13 @@
         decision
     }
 
+    /// Returns the turn of the targets that run the trials of a part, see
+    /// [`PlacementPolicy::choose_for_trial`](crate::PlacementPolicy::choose_for_trial).
+    #[must_use]
+    pub fn trial_turn(&self, part: PromptPart, now: MonotonicTime) -> usize {
+        self.get(part).map_or(0, |row| row.trial_turn(now))
+    }
+
     /// Records that a request with these parts is run as a trial.
     pub fn begin_trial(&mut self, parts: &[PromptPart], now: MonotonicTime) {
         for part in parts {
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -247,7 +247,8 @@
         let view = &self.context.handler.view;
         let now = view.clock.now();
         view.with_targets(|targets| {
-            PlacementPolicy.choose_for_trial(targets, now, &self.service, part)
+            let turn = view.quarantine.trial_turn(part);
+            PlacementPolicy.choose_for_trial(targets, now, &self.service, part, turn)
         })
     }
 
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -126,7 +126,8 @@
                     state.schedule.borrow().choose_target(targets, now, &request)?
                 }
                 QuarantineDecision::Try(part) => {
-                    PlacementPolicy.choose_for_trial(targets, now, &service, part)?
+                    let turn = state.view.quarantine.trial_turn(part);
+                    PlacementPolicy.choose_for_trial(targets, now, &service, part, turn)?
                 }
                 QuarantineDecision::Refuse(..) => return None,
             };
--- a/crates/serving/src/quarantine_desk.rs
+++ b/crates/serving/src/quarantine_desk.rs
@@ -64,6 +64,11 @@
         self.table.borrow().decide(parts, self.now())
     }
 
+    /// Returns the turn of the targets that run the trials of a part.
+    pub fn trial_turn(&self, part: PromptPart) -> usize {
+        self.table.borrow().trial_turn(part, self.now())
+    }
+
     /// Returns the parts in quarantine, sorted, each with the time for which it has been there.
     pub fn quarantined(&self) -> Vec<(PromptPart, Duration)> {
         let now = self.now();
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -369,7 +369,7 @@
         targets
     };
     let choose = |targets: &TargetTable, part: u64, now: MonotonicTime| {
-        let choice = PlacementPolicy.choose_for_trial(targets, now, "llm", PromptPart(part));
+        let choice = PlacementPolicy.choose_for_trial(targets, now, "llm", PromptPart(part), 0);
         choice.map(|choice| choice.id)
     };
     let (mut targets, other) = (table(&[1, 2, 3, 4, 5, 6]), table(&[6, 4, 2, 5, 3, 1]));
@@ -384,6 +384,22 @@
     assert_eq!(choose(&targets, 7, at(60_000)), None);
 }
 
+#[test]
+fn trials_that_one_target_does_not_answer_go_to_all_others_in_turn() {
+    let mut targets = TargetTable::default();
+    for last in 1..=5 {
+        targets.upsert(record(&format!("t{last}"), "a", last), MonotonicTime::ZERO);
+    }
+    for part in (0..50).map(PromptPart) {
+        let mut chosen: Vec<String> = (3..8)
+            .filter_map(|turn| PlacementPolicy.choose_for_trial(&targets, at(0), "llm", part, turn))
+            .map(|choice| choice.id)
+            .collect();
+        chosen.sort();
+        assert_eq!(chosen, ["t1", "t2", "t3", "t4", "t5"], "{part}");
+    }
+}
+
 #[test]
 fn a_target_at_its_limit_gets_requests_again_when_it_takes_the_next() {
     let mut targets = table_of_two();
--- a/tests/dispatch/quarantine.rs
+++ b/tests/dispatch/quarantine.rs
@@ -230,6 +230,68 @@
     assert!(matches!(other.decide(&[CRASHING], at(26_130)), QuarantineDecision::Refuse(..)));
 }
 
+#[test]
+fn a_trial_that_brings_no_verdict_is_soon_followed_by_another() {
+    let mut table = convicted_table();
+    let mut other = convicted_table();
+    // The engine or the sidecar goes silent, or the keeper dies, again and again.
+    for begun in [6_000, 10_000, 14_000, 18_000] {
+        assert_eq!(table.decide(&[CRASHING], at(begun)), QuarantineDecision::Try(CRASHING));
+        assert_eq!(other.decide(&[CRASHING], at(begun)), QuarantineDecision::Try(CRASHING));
+        table.begin_trial(&[CRASHING], at(begun));
+        other.merge(&table.records(at(begun + 10), false), at(begun + 20), at(begun + 20));
+        for table in [&table, &other] {
+            let decision = table.decide(&[CRASHING], at(begun + 2_000));
+            assert!(matches!(decision, QuarantineDecision::Refuse(..)), "two trials at once");
+        }
+    }
+}
+
+#[test]
+fn trials_move_on_from_a_target_that_does_not_begin_or_not_answer_them() {
+    let mut table = convicted_table();
+    let mut other = convicted_table();
+    // Due at 5.8 s; the first target does not begin it.
+    for (now, turn) in [(5_900, 0), (8_700, 0), (8_900, 1), (11_700, 1), (11_900, 2)] {
+        assert_eq!(table.trial_turn(CRASHING, at(now)), turn, "at {now} ms");
+    }
+    table.begin_trial(&[CRASHING], at(5_900));
+    other.merge(&table.records(at(5_910), false), at(5_910), at(5_920));
+    for table in [&table, &other] {
+        assert_eq!(table.trial_turn(CRASHING, at(5_950)), 1);
+        assert_eq!(table.trial_turn(CRASHING, at(9_000)), 1);
+    }
+}
+
+#[test]
+fn trials_that_brought_no_verdict_do_not_prolong_the_quarantine_after_one_that_did() {
+    let mut table = convicted_table();
+    for begun in [6_000, 10_000, 14_000] {
+        table.begin_trial(&[CRASHING], at(begun));
+    }
+    lose(&mut table, 9, 14_100, &[&[CRASHING]]);
+    for waiting in [18_000, 33_900] {
+        let decision = table.decide(&[CRASHING], at(waiting));
+        assert!(matches!(decision, QuarantineDecision::Refuse(..)), "an engine ended");
+    }
+    assert_eq!(table.decide(&[CRASHING], at(34_000)), QuarantineDecision::Try(CRASHING));
+}
+
+#[test]
+fn a_part_that_ends_the_engine_of_each_trial_is_tried_ever_more_rarely() {
+    let mut table = convicted_table();
+    let mut trials = Vec::new();
+    for now in (1_000..600_000).step_by(100) {
+        if table.decide(&[CRASHING], at(now)) == QuarantineDecision::Try(CRASHING) {
+            trials.push(now);
+            table.begin_trial(&[CRASHING], at(now));
+            let engine = 10 + trials.len() as u8;
+            lose(&mut table, engine, now + 100, &[&[CRASHING]]);
+        }
+    }
+    assert!(trials.len() <= 7, "{trials:?}");
+}
+
 #[test]
 fn a_quarantine_ends_everywhere_once_an_engine_has_survived_the_part() {
     let mut table = convicted_table();
