Sidecar queue: a change of the slots wakes the queue's timer

The request that brings a new number of slots may itself be refused, and then nothing recomputed when the queue's next tick is due. Found by reading; no test shows the missing wake itself.

no_request_waits_at_an_idle_engine_without_a_tick drives the queue by random requests, refusals, late ticks and changes of the slots, and then by its own ticks alone.

--- a/crates/serving/src/sidecar/slot_gate.rs
+++ b/crates/serving/src/sidecar/slot_gate.rs
@@ -64,6 +64,7 @@
     /// Sets the engine's number of slots.
     pub fn set_slots(&self, slots: u32) {
         self.queue.borrow_mut().set_slots(slots);
+        self.changed.notify_one();
     }
 
     /// Sets the limit that the engine names, in requests a second; `None` if it names none.
--- a/tests/dispatch/slot_queue.rs
+++ b/tests/dispatch/slot_queue.rs
@@ -7,6 +7,7 @@
 use cv_dispatch::QueueCommand;
 use cv_dispatch::SlotQueue;
 use cv_policy::MonotonicTime;
+use cv_policy::SeededRandom;
 use cv_policy::TicketId;
 use cv_policy::WorkClass;
 
@@ -356,3 +357,95 @@
     assert_eq!(queue.load_report().online_running, 3);
     assert!(queue.expected_wait(at(61)).is_zero(), "one request may try");
 }
+
+/// A queue under random requests, refusals and late ticks, with the requests that it runs.
+struct QueueRun {
+    now: u64,
+    queue: SlotQueue,
+    random: SeededRandom,
+    running: Vec<TicketId>,
+}
+
+impl QueueRun {
+    /// Applies decisions as the sidecar does.
+    fn apply(&mut self, commands: Vec<QueueCommand>) {
+        for command in commands {
+            match command {
+                QueueCommand::Start(ticket) => self.running.push(ticket),
+                QueueCommand::Preempt(ticket) => self.running.retain(|other| *other != ticket),
+                QueueCommand::Evict(ticket) => {
+                    self.running.retain(|other| *other != ticket);
+                    let mut commands = Vec::new();
+                    self.queue.remove(at(self.now), ticket, &mut commands);
+                    self.apply(commands);
+                }
+            }
+        }
+    }
+
+    /// Admits a request, ends or refuses a running one, changes the slots, or ticks late.
+    fn step(&mut self, ticket: u64) {
+        let (mut commands, now) = (Vec::new(), at(self.now));
+        let position = self.random.below(self.running.len().max(1));
+        match self.random.below(8) {
+            0..=2 => {
+                let class = self.random.below(2);
+                let options = if class == 0 { batch(self.now + 9_000) } else { online(3_000) };
+                let ticket = TicketId(ticket);
+                let decision = self.queue.admit(now, ticket, &options, &mut commands);
+                if decision == AdmissionDecision::Start {
+                    self.running.push(ticket);
+                }
+            }
+            3 | 4 if !self.running.is_empty() => {
+                let ticket = self.running.swap_remove(position);
+                self.queue.finish(now, ticket, &mut commands);
+            }
+            5 if !self.running.is_empty() => {
+                let ticket = self.running.swap_remove(position);
+                self.queue.requeue(now, ticket, Duration::from_secs(2), &mut commands);
+                self.queue.tick(now, &mut commands);
+            }
+            6 => self.queue.set_slots(1 + self.random.below(4) as u32),
+            _ if self.queue.next_tick(now).is_some_and(|tick| tick <= now) => {
+                self.queue.tick(now, &mut commands);
+            }
+            _ => {}
+        }
+        self.apply(commands);
+        self.now += self.random.below(100) as u64;
+    }
+
+    /// Ends running requests and ticks when the queue asks for it, until nothing is left.
+    fn drain(&mut self) -> Result<(), String> {
+        for _ in 0..10_000 {
+            let report = self.queue.load_report();
+            let mut commands = Vec::new();
+            if let Some(ticket) = self.running.pop() {
+                self.queue.finish(at(self.now), ticket, &mut commands);
+            } else if report.batch_waiting + report.online_waiting == 0 {
+                return Ok(());
+            } else if let Some(tick) = self.queue.next_tick(at(self.now)) {
+                self.now = self.now.max(tick.as_micros().div_ceil(1_000));
+                self.queue.tick(at(self.now), &mut commands);
+            } else {
+                return Err(format!("no tick is due: {report:?}"));
+            }
+            self.apply(commands);
+            self.now += self.random.below(100) as u64;
+        }
+        Err("ticks without an end".to_owned())
+    }
+}
+
+#[test]
+fn no_request_waits_at_an_idle_engine_without_a_tick() {
+    for seed in 1..=300 {
+        let (queue, random) = (SlotQueue::new(3), SeededRandom::new(seed));
+        let mut run = QueueRun { now: 0, queue, random, running: Vec::new() };
+        for ticket in 0..200 {
+            run.step(ticket);
+        }
+        run.drain().unwrap_or_else(|detail| panic!("seed {seed}: {detail}"));
+    }
+}
