Fleet of tests: the age of a process leaves out the time for which it was stopped

Between two of its started lines is a start without any line: it was stopped right after its start, so its 100 ms to install the signal handlers had passed without it running. The schedule still terminates every process that has run for 100 ms.

--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -8,6 +8,9 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU16;
@@ -104,6 +107,8 @@
     pub node_proxy: Option<FaultProxy>,
     settings: PathBuf,
     started_at: Instant,
+    /// Time for which the process was stopped since its start, and since when it is stopped now.
+    stops: Mutex<(Duration, Option<Instant>)>,
     /// Proxy between the process and the store.
     pub store_proxy: FaultProxy,
     /// Proxy between a sidecar and its engine, if there is one.
@@ -158,16 +163,32 @@
         command.arg("node").arg(&self.settings).stdin(Stdio::null()).stdout(log).stderr(stderr);
         self.child = Some(command.spawn().expect("the binary can be run"));
         self.started_at = Instant::now();
+        *self.lock_stops() = (Duration::ZERO, None);
     }
 
-    /// Returns the time since the process was last started.
+    /// Returns the time since the process was last started, without that for which it was stopped.
     #[must_use]
     pub fn age(&self) -> Duration {
-        self.started_at.elapsed()
+        let (stopped, since) = *self.lock_stops();
+        let stopped = stopped + since.map_or(Duration::ZERO, |since| since.elapsed());
+        self.started_at.elapsed().saturating_sub(stopped)
+    }
+
+    /// Locks the stops; ignores poisoning, as each change to them is complete in itself.
+    fn lock_stops(&self) -> MutexGuard<'_, (Duration, Option<Instant>)> {
+        self.stops.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sends a signal to the process; does nothing if it is not running.
     pub fn signal(&self, signal: Signal) {
+        let mut stops = self.lock_stops();
+        if signal == Signal::STOP {
+            stops.1.get_or_insert_with(Instant::now);
+        } else if signal == Signal::CONT
+            && let Some(since) = stops.1.take()
+        {
+            stops.0 += since.elapsed();
+        }
         let id = self.child.as_ref().map(|child| child.id().cast_signed());
         if let Some(pid) = id.and_then(Pid::from_raw) {
             // The only expected error is that the process has exited.
@@ -572,6 +593,7 @@
             node_proxy,
             settings,
             started_at: Instant::now(),
+            stops: Mutex::default(),
             store_proxy,
             target_proxy,
         });
