Soak: the history is done before the faults begin

The callers now wait for each job's result, up to 8 s in all, and close a quarter of the jobs after that.

--- a/crates/clementinevale/tests/soak/soak_jobs.rs
+++ b/crates/clementinevale/tests/soak/soak_jobs.rs
@@ -52,12 +52,12 @@
 const FINISH_TIME: Duration = Duration::from_secs(18);
 
 /// Concurrent callers that submit the history.
-const HISTORY_CALLERS: usize = 8;
+const HISTORY_CALLERS: usize = 24;
 
 /// Number of events of an item of the history.
 const HISTORY_EVENTS: u64 = 2;
 
-/// Maximum time for which the history is submitted.
+/// Maximum time until the history is done.
 const HISTORY_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Submits, reads and closes the jobs of a run.
@@ -167,8 +167,8 @@
     }
 }
 
-/// Submits small jobs ahead of the faults and closes some, whose records then fill the store's first
-/// pages; gives up those that are not accepted in time.
+/// Submits small jobs ahead of the faults and closes some when they are done, so that their records fill
+/// the store's first pages; gives up those that are not accepted or done in time.
 pub fn submit_history(entries: &[SocketAddr], seed: u64, count: usize) {
     let started_at = Instant::now();
     let submissions = (0..HISTORY_CALLERS).map(|caller| async move {
@@ -181,6 +181,15 @@
                 }
                 monoio::time::sleep(RETRY_INTERVAL).await;
             }
+            let is_done = async || {
+                let results = read_results(entry, &id, 0).await;
+                results.is_ok_and(|read| {
+                    read["results"].as_array().is_some_and(|rows| !rows.is_empty())
+                })
+            };
+            while !is_done().await && started_at.elapsed() < HISTORY_TIMEOUT {
+                monoio::time::sleep(RETRY_INTERVAL).await;
+            }
             if number % JOBS_PER_CLOSE == 0 {
                 // A job that could not be closed stays as one that is done.
                 close_job(entry, &id).await;
