--- a/crates/serving/src/keeper/keeper_registration.rs
+++ b/crates/serving/src/keeper/keeper_registration.rs
@@ -15,6 +15,7 @@
 use futures::future::join_all;
 use http::Method;
 use http::StatusCode;
+use monoio::time::timeout;
 
 use crate::CommitOutcome;
 use crate::CoordinationStore;
@@ -53,6 +54,9 @@
 /// Number of consecutive checks that do not find the registration before it is made again.
 const MAX_MISSED_CHECKS: u32 = 2;
 
+/// Time to read the work after which a log line says that the keeper is not registered yet.
+const WORK_LOAD_TIME: Duration = Duration::from_secs(3);
+
 /// Delay after a failed registration.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -61,7 +65,10 @@
 /// From the registration on, the other processes leave this keeper's share of the jobs to it, so it
 /// has to know the work before.
 pub(crate) async fn maintain_registration<P: PlatformAdapter>(state: Rc<KeeperState<P>>) {
-    state.work_loaded.wait().await;
+    if timeout(WORK_LOAD_TIME, state.work_loaded.wait()).await.is_err() {
+        log::warn!("the work is not read after {WORK_LOAD_TIME:?}; not registered until it is");
+        state.work_loaded.wait().await;
+    }
     while !state.is_draining.get() {
         match register(&state).await {
             Some(lease) => {
