Keepers: an outage that was confirmed before a freeze is confirmed anew

By reading: for up to 0.9 s after a thaw a keeper that had been frozen during an outage could start items that others own or have closed meanwhile. No test shows it.

--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -84,8 +84,10 @@
             }
             let now = state.view.clock.now();
             if thaw.may_read_backlog(now) {
-                // Responses that arrived during the freeze are no sign of contact with the store.
+                // Responses that arrived during the freeze are no sign of contact with the store, nor is
+                // what peers said before it a sign of an outage.
                 state.forget_closed_jobs();
+                state.is_outage_confirmed.set(false);
             }
             thaw.tick(now);
             dispatch_items(&state);
