--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -48,8 +48,8 @@
 /// Time between two checks of whether a run is lost while it waits for output.
 const LOSS_CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Longest output of an item, in bytes; a read of results returns no more.
-const MAX_OUTPUT_BYTES: usize = 1024 * 1024;
+/// Longest output of an item, in bytes; with its id it fits into a value of the store.
+const MAX_OUTPUT_BYTES: usize = 1_000_000;
 
 /// Time for which a target that refused an item gets no other item.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(300);
