Tests: fleets of two processes never share addresses; the soak runs two seeds at once

A full run of the tests failed once beside other runs: a_keeper_runs_no_item_of_a_job_closed_while_it_had_lost_the_store, AddrInUse at the start of its fleet. Blocks of addresses came from the process id modulo 100. A fleet now reserves its block by a listener, and takes the next one if another process has it.

--- a/crates/clementinevale/tests/soak/guarantee_check.rs
+++ b/crates/clementinevale/tests/soak/guarantee_check.rs
@@ -161,7 +161,8 @@
             violations.push("no request was completed".to_owned());
         }
         if !violations.is_empty() {
-            let folder = std::env::temp_dir().join(format!("cv-soak-{}", std::process::id()));
+            let name = format!("cv-soak-{}-{}", std::process::id(), fleet.label());
+            let folder = std::env::temp_dir().join(name);
             let copied = fleet.copy_logs(&folder);
             violations.push(format!(
                 "logs: {}",
--- a/crates/clementinevale/tests/soak/main.rs
+++ b/crates/clementinevale/tests/soak/main.rs
@@ -12,6 +12,7 @@
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::thread::ScopedJoinHandle;
 use std::time::Duration;
 
 use cv_policy::SeededRandom;
@@ -46,6 +47,9 @@
 /// Largest multiple of the number of processes; the addresses of a fleet allow no more.
 const MAX_SCALE: u8 = 6;
 
+/// Seeds that run at the same time.
+const SEEDS_AT_ONCE: usize = 2;
+
 /// Number of concurrent callers of a fleet of the smallest size.
 const CALLERS: u64 = 4;
 
@@ -75,11 +79,23 @@
     let seconds = environment_variable("CV_SOAK_SECONDS").and_then(|text| text.parse().ok());
     let seconds = Duration::from_secs(seconds.unwrap_or(DEFAULT_SECONDS));
     let mut failures = Vec::new();
-    for seed in seeds() {
-        let violations = run_seed(seed, seconds);
-        println!("seed {seed}: {}", if violations.is_empty() { "passed" } else { "failed" });
-        failures
-            .extend(violations.into_iter().map(|violation| format!("seed {seed}: {violation}")));
+    for seeds in seeds().chunks(SEEDS_AT_ONCE) {
+        let runs = std::thread::scope(|scope| {
+            let start = |seed: &u64| {
+                let seed = *seed;
+                (seed, scope.spawn(move || run_seed(seed, seconds)))
+            };
+            let threads: Vec<_> = seeds.iter().map(start).collect();
+            let join = |(seed, thread): (u64, ScopedJoinHandle<'_, Vec<String>>)| {
+                (seed, thread.join().expect("the run does not panic"))
+            };
+            threads.into_iter().map(join).collect::<Vec<_>>()
+        });
+        for (seed, violations) in runs {
+            println!("seed {seed}: {}", if violations.is_empty() { "passed" } else { "failed" });
+            let named = violations.into_iter().map(|violation| format!("seed {seed}: {violation}"));
+            failures.extend(named);
+        }
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -1,10 +1,12 @@
 //! A fleet of node processes on loopback addresses, with stand-ins for the platform.
 
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -39,6 +41,9 @@
 /// Port of the calls between node processes.
 const INTERNAL_PORT: u16 = 17_660;
 
+/// Host of a fleet's addresses that only reserves them.
+const RESERVED_HOST: u8 = 254;
+
 /// Port on which entries accept callers' requests.
 const ENTRY_PORT: u16 = 18_144;
 
@@ -122,6 +127,8 @@
 pub struct NodeFleet {
     /// Second and third octet of the fleet's addresses.
     address_block: [u8; 2],
+    /// Keeps other processes from using the same addresses.
+    _reservation: TcpListener,
     /// Prompts that end the engines.
     pub crash_rule: CrashRule,
     /// Whether the engines' streams have no chunks and end with their connection.
@@ -294,13 +301,13 @@
     /// Panics if a process or stand-in does not start, or the fleet is not ready in time.
     #[must_use]
     pub fn start_with(binary: &str, size: NodeFleetSize, options: FleetOptions) -> Self {
-        let address_block =
-            [100 + (std::process::id() % 100) as u8, NEXT_BLOCK.fetch_add(1, Ordering::Relaxed)];
+        let (address_block, reservation) = reserve_block();
         let folder = TempDir::new().expect("a temporary folder can be created");
         let store = PlatformStore::default();
         let store_thread = store.start(SocketAddr::new(ip_address(address_block, 1), 0));
         let mut fleet = Self {
             address_block,
+            _reservation: reservation,
             crash_rule: CrashRule::new(ENGINE_DOWN_TIME),
             has_unframed_streams: Arc::default(),
             resume_status: Arc::default(),
@@ -329,6 +336,13 @@
         fleet
     }
 
+    /// Returns a name that no other running fleet has.
+    #[must_use]
+    pub fn label(&self) -> String {
+        let [process, number] = self.address_block;
+        format!("{process}-{number}")
+    }
+
     /// Returns the addresses on which the entries accept callers' requests.
     #[must_use]
     pub fn entry_addresses(&self) -> Vec<SocketAddr> {
@@ -634,6 +648,20 @@
     }
 }
 
+/// Reserves a block of addresses that no other fleet uses, also none of another process.
+fn reserve_block() -> ([u8; 2], TcpListener) {
+    loop {
+        let number = NEXT_BLOCK.fetch_add(1, Ordering::Relaxed);
+        let block = [100 + (std::process::id() % 100) as u8, number];
+        let address = SocketAddr::new(ip_address(block, RESERVED_HOST), INTERNAL_PORT);
+        match TcpListener::bind(address) {
+            Ok(listener) => return (block, listener),
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+            Err(error) => panic!("{address} cannot be reserved: {error}"),
+        }
+    }
+}
+
 /// Returns whether a GET request gets a response with a status.
 fn responds(address: SocketAddr, path: &str, status: &[u8]) -> bool {
     let Ok(mut stream) = std::net::TcpStream::connect(address) else {
