--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -276,10 +276,10 @@
         else {
             return;
         };
-        // The first write ends the job: one that is left without its results would run again.
-        let mut removals = vec![job_key(&job_id), closed_key(&job_id)];
-        removals.extend(results.items.into_iter().map(|item| item.key));
+        let mut removals: Vec<String> = results.items.into_iter().map(|item| item.key).collect();
         removals.extend(parts.items.into_iter().map(|item| item.key));
+        removals.push(closed_key(&job_id));
+        removals.push(job_key(&job_id));
         for keys in removals.chunks(16) {
             let commit = StoreCommit::remove(keys);
             if let Err(fault) = state.view.store_health.observe(state.store.commit(&commit).await) {
