Keepers: an adopted job brings its own close

Each job that a read found in the store made the keeper forget all closes, so that none of its items started before a further read of them; a hundred jobs found within a second could put that off again and again. The close of the one job is looked up instead.

--- a/crates/serving/src/keeper/job_requests.rs
+++ b/crates/serving/src/keeper/job_requests.rs
@@ -240,8 +240,8 @@
 /// Finds a job in memory or in the store; `Ok(None)` if the store confirms that it does not exist.
 ///
 /// A job that is found in the store has not been reported by the watch yet and is added, so that it
-/// runs if this keeper is the owner. The same holds for closes, which are read again before that. One
-/// past its retention is about to be purged and is not added.
+/// runs if this keeper is the owner. Its close may not have been reported either, and is looked up. A
+/// job past its retention is about to be purged and is not added.
 ///
 /// # Errors
 /// Faults of the store; `Invalid` if the job cannot be decoded.
@@ -258,7 +258,10 @@
             Ok(record) => {
                 let spec = record.read_spec(state, job_id).await?;
                 if state.age_since(spec.submitted_ms) <= RETENTION {
-                    state.forget_closed_jobs();
+                    let close = state.store.get(&closed_key(job_id)).await;
+                    if state.view.store_health.observe(close)?.is_some() {
+                        mark_job_closed(state, job_id);
+                    }
                     state.jobs.add(spec.clone());
                     state.work_available.notify_one();
                 }
