Owner check: bounded lookups, one check of a registration for all jobs of an owner

An owner that left many jobs to a dead keeper read that keeper's registration once for each, and looked up all unknown jobs at once; a registration that could not be read held up the questions to other owners.

--- a/crates/serving/src/keeper/owner_check.rs
+++ b/crates/serving/src/keeper/owner_check.rs
@@ -25,6 +25,9 @@
 use crate::keeper::keeper_registration::PEER_QUERY_TIMEOUT;
 use crate::keeper::keeper_state::KeeperState;
 
+/// A job that has been unclaimed for the given time.
+type OverdueJob = (String, Duration);
+
 /// Path at which a keeper says which of the given jobs it owns.
 pub(crate) const OWNED_PATH: &str = "/cv/owned";
 
@@ -38,6 +41,9 @@
 /// Checks after which jobs that are not known any more are forgotten.
 const CHECKS_UNTIL_FORGOTTEN: u64 = 60;
 
+/// Most jobs that are looked up in the store at once; a peer asks again about the others.
+const MAX_LOOKUPS: usize = 32;
+
 /// Starts the task that checks the jobs of other owners for as long as the process runs.
 pub(crate) fn start_owner_check<P: PlatformAdapter>(
     state: &Rc<KeeperState<P>>,
@@ -85,7 +91,7 @@
 
 /// Asks one owner about jobs, and checks its registration if it does not claim one for long.
 async fn check_owner<P: PlatformAdapter>(
-    state: &KeeperState<P>,
+    state: &Rc<KeeperState<P>>,
     owner: &KeeperRecord,
     jobs: &[String],
 ) {
@@ -95,11 +101,11 @@
     for (index, job) in jobs.iter().enumerate() {
         let reply = replies.as_ref().and_then(|replies| replies.get(index).copied());
         if let Some(time) = state.unclaimed.borrow_mut().record(job, reply, now) {
-            overdue.push((job.as_str(), time));
+            overdue.push((job.clone(), time));
         }
     }
     if !overdue.is_empty() {
-        check_registration(state, &owner.name, &overdue, replies.is_some()).await;
+        start_registration_check(state, owner.name.clone(), overdue, replies.is_some());
     }
 }
 
@@ -132,19 +138,24 @@
     let replies: Vec<OwnerReply> = jobs.iter().map(|job| owner_reply(state, job)).collect();
     let now = state.view.clock.now();
     let keeper_set = state.view.keepers();
+    let mut overdue: Vec<(String, Vec<OverdueJob>)> = Vec::new();
     for (job, reply) in jobs.into_iter().zip(&replies) {
         let Some(time) = state.unclaimed.borrow_mut().record(&job, Some(*reply), now) else {
             continue;
         };
         // This keeper leaves the job to another one, which may be gone.
-        let owner = keeper_set.ranking_for(&job).first().map(|owner| owner.name.clone());
-        if let Some(owner) = owner.filter(|owner| *owner != state.identity.name) {
-            let state = Rc::clone(state);
-            monoio::spawn(async move {
-                check_registration(&state, &owner, &[(&job, time)], false).await;
-            });
+        let ranking = keeper_set.ranking_for(&job);
+        let Some(owner) = ranking.first().filter(|owner| owner.name != state.identity.name) else {
+            continue;
+        };
+        match overdue.binary_search_by(|(other, _)| other.cmp(&owner.name)) {
+            Ok(position) => overdue[position].1.push((job, time)),
+            Err(position) => overdue.insert(position, (owner.name.clone(), vec![(job, time)])),
         }
     }
+    for (owner, jobs) in overdue {
+        start_registration_check(state, owner, jobs, false);
+    }
     match postcard::to_stdvec(&replies) {
         Ok(body) => (StatusCode::OK, Bytes::from(body)),
         Err(fault) => {
@@ -175,6 +186,9 @@
 /// Starts to look a job up in the store, unless that is under way.
 fn look_up_job<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job_id: &str) {
     let mut lookups = state.lookups.borrow_mut();
+    if lookups.len() >= MAX_LOOKUPS {
+        return;
+    }
     let Err(position) = lookups.binary_search_by(|other| other.as_str().cmp(job_id)) else {
         return;
     };
@@ -194,22 +208,27 @@
     });
 }
 
-/// Removes a keeper that claims none of the jobs it should own, and whose registration is gone from the
-/// store, past any deferral of its removal.
-async fn check_registration<P: PlatformAdapter>(
-    state: &KeeperState<P>,
-    owner: &str,
-    jobs: &[(&str, Duration)],
+/// Starts to remove a keeper that claims none of the jobs it should own, if its registration is gone
+/// from the store; past any deferral of its removal.
+fn start_registration_check<P: PlatformAdapter>(
+    state: &Rc<KeeperState<P>>,
+    owner: String,
+    jobs: Vec<OverdueJob>,
     has_replied: bool,
 ) {
-    let is_removed = state.view.remove_keeper_if_gone(&*state.store, owner).await;
-    state.view.log.record(LinePriority::Essential, EventKind::JobStalled, jobs[0].0, || {
-        let time = jobs[0].1.as_millis();
-        let count = jobs.len();
-        format!(
-            "cause=unclaimed owner={owner} replied={has_replied} stalled_ms={time} jobs={count} \
-             owner_removed={is_removed:?}"
-        )
+    let state = Rc::clone(state);
+    monoio::spawn(async move {
+        let is_removed = state.view.remove_keeper_if_gone(&*state.store, &owner).await;
+        let Some((job, time)) = jobs.first() else {
+            return;
+        };
+        state.view.log.record(LinePriority::Essential, EventKind::JobStalled, job, || {
+            let (time, count) = (time.as_millis(), jobs.len());
+            format!(
+                "cause=unclaimed owner={owner} replied={has_replied} stalled_ms={time} \
+                 jobs={count} owner_removed={is_removed:?}"
+            )
+        });
+        state.work_available.notify_one();
     });
-    state.work_available.notify_one();
 }
