Keepers: a read of the closed jobs counts for 2.5 s

Later pages are now read again when they fail, so a read of many pages could last longer than the 3 s after which no item of a closed job may start, while a job on its first page was closed.

--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -54,6 +54,10 @@
 /// Delay before a failed read of a job is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Longest read of the closed jobs that counts: a job may have been closed since it began, and none of
+/// its items may start 3 s after that.
+const MAX_CLOSED_READ_TIME: Duration = Duration::from_millis(2_500);
+
 /// Time after its submission for which a job and its results are kept in the store; a job that is
 /// open is kept until all its results are listed.
 pub(crate) const RETENTION: Duration = Duration::from_mins(3);
@@ -303,9 +307,11 @@
     if let Some(mark) = state.update_closes(CloseKnowledge::begin_read) {
         let state = Rc::clone(state);
         monoio::spawn(async move {
+            let started = state.view.clock.now();
             let read = state.store.range(CLOSED_PREFIX).await;
             let read = state.view.store_health.observe(read);
-            let is_complete = read.is_ok();
+            let elapsed = state.view.clock.now().since(started);
+            let is_complete = read.is_ok() && elapsed <= MAX_CLOSED_READ_TIME;
             for item in read.map(|snapshot| snapshot.items).unwrap_or_default() {
                 if let Some(WorkKey::Closed(job_id)) = WorkKey::parse(&item.key) {
                     mark_job_closed(&state, job_id);
