Keepers: a job past its retention is looked up before its results are loaded

A keeper that had missed the purge of a job and became its owner found no results and would have run the items again.

--- a/crates/serving/src/keeper/result_commits.rs
+++ b/crates/serving/src/keeper/result_commits.rs
@@ -13,10 +13,12 @@
 use crate::StoreCommit;
 use crate::StoreFault;
 use crate::StoredItem;
+use crate::keeper::job_dispatch::RETENTION;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::progress_replication::fetch_updates;
 use crate::keeper::stored_keys::decode_results;
 use crate::keeper::stored_keys::encode_results;
+use crate::keeper::stored_keys::job_key;
 use crate::keeper::stored_keys::result_key;
 use crate::keeper::stored_keys::result_prefix;
 use crate::keeper::tracked_job::TrackedJob;
@@ -177,6 +179,21 @@
     if !job.results.get().is_current(load) {
         return;
     }
+    // A job may have been purged in a gap of the watch, and its results with it.
+    if state.job_age(job) > RETENTION {
+        let record = state.view.store_health.observe(state.store.get(&job_key(&job_id)).await);
+        match record {
+            Ok(Some(_)) => {}
+            Ok(None) => return state.jobs.remove(&job_id),
+            Err(_) => {
+                job.update_results(|results| results.finish(load, false));
+                return;
+            }
+        }
+        if !job.results.get().is_current(load) {
+            return;
+        }
+    }
     let is_complete = adopt_segments(job, &snapshot.items);
     job.update_results(|results| results.finish(load, is_complete));
     log_results_listed(state, job, if is_complete { "loaded" } else { "loaded in part" });
