--- a/crates/serving/src/prefix_watcher.rs
+++ b/crates/serving/src/prefix_watcher.rs
@@ -20,6 +20,9 @@
 /// Time within which a change that a cheap read has shown must reach the watch.
 const WATCH_DELAY: Duration = Duration::from_millis(150);
 
+/// Longest delay of a read after the store's return.
+const RETURN_JITTER: Duration = Duration::from_millis(200);
+
 /// Backoff after the first failed call; doubles with each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -81,7 +84,11 @@
             let watched = monoio::select! {
                 watched = self.store.watch(self.keys.prefix, revision, WATCH_TIMEOUT) => watched,
                 () = self.watch_stalled(revision) => return true,
-                () = self.store_health.wait_for_return(returns) => return true,
+                () = self.store_health.wait_for_return(returns) => {
+                    // All processes see the store's return at about the same time.
+                    monoio::time::sleep(RETURN_JITTER.mul_f64(self.random.fraction())).await;
+                    return true;
+                }
             };
             match self.store_health.observe(watched) {
                 // A watch that is about to lose its history may end without reporting changes, so
