--- a/crates/dispatch/src/close_knowledge.rs
+++ b/crates/dispatch/src/close_knowledge.rs
@@ -7,7 +7,8 @@
 /// A keeper's knowledge of which jobs are closed, and the read that restores it.
 ///
 /// A read that began before the keeper forgot says nothing about what has been closed since, however
-/// late it ends; and it keeps no other read from beginning.
+/// late it ends; and it keeps no other read from beginning. A read during which the store was silent
+/// counts, see [`Self::lapse`].
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CloseKnowledge {
     /// Number of times that the keeper has forgotten.
--- a/crates/dispatch/src/deferred_removals.rs
+++ b/crates/dispatch/src/deferred_removals.rs
@@ -36,7 +36,7 @@
 struct MissingKey {
     key: String,
     /// Time for which the store had responded when the key was missed.
-    responding_time: Duration,
+    responding_time_when_missed: Duration,
     /// When the key counts as removed, unless the store fails again.
     until: MonotonicTime,
 }
@@ -82,8 +82,9 @@
             return true;
         };
         if let Err(position) = self.position(key) {
-            let responding_time = self.responding_time;
-            let row = MissingKey { key: key.to_owned(), responding_time, until: grace_end };
+            let responding_time_when_missed = self.responding_time;
+            let row =
+                MissingKey { key: key.to_owned(), responding_time_when_missed, until: grace_end };
             self.missing.insert(position, row);
         }
         false
@@ -97,14 +98,14 @@
     }
 
     /// Removes and returns the keys whose grace period has ended without a new registration, and those
-    /// that did not return in [`MAX_RESPONDING_TIME`].
+    /// that did not return although the store responded for long.
     pub fn take_expired(&mut self, now: MonotonicTime) -> Vec<String> {
         // Nothing can be registered while the store is failing, so the last outage counts.
         let grace_end = self.last_outage.map(|time| time + REREGISTRATION_GRACE);
         let is_over = grace_end.is_none_or(|time| time <= now);
         let responding_time = self.responding_time;
         let expired = self.missing.extract_if(.., |row| {
-            let responded = responding_time.saturating_sub(row.responding_time);
+            let responded = responding_time.saturating_sub(row.responding_time_when_missed);
             is_over && row.until <= now || responded >= MAX_RESPONDING_TIME
         });
         expired.map(|row| row.key).collect()
--- a/crates/serving/src/store_health.rs
+++ b/crates/serving/src/store_health.rs
@@ -35,7 +35,8 @@
     /// Whether changes may have been missed since the last response.
     has_missed_changes: Cell<bool>,
     history: Cell<ContactHistory>,
-    last_failure: Cell<Option<MonotonicTime>>,
+    /// When the last call failed, also if that concerned this process alone.
+    burst_failure: Cell<Option<MonotonicTime>>,
     last_success: Cell<Option<MonotonicTime>>,
     log: LineLog,
     /// Time between all responses that followed each other without a failure.
@@ -55,7 +56,7 @@
             failures: Cell::new(0),
             has_missed_changes: Cell::new(false),
             history: Cell::default(),
-            last_failure: Cell::default(),
+            burst_failure: Cell::default(),
             last_success: Cell::default(),
             log,
             responding_time: Cell::default(),
@@ -189,7 +190,7 @@
         self.failures.set(0);
         let now = self.clock.now();
         if let Some(previous) = self.last_success.replace(Some(now))
-            && self.last_failure.get().is_none_or(|failure| failure <= previous)
+            && self.burst_failure.get().is_none_or(|failure| failure <= previous)
         {
             let added = now.since(previous).min(MAX_RESPONSE_GAP);
             self.responding_time.set(self.responding_time.get() + added);
@@ -201,7 +202,7 @@
     /// Records a call that the store has not responded to, or whose outcome is unknown.
     fn record_failure(&self, fault: &StoreFault) {
         let now = self.clock.now();
-        let last_failure = self.last_failure.replace(Some(now));
+        let last_failure = self.burst_failure.replace(Some(now));
         self.update_history(|history| history.record_failure(now));
         let is_same_burst = last_failure.is_some_and(|time| now.since(time) < BURST_TIME);
         if is_same_burst && self.failures.get() > 0 {
