Client: no body after a 100 Continue that was read late

A keeper that is stopped between the head and the body of an item finds the 100 Continue in its buffer when it goes on. The response is ready and its timer has fired; the response wins, the body is sent and the item runs, though its job was closed meanwhile. A process that reads the response more than half a second late sends no body.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -34,6 +35,9 @@
 /// Refusals after which a connection is not reused.
 const MAX_REFUSALS: usize = 16;
 
+/// Longest time in which a busy process reads a response that has arrived.
+const MAX_READ_DELAY: Duration = Duration::from_millis(500);
+
 /// A request to send, with its whole body.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
@@ -165,11 +169,16 @@
         let ClientRequest { body, headers, method, path } = request;
         let mut headers = headers.clone();
         headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
+        let started = Instant::now();
         let sent = self.writer.write_request_head(method, path, &headers, body.len()).await;
         sent.map_err(SendFault::BeforeBody)?;
         let head = self.reader.read_response_head(continue_timeout).await;
         let head = head.map_err(SendFault::BeforeBody)?;
         if head.status == StatusCode::CONTINUE {
+            // A response that arrived in time is read late only by a process that was stopped.
+            if started.elapsed() > continue_timeout + MAX_READ_DELAY {
+                return Err(SendFault::BeforeBody(HttpFault::TimedOut("continue")));
+            }
             return self.writer.write_body(body).await.map_err(SendFault::BodyStarted);
         }
         self.early_head = Some(head);
--- a/tests/border/main.rs
+++ b/tests/border/main.rs
@@ -4,5 +4,6 @@
 mod endless_bytes;
 mod http_input;
 mod journal_damage;
+mod late_continue;
 mod settings_findings;
 mod time_line;
