--- a/crates/clementinevale/tests/soak/guarantee_check.rs
+++ b/crates/clementinevale/tests/soak/guarantee_check.rs
@@ -121,9 +121,7 @@
         state.not_run.sort_unstable();
         state.closed.sort_unstable();
         let mut run_ids: Vec<String> =
-        // An overlap that has only begun is no violation yet.
-        std::thread::sleep(MAX_OVERLAP);
-        fleet.target_log.runs().into_iter().map(|run| run.request_id).collect();
+            fleet.target_log.runs().into_iter().map(|run| run.request_id).collect();
         run_ids.sort_unstable();
         let mut violations = std::mem::take(&mut state.violations);
         for (job, listed) in &state.unfinished {
@@ -145,6 +143,8 @@
                 violations.push(format!("item {id} ran but its job was refused at each attempt"));
             }
         }
+        // An overlap that has only begun is no violation yet.
+        std::thread::sleep(MAX_OVERLAP);
         let runs = fleet.target_log.runs();
         self.check_closed(fleet, &state.closed, &runs, &mut violations);
         self.check_overlaps(fleet, &runs, &mut violations);
