--- a/crates/serving/src/store_health.rs
+++ b/crates/serving/src/store_health.rs
@@ -119,8 +119,8 @@
         }
     }
 
-    /// Records that what watches have told was replaced by what another process knows, so that the next
-    /// response counts as a return of the store.
+    /// Records that watches may not have told of all changes, or that what they told was replaced, so that
+    /// the next response counts as a return of the store.
     pub fn record_missed_changes(&self) {
         self.has_missed_changes.set(true);
     }
