Calls: log lines that name the connection, the response and skipped strays

Nothing told a repeated refusal from a new one: a response to another request was skipped without a line, and no line named the connection of a response. Now each call of an entry, a keeper or a sidecar has a line response_received with the server's address, connection.request, the status and the request that the response names; a skipped response has a line stray_response and is counted in cv_front_, cv_keeper_ and cv_side_stray_responses_total.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,8 @@
 //! The client side of a connection.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,6 +22,7 @@
 use monoio::time::timeout;
 
 use crate::BodyFraming;
+use crate::ConnectionUse;
 use crate::HttpFault;
 use crate::HttpLimits;
 use crate::HttpReader;
@@ -38,6 +41,9 @@
 /// Longest time in which a busy process reads a response that has arrived.
 const MAX_READ_DELAY: Duration = Duration::from_millis(500);
 
+/// Number of the next connection of this process.
+static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
+
 /// A request to send, with its whole body.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
@@ -97,6 +103,8 @@
     stream_tail: Option<StreamTail>,
     /// Idle timeout that the server announced, if it did.
     keep_alive_timeout: Option<Duration>,
+    /// Which request of which connection this is, for the log.
+    connection_use: ConnectionUse,
     reader: HttpReader<OwnedReadHalf<TcpStream>>,
     /// Ids of requests that the server has refused on this connection.
     refused: Vec<String>,
@@ -134,6 +142,7 @@
             framing: BodyFraming::Empty,
             stream_tail: None,
             keep_alive_timeout: None,
+            connection_use: ConnectionUse::new(NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed)),
             reader: HttpReader::new(read_half, limits),
             refused: Vec::new(),
             reusable: true,
@@ -147,6 +156,7 @@
     /// Fails if the connection does; the server may have received the request nevertheless.
     pub async fn send(&mut self, request: &ClientRequest) -> Result<(), HttpFault> {
         self.reusable = false;
+        self.connection_use.begin_request();
         let ClientRequest { body, headers, method, path } = request;
         self.writer.write_request(method, path, headers, body).await
     }
@@ -166,6 +176,7 @@
         continue_timeout: Duration,
     ) -> Result<(), SendFault> {
         self.reusable = false;
+        self.connection_use.begin_request();
         let ClientRequest { body, headers, method, path } = request;
         let mut headers = headers.clone();
         headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
@@ -229,6 +240,12 @@
         self.reader.read_body(&mut self.framing, limit).await.map(|_| ())
     }
 
+    /// Returns which request of which connection was sent last.
+    #[must_use]
+    pub fn connection_use(&self) -> ConnectionUse {
+        self.connection_use
+    }
+
     /// Returns the address of the server.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod chunk_decoder;
 mod client;
+mod connection_use;
 mod exchange;
 mod fault;
 mod framing;
@@ -24,6 +25,7 @@
 pub use crate::client::ClientRequest;
 pub use crate::client::ClientResponse;
 pub use crate::client::SendFault;
+pub use crate::connection_use::ConnectionUse;
 pub use crate::exchange::ServerExchange;
 pub use crate::fault::HttpFault;
 pub use crate::framing::BodyFraming;
--- a/crates/serving/src/entry/entry_handler.rs
+++ b/crates/serving/src/entry/entry_handler.rs
@@ -29,6 +29,7 @@
 use crate::FleetView;
 use crate::NodeIdentity;
 use crate::PlatformAdapter;
+use crate::call_log::CallLog;
 use crate::entry::entry_metrics::EntryMetrics;
 use crate::entry::job_relay::JobRelay;
 use crate::entry::long_bodies::LongBodies;
@@ -55,6 +56,8 @@
 pub(crate) struct EntryHandler<P> {
     /// Decides when refused callers should retry.
     pub retry_advice: RefCell<RetryAdvice>,
+    /// Log of the calls to targets and sidecars.
+    pub call_log: CallLog,
     /// Selects the platform adapter.
     pub adapter: PhantomData<P>,
     /// The server's shutdown.
--- a/crates/serving/src/entry/entry_node.rs
+++ b/crates/serving/src/entry/entry_node.rs
@@ -25,6 +25,7 @@
 use crate::FleetView;
 use crate::NodeIdentity;
 use crate::PlatformAdapter;
+use crate::call_log::CallLog;
 use crate::drain::drain_server;
 use crate::entry::entry_handler::EntryHandler;
 use crate::entry::entry_metrics::EntryMetrics;
@@ -97,6 +98,9 @@
         start_outage_check(&view, &identity, &timers);
         start_stall_watch(clock, log.clone(), &timers);
         let metrics = EntryMetrics::new().map_err(io::Error::other)?;
+        let call_log =
+            CallLog::register(log.clone(), &metrics.registry, "cv_front_stray_responses_total")
+                .map_err(io::Error::other)?;
         let drain = DrainGate::default();
         let limits = HttpLimits::default();
         let inner = InternalHandler { registry: metrics.registry.clone(), view: Rc::clone(&view) };
@@ -106,6 +110,7 @@
         );
         let handler = EntryHandler::<P> {
             retry_advice: RefCell::new(RetryAdvice::default()),
+            call_log,
             adapter: PhantomData,
             gate: drain.clone(),
             identity,
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -105,6 +105,7 @@
         let call = TargetCall {
             address,
             is_sidecar: choice.through_sidecar,
+            log: &handler.call_log,
             pool: &handler.pool,
             request_id_of: |headers| P::response_metadata(headers).request_id,
         };
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -263,6 +263,7 @@
         let call = TargetCall {
             address,
             is_sidecar: self.target.through_sidecar,
+            log: &self.state.call_log,
             pool: &self.state.pool,
             request_id_of: |headers| P::response_metadata(headers).request_id,
         };
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -31,6 +31,7 @@
 use crate::StoreCommit;
 use crate::StoreFault;
 use crate::StoreUpdate;
+use crate::call_log::CallLog;
 use crate::drain::drain_server;
 use crate::keeper::job_dispatch::start_dispatch;
 use crate::keeper::job_table::JobTable;
@@ -109,6 +110,10 @@
         start_peer_sync::<P>(&view, &identity, &timers);
         start_outage_check(&view, &identity, &timers);
         start_stall_watch(clock, log.clone(), &timers);
+        let metrics = KeeperMetrics::new().map_err(io::Error::other)?;
+        let call_log =
+            CallLog::register(log.clone(), &metrics.registry, "cv_keeper_stray_responses_total")
+                .map_err(io::Error::other)?;
         let state = Rc::new(KeeperState::<P> {
             adapter: PhantomData,
             estimate: Cell::default(),
@@ -123,7 +128,8 @@
             retiring: RefCell::default(),
             lease: Cell::default(),
             lookups: RefCell::default(),
-            metrics: KeeperMetrics::new().map_err(io::Error::other)?,
+            metrics,
+            call_log,
             pool: ConnectionPool::new(HttpLimits::default()),
             schedule: RefCell::new(RunSchedule::default()),
             jobs: JobTable::default(),
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -25,6 +25,7 @@
 use crate::PlatformAdapter;
 use crate::StoreCommit;
 use crate::StoreFault;
+use crate::call_log::CallLog;
 use crate::keeper::job_table::JobTable;
 use crate::keeper::keeper_metrics::KeeperMetrics;
 use crate::keeper::load_gate::LoadGate;
@@ -72,6 +73,8 @@
     pub lookups: RefCell<Vec<String>>,
     /// Metrics of this keeper.
     pub metrics: KeeperMetrics,
+    /// Log of the calls to targets and sidecars.
+    pub call_log: CallLog,
     /// Connections to targets, sidecars and other keepers.
     pub pool: ConnectionPool,
     /// Runs in progress and the targets that they run on.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,6 +4,7 @@
 //! Entries accept callers' requests, a sidecar runs beside each model target and queues requests
 //! to it, and keepers run batch jobs. [`PlatformAdapter`] translates the platform's protocol.
 
+mod call_log;
 mod coordination_store;
 mod drain;
 mod engine_probe;
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -31,6 +31,7 @@
 use crate::QueueOptions;
 use crate::ResponseMetadata;
 use crate::SidecarVerdict;
+use crate::call_log::CallLog;
 use crate::internal_handler::METRICS_PATH;
 use crate::internal_handler::respond_metrics;
 use crate::internal_headers::WAITING_COMMENT;
@@ -68,6 +69,8 @@
 
 /// Queues and forwards the requests to one engine.
 pub(crate) struct SidecarHandler<P> {
+    /// Log of the calls to the engine.
+    pub call_log: CallLog,
     /// The process's clock.
     pub clock: ProcessClock,
     /// Holds the reservations of requests that are still at their entries.
@@ -431,6 +434,7 @@
         TargetCall {
             address: self.engine,
             is_sidecar: false,
+            log: &self.call_log,
             pool: &self.pool,
             request_id_of: |headers| P::response_metadata(headers).request_id,
         }
--- a/crates/serving/src/sidecar/sidecar_node.rs
+++ b/crates/serving/src/sidecar/sidecar_node.rs
@@ -23,6 +23,7 @@
 
 use crate::NodeIdentity;
 use crate::PlatformAdapter;
+use crate::call_log::CallLog;
 use crate::drain::drain_delay;
 use crate::drain::drain_server;
 use crate::quarantine_desk::QuarantineDesk;
@@ -94,6 +95,9 @@
         let desk =
             LoadReporter::start(clock, reporting_gate, log, exchange, heard, socket, &timers);
         let metrics = SidecarMetrics::new().map_err(io::Error::other)?;
+        let call_log =
+            CallLog::register(self.log.clone(), &metrics.registry, "cv_side_stray_responses_total")
+                .map_err(io::Error::other)?;
         let engine = self.settings.engine;
         let watch_parts = EngineWatchParts {
             clock,
@@ -107,6 +111,7 @@
         let watch = EngineWatch::start(watch_parts, &timers);
         let handler = SidecarHandler::<P> {
             adapter: PhantomData,
+            call_log,
             clock,
             desk: Rc::clone(&desk),
             engine,
--- a/crates/serving/src/target_call.rs
+++ b/crates/serving/src/target_call.rs
@@ -13,6 +13,9 @@
 use http::response::Parts as ResponseHead;
 use monoio::time::timeout;
 
+use crate::call_log::CallLog;
+use crate::call_log::LoggedCall;
+
 /// Most responses to other requests that are skipped before the connection is closed.
 const MAX_STRAY_RESPONSES: usize = 3;
 
@@ -57,6 +60,8 @@
     pub address: SocketAddr,
     /// Whether the server is a sidecar, which sends `100 Continue` for each request at once.
     pub is_sidecar: bool,
+    /// Log and metrics of the process's calls.
+    pub log: &'a CallLog,
     /// Pool of idle connections.
     pub pool: &'a ConnectionPool,
     /// Reads the id of the request that a response belongs to.
@@ -102,17 +107,46 @@
     ) -> Result<(ClientConnection, ResponseHead), TargetFault> {
         let sent = timeout(head_timeout, self.send_request(&mut connection, request)).await;
         sent.unwrap_or(Err(TargetFault::Unknown(HttpFault::TimedOut("request"))))?;
+        let call = LoggedCall {
+            address: self.address,
+            connection: connection.connection_use(),
+            request_id,
+        };
+        let head = self.read_own_head(&mut connection, request, &call, head_timeout).await;
+        match head {
+            Ok(head) => Ok((connection, head)),
+            Err(fault) => {
+                self.log.record_fault(&call, &fault.to_string());
+                Err(TargetFault::Unknown(fault))
+            }
+        }
+    }
+
+    /// Reads the head of the response to a request that has been sent, and skips responses to other
+    /// requests before it.
+    async fn read_own_head(
+        &self,
+        connection: &mut ClientConnection,
+        request: &ClientRequest,
+        call: &LoggedCall<'_>,
+        head_timeout: Duration,
+    ) -> Result<ResponseHead, HttpFault> {
         for _ in 0..MAX_STRAY_RESPONSES {
-            let head = connection.read_head(&request.method, head_timeout).await;
-            let head = head.map_err(TargetFault::Unknown)?;
-            let answered = (self.request_id_of)(&head.headers);
+            let head = connection.read_head(&request.method, head_timeout).await?;
+            let named_id = (self.request_id_of)(&head.headers);
             // A server may send a second response to an earlier request on the same connection.
-            if answered.is_none() || request_id.is_none() || answered.as_deref() == request_id {
-                return Ok((connection, head));
+            match named_id.as_deref() {
+                Some(named_id) if call.request_id.is_some_and(|id| id != named_id) => {
+                    self.log.record_stray(call, head.status, named_id);
+                }
+                named_id => {
+                    self.log.record_response(call, head.status, named_id);
+                    return Ok(head);
+                }
             }
-            connection.skip_response(MAX_STRAY_BYTES).await.map_err(TargetFault::Unknown)?;
+            connection.skip_response(MAX_STRAY_BYTES).await?;
         }
-        Err(TargetFault::Unknown(HttpFault::Malformed("responses to other requests")))
+        Err(HttpFault::Malformed("responses to other requests"))
     }
 
     /// Sends a request, to a sidecar only once it asks for the body.
--- a/crates/timeline/src/event_record.rs
+++ b/crates/timeline/src/event_record.rs
@@ -58,6 +58,8 @@
     DependencyRegained,
     /// An attempt failed before its response was complete.
     AttemptFailed,
+    /// A target or a sidecar responded to a request, or its connection failed.
+    ResponseReceived,
     /// A stream was resumed on another target.
     StreamResumed,
     /// An item was handed to a target.
@@ -66,6 +68,8 @@
     ItemReleased,
     /// An item reached its outcome.
     ItemEnded,
+    /// A response to another request was skipped.
+    StrayResponse,
     /// Results became readable.
     ResultsListed,
     /// Results were read.
