--- a/crates/clementinevale/tests/nodes/repeated_refusals.rs
+++ b/crates/clementinevale/tests/nodes/repeated_refusals.rs
@@ -19,6 +19,7 @@
 
 use cv_http::ClientConnection;
 use cv_http::ClientRequest;
+use cv_http::ClientResponse;
 use cv_http::HttpLimits;
 use cv_runtime::block_on;
 use http::Method;
@@ -43,11 +44,32 @@
 struct RepeatingEngine {
     /// Whether refusals name their request.
     has_request_id: bool,
+    /// Status line of the refusal.
+    refusal: &'static str,
     refused: AtomicU32,
     runs: AtomicU32,
 }
 
 impl RepeatingEngine {
+    /// Starts an engine at an address, whose refusal has the given status line.
+    fn start(ip: IpAddr, refusal: &'static str, has_request_id: bool) -> (Arc<Self>, SocketAddr) {
+        let listener = TcpListener::bind((ip, 0)).expect("a port is free");
+        let address = listener.local_addr().expect("the listener is bound");
+        let engine = Arc::new(Self {
+            has_request_id,
+            refusal,
+            refused: AtomicU32::new(0),
+            runs: AtomicU32::new(0),
+        });
+        engine.serve(listener);
+        (engine, address)
+    }
+
+    /// Returns the number of requests that it has run.
+    fn runs(&self) -> u32 {
+        self.runs.load(Ordering::Relaxed)
+    }
+
     /// Serves each connection of a listener in a thread of its own.
     fn serve(self: &Arc<Self>, listener: TcpListener) {
         let engine = Arc::clone(self);
@@ -71,7 +93,8 @@
                     String::new()
                 };
                 refusal = format!(
-                    "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n{name}Content-Length: 0\r\n\r\n"
+                    "HTTP/1.1 {}\r\nNot-Run: 1\r\n{name}Content-Length: 0\r\n\r\n",
+                    self.refusal
                 );
                 if stream.write_all(refusal.as_bytes()).is_err() {
                     return;
@@ -157,23 +180,32 @@
     process
 }
 
+/// Returns an address of this process that no other test uses.
+fn test_address(host: u8) -> IpAddr {
+    let octet = 100 + (std::process::id() % 100) as u8;
+    IpAddr::V4(Ipv4Addr::new(127, octet, 250, host))
+}
+
+/// Sends a request to a sidecar and returns the response.
+fn send(address: SocketAddr, request: &ClientRequest) -> ClientResponse {
+    let response = block_on(async {
+        let timeout = Duration::from_secs(1);
+        let limits = HttpLimits::default();
+        let mut connection = ClientConnection::connect(address, timeout, limits).await?;
+        connection.exchange(request, Duration::from_secs(10), 64 * 1024).await
+    });
+    response.expect("the runtime starts").expect("the sidecar responds")
+}
+
 // Guards against a refusal that a target repeats on a kept connection and that is taken for one of
 // the same request, sent again meanwhile: the request then runs twice.
 #[rstest]
-#[case::with_request_id(true)]
-#[case::without_request_id(false)]
-fn a_repeated_refusal_is_not_taken_for_a_new_one(#[case] has_request_id: bool) {
-    let octet = 100 + (std::process::id() % 100) as u8;
-    let host = if has_request_id { 10 } else { 11 };
-    let ip = IpAddr::V4(Ipv4Addr::new(127, octet, 250, host));
-    let listener = TcpListener::bind((ip, 0)).expect("a port is free");
-    let engine_address = listener.local_addr().expect("the listener is bound");
-    let engine = Arc::new(RepeatingEngine {
-        has_request_id,
-        refused: AtomicU32::new(0),
-        runs: AtomicU32::new(0),
-    });
-    engine.serve(listener);
+#[case::with_request_id(true, 10)]
+#[case::without_request_id(false, 11)]
+fn a_repeated_refusal_is_not_taken_for_a_new_one(#[case] has_request_id: bool, #[case] host: u8) {
+    let ip = test_address(host);
+    let (engine, engine_address) =
+        RepeatingEngine::start(ip, "503 Service Unavailable", has_request_id);
     let folder = TempDir::new().expect("a temporary folder can be created");
     let address = SocketAddr::new(ip, INTERNAL_PORT);
     let _sidecar = start_sidecar(&folder, address, engine_address);
@@ -184,13 +216,63 @@
         .with_header("cv-class", "batch")
         .with_header("cv-patience-ms", "10000")
         .with_header("cv-slots", "4");
-    let response = block_on(async {
-        let timeout = Duration::from_secs(1);
-        let limits = HttpLimits::default();
-        let mut connection = ClientConnection::connect(address, timeout, limits).await?;
-        connection.exchange(&request, Duration::from_secs(10), 64 * 1024).await
-    });
-    let response = response.expect("the runtime starts").expect("the sidecar responds");
-    assert_eq!(response.status, StatusCode::OK);
-    assert_eq!(engine.runs.load(Ordering::Relaxed), 1, "the item has run more than once");
+    assert_eq!(send(address, &request).status, StatusCode::OK);
+    assert_eq!(engine.runs(), 1, "the item has run more than once");
+}
+
+// Guards against an online request that runs and is reported as refused, so that its entry sends it
+// to another target.
+#[rstest]
+#[case::misdirected("421 Misdirected Request", true, 20)]
+#[case::misdirected_without_request_id("421 Misdirected Request", false, 21)]
+#[case::full("503 Service Unavailable", true, 22)]
+#[case::full_without_request_id("503 Service Unavailable", false, 23)]
+#[case::limited("429 Too Many Requests", true, 24)]
+fn a_repeated_refusal_is_not_relayed_for_a_request_that_runs(
+    #[case] refusal: &'static str,
+    #[case] has_request_id: bool,
+    #[case] host: u8,
+) {
+    let ip = test_address(host);
+    let (engine, engine_address) = RepeatingEngine::start(ip, refusal, has_request_id);
+    let folder = TempDir::new().expect("a temporary folder can be created");
+    let address = SocketAddr::new(ip, INTERNAL_PORT);
+    let _sidecar = start_sidecar(&folder, address, engine_address);
+    let request = ClientRequest::new(Method::POST, "/orders", "body")
+        .with_header("host", "growers.example")
+        .with_header("request-id", "order1")
+        .with_header("deadline-ms", "5000")
+        .with_header("cv-class", "online")
+        .with_header("cv-stay-ms", "2000")
+        .with_header("cv-objective-ms", "2000")
+        .with_header("cv-patience-ms", "2000")
+        .with_header("cv-slots", "4");
+    let mut response = send(address, &request);
+    if engine.runs() == 0 {
+        // What an entry does after a refusal.
+        response = send(address, &request);
+    }
+    assert_eq!(engine.runs(), 1);
+    assert_eq!(response.status, StatusCode::OK, "a request that runs was reported as refused");
+}
+
+// Guards against the response to a request without an id being taken for that of the next one.
+#[test]
+fn a_request_without_an_id_shares_no_connection() {
+    let ip = test_address(30);
+    let (engine, engine_address) = RepeatingEngine::start(ip, "421 Misdirected Request", false);
+    let folder = TempDir::new().expect("a temporary folder can be created");
+    let address = SocketAddr::new(ip, INTERNAL_PORT);
+    let _sidecar = start_sidecar(&folder, address, engine_address);
+    let unnamed = ClientRequest::new(Method::POST, "/orders", "body")
+        .with_header("host", "growers.example")
+        .with_header("deadline-ms", "5000")
+        .with_header("cv-class", "online")
+        .with_header("cv-patience-ms", "2000")
+        .with_header("cv-slots", "4");
+    send(address, &unnamed);
+    let named = unnamed.with_header("request-id", "order2");
+    let response = send(address, &named);
+    assert_eq!(engine.runs(), 1);
+    assert_eq!(response.status, StatusCode::OK, "a request that runs was reported as refused");
 }
