Connections: a request is sent at most once on each

Callers of a request that must run once got 421 while it ran, and an entry then sent it to another target: it ran twice.

Cause: the reader of a response had to know that it was a refusal and call the release that remembers it. The sidecar relays an engine's 421 like a success and released the connection by the other one, so the request could go out there again, and the copy of the 421 that the engine sent in front of its next response bore the right id. The class: an answer is matched by an id that is not unique on its connection. A response without an id was taken for the current request's on any connection, and a request without an id shared connections with others.

Now a connection remembers the hashes of all ids that it has carried, in the one place where a request gets its connection (ConnectionPool::connect_for), whatever the response was: no request goes out twice on one connection, and one is closed after 256 requests. A request without an id has a connection of its own. A target's response without an id counts only as the first of its connection, which is closed after it; later ones leave the outcome unknown. The two ways to release a connection are one again.

New at the pool: tests/border/carried_requests.rs, for each status.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -27,6 +27,7 @@
 use crate::HttpLimits;
 use crate::HttpReader;
 use crate::HttpWriter;
+use crate::carried_ids::CarriedIds;
 use crate::limits::KEEP_ALIVE_IDLE;
 use crate::limits::KEEP_ALIVE_INTERVAL;
 use crate::limits::KEEP_ALIVE_PROBES;
@@ -35,9 +36,6 @@
 /// Interim responses before a final one; a sidecar sends one a second while an item waits.
 const MAX_INTERIM_RESPONSES: u32 = 300;
 
-/// Refusals after which a connection is not reused.
-const MAX_REFUSALS: usize = 16;
-
 /// Longest time in which a busy process reads a response that has arrived.
 const MAX_READ_DELAY: Duration = Duration::from_millis(500);
 
@@ -96,6 +94,8 @@
 /// One connection to a server.
 pub struct ClientConnection {
     address: SocketAddr,
+    /// Ids of the requests that were sent on this connection.
+    carried: CarriedIds,
     /// Head of a final response that arrived instead of `100 Continue`.
     early_head: Option<ResponseHead>,
     framing: BodyFraming,
@@ -106,8 +106,8 @@
     /// Which request of which connection this is, for the log.
     connection_use: ConnectionUse,
     reader: HttpReader<OwnedReadHalf<TcpStream>>,
-    /// Ids of requests that the server has refused on this connection.
-    refused: Vec<String>,
+    /// Whether the connection is closed after its current exchange, however that ends.
+    retired: bool,
     reusable: bool,
     writer: HttpWriter<OwnedWriteHalf<TcpStream>>,
 }
@@ -138,13 +138,14 @@
         let (read_half, write_half) = stream.into_split();
         Ok(Self {
             address,
+            carried: CarriedIds::default(),
             early_head: None,
             framing: BodyFraming::Empty,
             stream_tail: None,
             keep_alive_timeout: None,
             connection_use: ConnectionUse::new(NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed)),
             reader: HttpReader::new(read_half, limits),
-            refused: Vec::new(),
+            retired: false,
             reusable: true,
             writer: HttpWriter::new(write_half, limits.write_timeout),
         })
@@ -325,22 +326,30 @@
         Ok(ClientResponse { body: body?, headers: head.headers, status: head.status })
     }
 
-    /// Records that the server has refused a request. A faulty server may send the refusal again on
-    /// this connection, so the request must not be sent on it again.
-    pub fn record_refusal(&mut self, request_id: &str) {
-        self.refused.push(request_id.to_owned());
+    /// Dedicates the connection's next exchange to a request. A faulty server may repeat any
+    /// response on this connection, which only the request's id tells from a later one, so a request
+    /// goes out here at most once, and one without an id is the last.
+    pub(crate) fn assign(&mut self, request_id: Option<&str>) {
+        match request_id {
+            Some(id) => self.carried.insert(id),
+            None => self.retire(),
+        }
     }
 
-    /// Returns whether the server has refused a request on this connection.
-    #[must_use]
-    pub fn has_refused(&self, request_id: &str) -> bool {
-        self.refused.iter().any(|refused| refused == request_id)
+    /// Returns whether a request with this id may have been sent on this connection.
+    pub(crate) fn has_carried(&self, request_id: &str) -> bool {
+        self.carried.contains(request_id)
+    }
+
+    /// Closes the connection after its current exchange.
+    pub fn retire(&mut self) {
+        self.retired = true;
     }
 
     /// Returns whether another request may be sent.
     #[must_use]
     pub fn is_reusable(&self) -> bool {
-        self.reusable && self.framing.is_finished() && self.refused.len() < MAX_REFUSALS
+        self.reusable && !self.retired && self.framing.is_finished() && !self.carried.is_full()
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 //! caller: limits on heads and bodies, timeouts, rejection of ambiguous framing, detection of
 //! truncated messages, and connection reuse.
 
+mod carried_ids;
 mod chunk_decoder;
 mod client;
 mod connection_use;
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -105,22 +105,25 @@
         }
     }
 
-    /// Takes an idle connection on which the server has not refused the request, or opens a new one
-    /// within `connect_timeout`.
+    /// Takes an idle connection that has never carried the request, or opens a new one within
+    /// `connect_timeout`. A request without an id gets a connection of its own.
     ///
     /// # Errors
     /// Fails if no connection can be opened; no byte of a request has been sent then.
     pub async fn connect_for(
         &self,
         address: SocketAddr,
-        request_id: &str,
+        request_id: Option<&str>,
         connect_timeout: Duration,
     ) -> Result<ClientConnection, HttpFault> {
-        let idle = self.take_idle_where(address, |connection| !connection.has_refused(request_id));
-        match idle {
-            Some(connection) => Ok(connection),
-            None => ClientConnection::connect(address, connect_timeout, self.limits).await,
-        }
+        let idle = request_id
+            .and_then(|id| self.take_idle_where(address, |connection| !connection.has_carried(id)));
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => ClientConnection::connect(address, connect_timeout, self.limits).await?,
+        };
+        connection.assign(request_id);
+        Ok(connection)
     }
 
     /// Returns a connection to the pool; one that cannot be reused is closed.
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -151,10 +151,10 @@
         let verdict = SidecarVerdict::read(&head.headers);
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         if marks.not_run || is_misdirected || verdict == Some(SidecarVerdict::NotRun) {
-            return Ok(self.handle_refusal(call, connection, head).await);
+            return Ok(self.handle_refusal(call, connection).await);
         }
         if verdict == Some(SidecarVerdict::Quarantined) {
-            self.handle_refusal(call, connection, head).await;
+            self.handle_refusal(call, connection).await;
             return Ok(AttemptOutcome::Quarantined);
         }
         self.context.attempts += 1;
@@ -191,15 +191,13 @@
         &self,
         call: &TargetCall<'_>,
         mut connection: ClientConnection,
-        head: &ResponseHead,
     ) -> AttemptOutcome {
         let choice = self.choice;
         let skipped = connection.skip_response(MAX_REFUSAL_BYTES);
         // The body of a refusal may end with its connection, which the target closes when it likes.
         if monoio::time::timeout(REFUSAL_BODY_TIMEOUT, skipped).await.is_ok_and(|read| read.is_ok())
         {
-            let id = self.context.options.request_id.as_deref();
-            call.release_refused(connection, &head.headers, id);
+            call.release(connection);
         }
         self.context.handler.view.log.record(
             LinePriority::Routine,
--- a/crates/serving/src/sidecar/batch_relay.rs
+++ b/crates/serving/src/sidecar/batch_relay.rs
@@ -138,7 +138,7 @@
         let metadata = P::response_metadata(&run.head.headers);
         self.handler.record_limit(&metadata);
         if metadata.not_run && !is_misdirected {
-            run.reject(&call, id);
+            run.reject(&call);
             return Ok(RunOutcome::EngineFull);
         }
         let mut headers = run.head.headers.clone();
--- a/crates/serving/src/sidecar/engine_run.rs
+++ b/crates/serving/src/sidecar/engine_run.rs
@@ -80,10 +80,10 @@
     }
 
     /// Ends a run that the engine has refused, and returns the connection to the pool.
-    pub fn reject(self, call: &TargetCall<'_>, request_id: Option<&str>) {
+    pub fn reject(self, call: &TargetCall<'_>) {
         if let Some(guard) = self.guard {
             guard.cancel();
         }
-        call.release_refused(self.connection, &self.head.headers, request_id);
+        call.release(self.connection);
     }
 }
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -262,7 +262,7 @@
             if !is_full {
                 return Ok(Some(run));
             }
-            run.reject(call, id);
+            run.reject(call);
             ticket.requeue(request.options.wait_budget);
             let started = monoio::select! {
                 started = ticket.started() => started,
--- a/crates/serving/src/target_call.rs
+++ b/crates/serving/src/target_call.rs
@@ -80,10 +80,7 @@
         connect_timeout: Duration,
         wait: HeadWait,
     ) -> Result<(ClientConnection, ResponseHead), TargetFault> {
-        let connected = match request_id {
-            Some(id) => self.pool.connect_for(self.address, id, connect_timeout).await,
-            None => self.pool.connect(self.address, connect_timeout).await,
-        };
+        let connected = self.pool.connect_for(self.address, request_id, connect_timeout).await;
         let connection = connected.map_err(TargetFault::NotSent)?;
         match wait {
             HeadWait::Silence(limit) => self.send(connection, request, request_id, limit).await,
@@ -123,7 +120,8 @@
     }
 
     /// Reads the head of the response to a request that has been sent, and skips responses to other
-    /// requests before it.
+    /// requests before it. A sidecar sends no response twice, so its own need no request id; a
+    /// target's without one is taken only on a connection that has carried nothing else.
     async fn read_own_head(
         &self,
         connection: &mut ClientConnection,
@@ -134,13 +132,19 @@
         for _ in 0..MAX_STRAY_RESPONSES {
             let head = connection.read_head(&request.method, head_timeout).await?;
             let named_id = (self.request_id_of)(&head.headers);
-            // A server may send a second response to an earlier request on the same connection.
-            match named_id.as_deref() {
-                Some(named_id) if call.request_id.is_some_and(|id| id != named_id) => {
+            // A target may repeat its response to an earlier request on the same connection.
+            match (call.request_id, named_id.as_deref()) {
+                (Some(id), Some(named_id)) if id != named_id => {
                     self.log.record_stray(call, head.status, named_id);
                 }
-                named_id => {
+                (Some(_), None) if !self.is_sidecar && !call.connection.is_first_request() => {
+                    return Err(HttpFault::Malformed("response without a request id"));
+                }
+                (_, named_id) => {
                     self.log.record_response(call, head.status, named_id);
+                    if named_id.is_none() && !self.is_sidecar {
+                        connection.retire();
+                    }
                     return Ok(head);
                 }
             }
@@ -165,25 +169,6 @@
         connection.send(request).await.map_err(TargetFault::Unknown)
     }
 
-    /// Returns a connection to the pool after the server has refused a request on it, with a response
-    /// of the given headers. Only the request's id tells that response from a copy that may follow
-    /// later, so a connection without it is closed.
-    pub fn release_refused(
-        &self,
-        mut connection: ClientConnection,
-        headers: &HeaderMap,
-        request_id: Option<&str>,
-    ) {
-        // Sidecars send no response twice.
-        if let Some(id) = request_id.filter(|_| !self.is_sidecar) {
-            if (self.request_id_of)(headers).is_none() {
-                return;
-            }
-            connection.record_refusal(id);
-        }
-        self.release(connection);
-    }
-
     /// Returns a connection to the pool after its last response has been read to the end.
     pub fn release(&self, connection: ClientConnection) {
         self.pool.release(self.address, connection);
--- a/tests/border/main.rs
+++ b/tests/border/main.rs
@@ -1,5 +1,6 @@
 //! Tests of untrusted input: HTTP connections, settings, journal files and event files.
 
+mod carried_requests;
 mod chunked_bodies;
 mod endless_bytes;
 mod http_input;
