Rig: targets that refuse requests and repeat any answer they gave

Neither the platform's stand-in nor a fleet's targets ever wrote an answer twice. RepeatRule now draws refusals (421, 429, 503 with Not-Run, in a share without Request-Id), runs that end with 500, and repetitions of any whole answer, at once or in front of the next answer on the connection; a test can refuse exactly the next request. For the held answer ServerExchange gives the number of its connection, which nothing else in a server tells; the wire is as before.

The process test sends requests that must run once from a real entry to an engine behind a sidecar and to a plain service.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -12,6 +12,7 @@
 mod late_in_grace;
 mod late_timers;
 mod online_requests;
+mod repeated_answers;
 mod repeated_refusals;
 mod request_limits;
 mod silent_connections;
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -31,6 +31,7 @@
 
 /// A request on a server connection and the response to it.
 pub struct ServerExchange<'a> {
+    connection_number: u64,
     expects_continue: bool,
     framing: BodyFraming,
     head: RequestHead,
@@ -45,13 +46,30 @@
     pub(crate) fn new(
         head: RequestHead,
         framing: BodyFraming,
+        connection_number: u64,
         reader: &'a mut HttpReader<OwnedReadHalf<TcpStream>>,
         writer: &'a mut HttpWriter<OwnedWriteHalf<TcpStream>>,
     ) -> Self {
         let keep_alive = wants_keep_alive(&head);
         let expects_continue = head.headers.contains_key(http::header::EXPECT);
         let stage = ResponseStage::NotStarted;
-        Self { expects_continue, framing, head, keep_alive, reader, stage, writer }
+        Self {
+            connection_number,
+            expects_continue,
+            framing,
+            head,
+            keep_alive,
+            reader,
+            stage,
+            writer,
+        }
+    }
+
+    /// Returns the number of the connection, counted from the server's start, for handlers that keep
+    /// something for each connection.
+    #[must_use]
+    pub fn connection_number(&self) -> u64 {
+        self.connection_number
     }
 
     /// Returns the request's head.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,5 +1,6 @@
 //! The accept loop and the connections of a server.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -46,6 +47,8 @@
 
 /// Accepts connections and passes their requests to a handler.
 pub struct HttpServer<H> {
+    /// Number of connections accepted so far.
+    accepted: Cell<u64>,
     gate: DrainGate,
     handler: Rc<H>,
     limits: HttpLimits,
@@ -55,7 +58,7 @@
 impl<H: RequestHandler> HttpServer<H> {
     /// Creates a server on a bound listener.
     pub fn new(listener: TcpListener, handler: Rc<H>, gate: DrainGate, limits: HttpLimits) -> Self {
-        Self { gate, handler, limits, listener }
+        Self { accepted: Cell::default(), gate, handler, limits, listener }
     }
 
     /// Accepts connections until the gate starts to drain; running exchanges continue after that.
@@ -82,6 +85,8 @@
         let handler = Rc::clone(&self.handler);
         let gate = self.gate.clone();
         let limits = self.limits;
+        let number = self.accepted.get() + 1;
+        self.accepted.set(number);
         monoio::spawn(async move {
             // Nagle's algorithm would hold small token messages back until earlier ones are
             // acknowledged.
@@ -95,7 +100,7 @@
             let (read_half, write_half) = stream.into_split();
             let mut reader = HttpReader::new(read_half, limits);
             let mut writer = HttpWriter::new(write_half, limits.write_timeout);
-            while serve_next(&*handler, &gate, &mut reader, &mut writer).await {}
+            while serve_next(&*handler, &gate, number, &mut reader, &mut writer).await {}
             writer.shutdown().await;
         });
     }
@@ -123,6 +128,7 @@
 async fn serve_next<H: RequestHandler>(
     handler: &H,
     gate: &DrainGate,
+    connection_number: u64,
     reader: &mut HttpReader<monoio::io::OwnedReadHalf<TcpStream>>,
     writer: &mut HttpWriter<OwnedWriteHalf<TcpStream>>,
 ) -> bool {
@@ -144,7 +150,7 @@
         Ok(framing) => framing,
         Err(fault) => return send_error(writer, &fault).await,
     };
-    let mut exchange = ServerExchange::new(head, framing, reader, writer);
+    let mut exchange = ServerExchange::new(head, framing, connection_number, reader, writer);
     if gate.is_closing() {
         exchange.close_afterwards();
     }
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -26,6 +26,7 @@
 use cv_adapter_standin::CrashRule;
 use cv_adapter_standin::PlatformStore;
 use cv_adapter_standin::PlatformTarget;
+use cv_adapter_standin::RepeatRule;
 use cv_adapter_standin::StandinThread;
 use cv_adapter_standin::TargetKind;
 use cv_adapter_standin::TargetLog;
@@ -133,6 +134,8 @@
     pub crash_rule: CrashRule,
     /// Whether the engines' streams have no chunks and end with their connection.
     pub has_unframed_streams: Arc<AtomicBool>,
+    /// Requests that the targets refuse, and answers that they repeat.
+    pub repeat_rule: RepeatRule,
     /// Status of the targets' responses to requests that resume a stream; 0 if they serve them.
     pub resume_status: Arc<AtomicU16>,
     /// Limit that all targets name, in requests in a hundred seconds; 0 for none.
@@ -310,6 +313,7 @@
             _reservation: reservation,
             crash_rule: CrashRule::new(ENGINE_DOWN_TIME),
             has_unframed_streams: Arc::default(),
+            repeat_rule: RepeatRule::default(),
             resume_status: Arc::default(),
             request_limit: Arc::default(),
             nodes: Vec::new(),
@@ -519,6 +523,7 @@
             let crash_rule = self.crash_rule.clone();
             let is_unframed = Arc::clone(&self.has_unframed_streams);
             let log = self.target_log.clone();
+            let repeat_rule = self.repeat_rule.clone();
             let request_limit = Arc::clone(&self.request_limit);
             let resume_status = Arc::clone(&self.resume_status);
             let target = PlatformTarget {
@@ -527,6 +532,7 @@
                 is_unframed,
                 kind,
                 log,
+                repeat_rule,
                 request_limit,
                 resume_status,
             };
