--- a/crates/clementinevale/tests/nodes/repeated_answers.rs
+++ b/crates/clementinevale/tests/nodes/repeated_answers.rs
@@ -1,14 +1,18 @@
-//! Targets that refuse a request and send the refusal once more, on the whole way from an entry.
+//! Targets that send an answer once more, on the whole way from an entry.
 
 use cv_runtime::block_on;
-use cv_tests::FleetOptions;
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
 use cv_tests::node_caller::CallerOutcome;
 use cv_tests::node_caller::NodeCaller;
+use cv_tests::node_caller::item_id;
+use cv_tests::node_caller::submit_job;
 use http::StatusCode;
 use rstest::rstest;
 
+use crate::job_checks::EVENTS_PER_ITEM;
+use crate::job_checks::read_all_results;
+
 /// Refusals of a test.
 const REFUSALS: usize = 3;
 
@@ -25,10 +29,11 @@
     #[values("hints", "orders")] route: &str,
     #[values(421, 429, 503)] status: u16,
     #[values(true, false)] has_request_id: bool,
+    #[values(1, 2)] engines: u8,
 ) {
-    let size = NodeFleetSize { engines: 1, entries: 1, keepers: 0 };
-    let options = FleetOptions { has_engine_proxies: false, ..FleetOptions::default() };
-    let fleet = NodeFleet::start_with(env!("CARGO_BIN_EXE_clementinevale"), size, options);
+    let size = NodeFleetSize { engines, entries: 1, keepers: 0 };
+    let binary = env!("CARGO_BIN_EXE_clementinevale");
+    let fleet = NodeFleet::start_without_engine_proxies(binary, size);
     let status = StatusCode::from_u16(status).expect("a valid status");
     let mut failures = Vec::new();
     for round in 0..REFUSALS {
@@ -57,6 +62,26 @@
             }
         }
     }
-    assert!(fleet.repeat_rule.has_refused(), "no request was refused");
+    assert!(fleet.repeat_rule.has_drawn_next(), "no request was refused");
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+// Guards against a copy of an item's error that is taken for the answer to its next run.
+#[test]
+fn a_repeated_error_is_not_taken_for_that_of_the_next_run() {
+    let size = NodeFleetSize { engines: 1, entries: 1, keepers: 1 };
+    let binary = env!("CARGO_BIN_EXE_clementinevale");
+    let fleet = NodeFleet::start_without_engine_proxies(binary, size);
+    let entry = fleet.entry_addresses()[0];
+    fleet.repeat_rule.fail_next();
+    block_on(async {
+        let outcome = submit_job(entry, "job1", 1, EVENTS_PER_ITEM).await;
+        assert_eq!(outcome, CallerOutcome::Completed);
+        read_all_results(&[entry], "job1", 1).await;
+    })
+    .expect("the runtime starts");
+    let id = item_id("job1", 0);
+    let runs = fleet.target_log.runs();
+    let runs = runs.iter().filter(|run| run.request_id == id).count();
+    assert_eq!(runs, 2, "one that fails and one more");
+}
