Tests: hand-overs of processes that are stopped, and responses among strays

The second pins what a caller gets after three responses to other requests: 502, and one run, at a plain target and behind a sidecar. After two it gets its own response.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -17,4 +17,6 @@
 mod silent_connections;
 mod stale_views;
 mod stalled_items;
+mod stopped_hand_overs;
+mod stray_responses;
 mod unreadable_values;
