Own sidecar: each request goes out on a connection of its own

A caller of a repeatable request could get the response to another one, with status 200: the sidecar sent the request on a connection to the target that had carried an earlier one, the target wrote that response once more there, and the sidecar compares no ids, which targets need not send. Requests that must not be repeated were not affected; they had a new connection already, here and from the entry to the sidecar.

Now each request has one, and none is used again. The cost of a connect to the target for each repeatable request is not measured.

--- a/crates/clementinevale/tests/processes/main.rs
+++ b/crates/clementinevale/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod batch_faults;
 mod online_faults;
 mod repeated_orders;
+mod repeated_responses;
 
 /// Path of the server binary.
 const BINARY: &str = env!("CARGO_BIN_EXE_clementinevale");
--- a/crates/sidecar/src/request_handler.rs
+++ b/crates/sidecar/src/request_handler.rs
@@ -185,7 +185,7 @@
         ticket: TicketId,
         signals: &mut UnboundedReceiver<TicketSignal>,
     ) -> TargetOutcome {
-        let Ok(mut target) = self.connector.open(metadata.repeatable).await else {
+        let Ok(mut target) = self.connector.open().await else {
             return TargetOutcome::Unreachable;
         };
         if !metadata.repeatable && !self.state.execution_log.borrow_mut().hand_over(metadata.key) {
@@ -206,15 +206,11 @@
             Ok(head) => head,
             Err(fault) => return TargetOutcome::Lost(fault),
         };
-        let outcome = if is_bufferable(&head) {
+        if is_bufferable(&head) {
             self.relay_buffered(exchange, metadata, &mut target, head, ticket).await
         } else {
             self.relay_stream(exchange, metadata, &mut target, head, ticket, signals).await
-        };
-        if matches!(outcome, TargetOutcome::Completed) {
-            self.connector.release(target);
         }
-        outcome
     }
 
     /// Forwards a response of known, limited length once it is complete.
--- a/crates/sidecar/src/target_exchange.rs
+++ b/crates/sidecar/src/target_exchange.rs
@@ -1,13 +1,11 @@
 //! HTTP exchanges between the sidecar and its target.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use cv_http::ClientConnection;
 use cv_http::ClientRequest;
-use cv_http::ConnectionPool;
 use cv_http::HttpFault;
 use cv_http::HttpLimits;
 use http::HeaderMap;
@@ -19,37 +17,26 @@
 /// Timeout for connecting to the target, which is on the same machine or nearby.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Opens exchanges with one target and pools its connections.
+/// Opens exchanges with one target, each over a connection of its own.
+///
+/// Nothing in a response of a target has to name its request, so one that the target sends twice would
+/// be taken for that to the next request on the connection.
 pub(crate) struct TargetConnector {
     address: SocketAddr,
-    pool: RefCell<ConnectionPool>,
 }
 
 impl TargetConnector {
-    /// Creates a connector without connections.
+    /// Creates a connector.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, pool: RefCell::new(ConnectionPool::new(HttpLimits::default())) }
+        Self { address }
     }
 
     /// Connects to the target without sending anything.
-    ///
-    /// A non-repeatable request gets a new connection: the target may close an idle one just as it
-    /// is used, and then it is unknown whether the request ran.
-    pub async fn open(&self, repeatable: bool) -> Result<TargetExchange, HttpFault> {
-        let idle = if repeatable { self.pool.borrow().take_idle(self.address) } else { None };
-        let connection = if let Some(connection) = idle {
-            connection
-        } else {
-            let limits = HttpLimits::default();
-            ClientConnection::connect(self.address, CONNECT_TIMEOUT, limits).await?
-        };
+    pub async fn open(&self) -> Result<TargetExchange, HttpFault> {
+        let limits = HttpLimits::default();
+        let connection = ClientConnection::connect(self.address, CONNECT_TIMEOUT, limits).await?;
         Ok(TargetExchange { connection, method: Method::GET })
     }
-
-    /// Returns the exchange's connection to the pool, if it is reusable.
-    pub fn release(&self, exchange: TargetExchange) {
-        self.pool.borrow().release(self.address, exchange.connection);
-    }
 }
 
 /// An exchange in progress; dropping it closes the connection, which cancels the request.
