--- a/crates/clementinevale/tests/nodes/faulty_responses.rs
+++ b/crates/clementinevale/tests/nodes/faulty_responses.rs
@@ -10,6 +10,7 @@
 use cv_tests::NodeFleetSize;
 use cv_tests::node_caller::CallerOutcome;
 use cv_tests::node_caller::request_stream;
+use futures::future::join_all;
 use rstest::rstest;
 
 use crate::job_checks::EVENTS_PER_ITEM;
@@ -188,3 +189,32 @@
     assert_eq!(outcome, CallerOutcome::NotRun);
     assert!(took < Duration::from_millis(500), "refused after {took:?}");
 }
+
+// Guards against a stream that begins anew elsewhere while the target that sent no head is still at
+// work on it; only streams that go on after an event are compared in the soak.
+#[test]
+fn a_run_without_a_head_ends_before_its_stream_begins_elsewhere() {
+    // By itself it lasts longer than the caller waits.
+    const LONG_STREAM_EVENTS: u64 = 900;
+    const MAX_OVERLAP: Duration = Duration::from_millis(400);
+    let fleet = small_fleet();
+    let entry = fleet.entry_addresses()[0];
+    set_engine_fault(&fleet, 0, FaultMode::SendGarbage(0, Duration::from_millis(100)));
+    let streams = (0..4).map(|number| async move {
+        request_stream(entry, "advice", &format!("s{number}"), LONG_STREAM_EVENTS).await
+    });
+    block_on(async { join_all(streams).await }).expect("the runtime starts");
+    std::thread::sleep(MAX_OVERLAP);
+    let runs = fleet.target_log.runs();
+    let pairs: Vec<_> = runs
+        .iter()
+        .flat_map(|run| runs.iter().map(move |next| (run, next)))
+        .filter(|(run, next)| run.request_id == next.request_id && run.started_at < next.started_at)
+        .collect();
+    assert!(!pairs.is_empty(), "no stream has begun anew: {runs:?}");
+    for (run, next) in pairs {
+        assert_eq!(next.after, 0, "{next:?}");
+        let is_over = run.ended_at.is_some_and(|end| end <= next.started_at + MAX_OVERLAP);
+        assert!(is_over, "{run:?} overlaps {next:?}");
+    }
+}
