--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -7,7 +7,7 @@
 use cv_policy::SeededRandom;
 use cv_policy::stable_hash;
 
-use crate::PromptPart;
+use crate::QuarantineSubject;
 use crate::TargetRow;
 use crate::TargetTable;
 
@@ -120,7 +120,7 @@
         chosen
     }
 
-    /// Chooses the target whose sidecar runs the next trial of a part in quarantine, the same for all
+    /// Chooses the target whose sidecar runs the next trial of a subject in quarantine, the same for all
     /// processes that know the same targets. With each turn another one does, since a target that
     /// looks usable may still answer nothing.
     #[must_use]
@@ -129,7 +129,7 @@
         targets: &TargetTable,
         now: MonotonicTime,
         service: &str,
-        part: PromptPart,
+        subject: QuarantineSubject,
         turn: usize,
     ) -> Option<TargetChoice> {
         let usable = targets.rows().iter().filter(|row| {
@@ -138,7 +138,7 @@
         let mut usable: Vec<&TargetRow> = usable.collect();
         usable.sort_by_cached_key(|row| {
             let address = row.record.address.to_string();
-            stable_hash(&[&part.to_string(), &address])
+            stable_hash(&[&subject.to_string(), &address])
         });
         let position = turn.checked_rem(usable.len())?;
         Some(target_choice(usable[position], now, 0.0))
--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -1,24 +1,24 @@
-//! The evidence against one prompt part.
+//! The evidence against one subject.
 
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
 
 use crate::EngineLoss;
-use crate::PromptPart;
 use crate::QuarantineRecord;
+use crate::QuarantineSubject;
 
 /// Losses of several engines within this time have a common cause other than their prompts, for
 /// example the power supply, and count once.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(50);
 
-/// Losses that put a part into quarantine of which no response is known that an engine survived.
+/// Losses that put a subject into quarantine of which no response is known that an engine survived.
 const MAX_LOSSES: usize = 4;
 
-/// Losses that put a part into quarantine that has been served before.
+/// Losses that put a subject into quarantine that has been served before.
 const MAX_LOSSES_IF_SERVED: usize = 6;
 
-/// Most losses that are kept for one part.
+/// Most losses that are kept for one subject.
 const KEPT_LOSSES: usize = 12;
 
 /// Time from the start of a quarantine to the first trial.
@@ -37,16 +37,16 @@
 /// Longest delay between two trials. Each failed trial costs an engine with all of its runs.
 const MAX_TRIAL_DELAY: Duration = Duration::from_mins(2);
 
-/// The evidence against one prompt part. Rows of two processes merge in any order and any number
+/// The evidence against one subject. Rows of two processes merge in any order and any number
 /// of times to the same state.
 #[derive(Clone, Debug)]
 pub(crate) struct QuarantineRow {
-    /// When this process last learned something new about the part.
+    /// When this process last learned something new about the subject.
     pub changed_at: MonotonicTime,
-    /// Losses since the part was last served, in order of time.
+    /// Losses since the subject was last served, in order of time.
     losses: Vec<EngineLoss>,
-    pub part: PromptPart,
-    /// Number of parts before it in the prompt.
+    pub subject: QuarantineSubject,
+    /// Number of subjects before it in the prompt.
     pub position: u8,
     quarantined_at: Option<MonotonicTime>,
     served_at: Option<MonotonicTime>,
@@ -55,12 +55,16 @@
 }
 
 impl QuarantineRow {
-    /// Creates the row of a part without evidence; `served_at` is when it was last served.
-    pub fn new(part: PromptPart, served_at: Option<MonotonicTime>, now: MonotonicTime) -> Self {
+    /// Creates the row of a subject without evidence; `served_at` is when it was last served.
+    pub fn new(
+        subject: QuarantineSubject,
+        served_at: Option<MonotonicTime>,
+        now: MonotonicTime,
+    ) -> Self {
         Self {
             changed_at: now,
             losses: Vec::new(),
-            part,
+            subject,
             position: 0,
             quarantined_at: None,
             served_at,
@@ -69,27 +73,27 @@
         }
     }
 
-    /// Returns whether requests with the part are refused.
+    /// Returns whether requests with the subject are refused.
     pub fn is_in_quarantine(&self) -> bool {
         self.quarantined_at.is_some()
     }
 
-    /// Returns since when requests with the part are refused; `None` if they are not.
+    /// Returns since when requests with the subject are refused; `None` if they are not.
     pub fn quarantined_at(&self) -> Option<MonotonicTime> {
         self.quarantined_at
     }
 
-    /// Returns the losses since the part was last served.
+    /// Returns the losses since the subject was last served.
     pub fn losses(&self) -> &[EngineLoss] {
         &self.losses
     }
 
-    /// Returns whether the part is known to have been served.
+    /// Returns whether the subject is known to have been served.
     pub fn was_served(&self) -> bool {
         self.served_at.is_some()
     }
 
-    /// Returns when the next request with the part may be tried: soon after a trial that brought no
+    /// Returns when the next request with the subject may be tried: soon after a trial that brought no
     /// verdict, and ever later after those that ended their engines.
     pub fn trial_due(&self) -> Option<MonotonicTime> {
         let since = self.quarantined_at?;
@@ -129,14 +133,14 @@
         self.losses.iter().any(|known| known.is_same(loss))
     }
 
-    /// Returns the time of the last event that concerns the part.
+    /// Returns the time of the last event that concerns the subject.
     pub fn last_event(&self) -> MonotonicTime {
         let last_loss = self.losses.last().map(|loss| loss.at);
         let latest = last_loss.max(self.quarantined_at).max(self.tried_at).max(self.served_at);
         latest.unwrap_or(MonotonicTime::ZERO)
     }
 
-    /// Counts the losses that `is_explained` does not attribute to another part.
+    /// Counts the losses that `is_explained` does not attribute to another subject.
     pub fn count_losses(&self, is_explained: impl Fn(&EngineLoss) -> bool) -> usize {
         let mut count = 0;
         let mut last: Option<MonotonicTime> = None;
@@ -167,14 +171,14 @@
         true
     }
 
-    /// Puts the part into quarantine.
+    /// Puts the subject into quarantine.
     pub fn quarantine(&mut self, now: MonotonicTime) {
         self.quarantined_at = Some(now);
         (self.trials, self.tried_at) = (0, None);
         self.changed_at = now;
     }
 
-    /// Puts the part into quarantine after a restart, with the delay after one failed trial.
+    /// Puts the subject into quarantine after a restart, with the delay after one failed trial.
     pub fn restore(&mut self, since: MonotonicTime, now: MonotonicTime) {
         self.quarantine(since);
         self.changed_at = now;
@@ -188,7 +192,7 @@
         self.changed_at = now;
     }
 
-    /// Records that the part was served, which clears it of what was seen before; returns whether
+    /// Records that the subject was served, which clears it of what was seen before; returns whether
     /// that ends its quarantine.
     pub fn record_served(&mut self, at: MonotonicTime) -> bool {
         self.served_at = self.served_at.max(Some(at));
@@ -251,7 +255,7 @@
             |time: MonotonicTime| u32::try_from(now.since(time).as_millis()).unwrap_or(u32::MAX);
         QuarantineRecord {
             losses: self.losses.iter().map(|loss| (loss.engine, age(loss.at))).collect(),
-            part: self.part,
+            subject: self.subject,
             position: self.position,
             quarantined: self.quarantined_at.map(age),
             served: self.served_at.map(age),
--- a/crates/dispatch/src/run_watch.rs
+++ b/crates/dispatch/src/run_watch.rs
@@ -4,7 +4,7 @@
 
 use cv_policy::MonotonicTime;
 
-use crate::PromptPart;
+use crate::QuarantineSubject;
 
 /// Time after the start of its response for which a run may be the cause of its engine's loss. An
 /// engine that a prompt ends does so while it writes the first tokens of the response.
@@ -28,8 +28,8 @@
     pub answered_at: Option<MonotonicTime>,
     /// When the request was handed to the engine.
     begun_at: MonotonicTime,
-    /// The shared parts of the request's prompt, in order.
-    pub parts: Vec<PromptPart>,
+    /// What may end the engine: the shared parts of the prompt in order, then the request.
+    pub subjects: Vec<QuarantineSubject>,
     /// Id of the request.
     pub request_id: String,
     ended: Option<(MonotonicTime, bool)>,
@@ -53,7 +53,7 @@
     pub fn begin(
         &mut self,
         request_id: &str,
-        parts: &[PromptPart],
+        subjects: &[QuarantineSubject],
         now: MonotonicTime,
     ) -> WatchedRunId {
         let id = WatchedRunId(self.next_id);
@@ -61,7 +61,7 @@
         self.running.push(WatchedRun {
             answered_at: None,
             begun_at: now,
-            parts: parts.to_vec(),
+            subjects: subjects.to_vec(),
             request_id: request_id.to_owned(),
             ended: None,
             id,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lease;
 pub mod routing;
 
+mod content_hasher;
 mod execution_log;
 mod expiring_table;
 mod expiry_queue;
@@ -25,6 +26,7 @@
 mod random;
 mod target_load;
 
+pub use crate::content_hasher::ContentHasher;
 pub use crate::execution_log::AdmitDecision;
 pub use crate::execution_log::ExecutionLog;
 pub use crate::execution_log::ExecutionState;
--- a/crates/serving/src/entry/attempt_recorder.rs
+++ b/crates/serving/src/entry/attempt_recorder.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cv_dispatch::PromptPart;
+use cv_dispatch::QuarantineSubject;
 use cv_dispatch::TargetChoice;
 use cv_dispatch::TargetRow;
 use cv_policy::MonotonicTime;
@@ -19,10 +19,10 @@
 
 /// Records the failed attempts of one request in the view and the log.
 pub(crate) struct AttemptRecorder<'a> {
-    /// The shared parts of the request's prompt.
-    pub parts: &'a [PromptPart],
     /// The request's id.
     pub request: &'a str,
+    /// The shared parts of the request's prompt, then the request.
+    pub subjects: &'a [QuarantineSubject],
     /// The entry's view.
     pub view: &'a FleetView,
 }
@@ -71,10 +71,12 @@
     fn log(&self, choice: &TargetChoice, detail: &str) {
         let (priority, kind) = (LinePriority::Essential, EventKind::AttemptFailed);
         self.view.log.record(priority, kind, self.request, || {
-            let parts: Vec<String> = self.parts.iter().map(ToString::to_string).collect();
             let through_sidecar = choice.through_sidecar;
-            let parts = parts.join("+");
-            format!("target={} through_sidecar={through_sidecar} parts={parts} {detail}", choice.id)
+            let subjects = QuarantineSubject::join(self.subjects);
+            format!(
+                "target={} through_sidecar={through_sidecar} subjects={subjects} {detail}",
+                choice.id
+            )
         });
     }
 }
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use cv_dispatch::PlacementPolicy;
 use cv_dispatch::PlacementRequest;
-use cv_dispatch::PromptPart;
 use cv_dispatch::QuarantineDecision;
+use cv_dispatch::QuarantineSubject;
 use cv_dispatch::RouteRule;
 use cv_dispatch::TargetChoice;
 use cv_http::HttpFault;
@@ -48,7 +48,7 @@
     Continue,
     /// The caller has its response, or has gone away.
     Finished,
-    /// A part of the prompt ends engines.
+    /// The request or a part of its prompt ends engines.
     Quarantined,
     /// The process exits before the request ends.
     Stopping,
@@ -126,7 +126,7 @@
         let decision = self.context.decide_quarantine();
         let choice = match decision {
             QuarantineDecision::Admit => self.choose_target(),
-            QuarantineDecision::Try(part) => self.choose_for_trial(part),
+            QuarantineDecision::Try(subject) => self.choose_for_trial(subject),
             QuarantineDecision::Refuse(..) => None,
         };
         let is_trial = decision != QuarantineDecision::Admit;
@@ -215,7 +215,7 @@
         let context = &mut self.context;
         context.recorder().record_failure(&choice, detail);
         if !choice.through_sidecar {
-            context.handler.view.quarantine.investigate(choice.address, &context.parts);
+            context.handler.view.quarantine.investigate(choice.address, &context.subjects);
         }
         context.tried_targets.push(choice.id);
         let may_retry = context.route.may_repeat() && can_resume;
@@ -242,13 +242,13 @@
         Some(TargetChoice { through_sidecar: choice.through_sidecar && is_model, ..choice })
     }
 
-    /// Chooses the target that runs the trial of a part in quarantine.
-    fn choose_for_trial(&self, part: PromptPart) -> Option<TargetChoice> {
+    /// Chooses the target that runs the trial of a subject in quarantine.
+    fn choose_for_trial(&self, subject: QuarantineSubject) -> Option<TargetChoice> {
         let view = &self.context.handler.view;
         let now = view.clock.now();
         view.with_targets(|targets| {
-            let turn = view.quarantine.trial_turn(part);
-            PlacementPolicy.choose_for_trial(targets, now, &self.service, part, turn)
+            let turn = view.quarantine.trial_turn(subject);
+            PlacementPolicy.choose_for_trial(targets, now, &self.service, subject, turn)
         })
     }
 
--- a/crates/serving/src/entry/request_conclusion.rs
+++ b/crates/serving/src/entry/request_conclusion.rs
@@ -94,7 +94,7 @@
         });
     }
 
-    /// Ends a request that is not handed over because of a part of its prompt.
+    /// Ends a request that is not handed over because of a subject in quarantine.
     pub async fn finish_quarantined(
         &self,
         exchange: &mut ServerExchange<'_>,
@@ -106,14 +106,14 @@
         }
         let handler = self.context.handler;
         handler.metrics.quarantined.inc();
-        let (part, retry_after) = match self.context.decide_quarantine() {
-            QuarantineDecision::Refuse(part, left) => (Some(part), left),
-            QuarantineDecision::Try(part) => (Some(part), TRIAL_RETRY_DELAY),
+        let (subject, retry_after) = match self.context.decide_quarantine() {
+            QuarantineDecision::Refuse(subject, left) => (Some(subject), left),
+            QuarantineDecision::Try(subject) => (Some(subject), TRIAL_RETRY_DELAY),
             QuarantineDecision::Admit => (None, TRIAL_RETRY_DELAY),
         };
         let details = format!(
             "part={} held_ms={}",
-            part.map_or_else(|| "unknown".to_owned(), |part| part.to_string()),
+            subject.map_or_else(|| "unknown".to_owned(), |subject| subject.to_string()),
             self.context.received_at.elapsed().as_millis(),
         );
         handler.refuse(exchange, retry_after, REASON, &details).await
@@ -156,14 +156,14 @@
 
     /// Records that the engine may have survived the prompt.
     pub fn record_survival(&self, choice: &TargetChoice, status: StatusCode) {
-        if self.context.parts.is_empty() || !status.is_success() {
+        if !status.is_success() {
             return;
         }
         let desk = &self.context.handler.view.quarantine;
         if choice.through_sidecar {
-            desk.record_response(&self.context.parts);
+            desk.record_response(&self.context.subjects);
         } else {
-            desk.judge_response(choice.address, &self.context.parts);
+            desk.judge_response(choice.address, &self.context.subjects);
         }
     }
 
--- a/crates/serving/src/entry/request_context.rs
+++ b/crates/serving/src/entry/request_context.rs
@@ -5,18 +5,22 @@
 
 use bytes::Bytes;
 use cv_dispatch::DrainTerms;
-use cv_dispatch::PromptPart;
 use cv_dispatch::QuarantineDecision;
+use cv_dispatch::QuarantineSubject;
+use cv_dispatch::RequestDigest;
+use cv_dispatch::RequestIdentity;
 use cv_dispatch::RouteRule;
 use cv_dispatch::WaitPolicy;
 use cv_http::ServerExchange;
 use http::HeaderMap;
 use http::Method;
+use http::header::HOST;
 
 use crate::PlatformAdapter;
 use crate::RequestOptions;
 use crate::entry::attempt_recorder::AttemptRecorder;
 use crate::entry::entry_handler::EntryHandler;
+use crate::platform_adapter::part_subjects;
 
 /// Time before the caller's deadline at which the final response is sent.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(25);
@@ -32,6 +36,8 @@
     pub body: Bytes,
     /// When the final response is due.
     pub deadline: Instant,
+    /// Digest of the request, the same for each attempt of its caller.
+    pub digest: RequestDigest,
     /// The entry.
     pub handler: &'a EntryHandler<P>,
     /// The caller's headers.
@@ -44,14 +50,14 @@
     pub method: Method,
     /// The options in the caller's headers.
     pub options: RequestOptions,
-    /// The shared parts of the prompt, in order.
-    pub parts: Vec<PromptPart>,
     /// The request target with its query.
     pub path: String,
     /// When the whole request had been received.
     pub received_at: Instant,
     /// The route of the request.
     pub route: &'a RouteRule,
+    /// What may end engines: the shared parts of the prompt in order, then the request.
+    pub subjects: Vec<QuarantineSubject>,
     /// Ids of the targets that get the request no more.
     pub tried_targets: Vec<String>,
 }
@@ -68,20 +74,31 @@
         let headers = exchange.head().headers.clone();
         let options = P::request_options(&headers);
         let limit = options.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+        let path = exchange.head().uri.to_string();
+        let digest = RequestDigest::new(&RequestIdentity {
+            body: &body,
+            caller: P::caller(&headers).unwrap_or_default(),
+            host: headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default(),
+            method: exchange.head().method.as_str(),
+            path: &path,
+        });
+        let mut subjects = part_subjects::<P>(&headers);
+        subjects.push(QuarantineSubject::Request(digest));
         Self {
             received_at,
             body,
+            digest,
             deadline: received_at + limit.saturating_sub(RESPONSE_MARGIN),
             handler,
             is_handed_over: false,
             is_retry: handler.is_retry(route, options.deadline),
-            parts: P::prompt_parts(&headers),
             headers,
             method: exchange.head().method.clone(),
-            path: exchange.head().uri.to_string(),
+            path,
             route,
             attempts: 0,
             options,
+            subjects,
             tried_targets: Vec::new(),
         }
     }
@@ -91,9 +108,9 @@
         self.options.request_id.as_deref().unwrap_or_default()
     }
 
-    /// Decides whether the parts of the prompt allow the request to be handed over.
+    /// Decides whether its subjects allow the request to be handed over.
     pub fn decide_quarantine(&self) -> QuarantineDecision {
-        self.handler.view.quarantine.decide(&self.parts)
+        self.handler.view.quarantine.decide(&self.subjects)
     }
 
     /// Returns the longest expected wait at which the request enters a sidecar's queue.
@@ -109,7 +126,11 @@
 
     /// Returns the recorder of this request's failed attempts.
     pub fn recorder(&self) -> AttemptRecorder<'_> {
-        AttemptRecorder { parts: &self.parts, request: self.subject(), view: &self.handler.view }
+        AttemptRecorder {
+            request: self.subject(),
+            subjects: &self.subjects,
+            view: &self.handler.view,
+        }
     }
 
     /// Returns whether the request has not run and no target will run it.
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -53,7 +53,7 @@
     pub choice: &'c TargetChoice,
     /// The request.
     pub context: &'c mut RequestContext<'a, P>,
-    /// Whether the attempt is the trial of a part in quarantine.
+    /// Whether the attempt is the trial of a subject in quarantine.
     pub is_trial: bool,
     /// The reservation by which the target keeps a slot.
     pub reservation: Option<ReservationId>,
@@ -67,7 +67,7 @@
     NotRun,
     /// The target takes no further request at the moment.
     RateLimited,
-    /// A part of the prompt ends engines; the request has not been handed over in this attempt.
+    /// The request or a part of its prompt ends engines; it has not been handed over in this attempt.
     Quarantined,
     /// The target or its sidecar could not be reached.
     Unreachable,
@@ -222,6 +222,7 @@
         if choice.through_sidecar {
             let options = QueueOptions {
                 class: WorkClass::Online,
+                digest: Some(self.context.digest),
                 // Without a reservation the request would wait for this one target only.
                 wait_budget: reservation
                     .map_or(Duration::ZERO, |_| self.context.max_expected_wait()),
--- a/crates/serving/src/internal_headers.rs
+++ b/crates/serving/src/internal_headers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cv_dispatch::LoadReport;
+use cv_dispatch::RequestDigest;
 use cv_dispatch::ReservationId;
 use cv_policy::WorkClass;
 use http::HeaderMap;
@@ -47,12 +48,15 @@
 /// Verdict on a request that has not been handed over to the target.
 const NOT_RUN: &str = "not_run";
 
-/// Verdict on a request that has not been handed over because of a part of its prompt.
+/// Verdict on a request that has not been handed over because a subject of it is in quarantine.
 const QUARANTINED: &str = "quarantined";
 
 /// Marks a request that is the trial of a quarantine.
 const TRIAL: HeaderName = HeaderName::from_static("cv-trial");
 
+/// Digest of an online request.
+const DIGEST: HeaderName = HeaderName::from_static("cv-request-digest");
+
 /// Verdict on a request that may have run.
 const UNKNOWN: &str = "unknown";
 
@@ -70,7 +74,7 @@
 pub enum SidecarVerdict {
     /// The request has not been handed over to the target and will not be.
     NotRun,
-    /// The request has not been handed over and will not be, because a part of its prompt ends
+    /// The request has not been handed over and will not be, because a subject of it ends
     /// engines. Other targets would refuse it, too.
     Quarantined,
     /// The request may have run.
@@ -82,6 +86,8 @@
 pub struct QueueOptions {
     /// Whether a caller waits for the response or the request is a batch item.
     pub class: WorkClass,
+    /// Digest of an online request; items have none.
+    pub digest: Option<RequestDigest>,
     /// Online: longest expected wait at which the request enters the queue; a longer one refuses
     /// it. Batch: time until the item is due.
     pub wait_budget: Duration,
@@ -97,7 +103,7 @@
     pub queue_timeout: Duration,
     /// The reservation by which the request has been granted a slot.
     pub reservation: Option<ReservationId>,
-    /// Whether the request may run although a part of its prompt is in quarantine, if no other has
+    /// Whether the request may run although a subject of it is in quarantine, if no other has
     /// been tried recently.
     pub is_trial: bool,
 }
@@ -123,6 +129,11 @@
         if let Some(ReservationId(id)) = self.reservation {
             headers.insert(RESERVATION, HeaderValue::from(id));
         }
+        if let Some(digest) = self.digest
+            && let Ok(value) = HeaderValue::from_str(&digest.to_string())
+        {
+            headers.insert(DIGEST, value);
+        }
         if self.is_trial {
             headers.insert(TRIAL, HeaderValue::from_static("1"));
         }
@@ -137,8 +148,10 @@
         let wait_budget = Duration::from_millis(number(WAIT_BUDGET).unwrap_or(0));
         let queue_timeout = Duration::from_millis(number(QUEUE_TIMEOUT).unwrap_or(0));
         let expected_run = Duration::from_millis(number(EXPECTED_RUN).unwrap_or(0));
+        let digest = headers.get(DIGEST).and_then(|value| value.to_str().ok());
         Self {
             class,
+            digest: digest.and_then(RequestDigest::parse),
             wait_budget,
             expected_run,
             keeper: headers.get(KEEPER).and_then(|value| value.to_str().ok()?.parse().ok()),
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -9,8 +9,8 @@
 use cv_dispatch::EventParser;
 use cv_dispatch::PlacementPolicy;
 use cv_dispatch::PlacementRequest;
-use cv_dispatch::PromptPart;
 use cv_dispatch::QuarantineDecision;
+use cv_dispatch::QuarantineSubject;
 use cv_dispatch::RunId;
 use cv_dispatch::TargetChoice;
 use cv_dispatch::TargetRow;
@@ -34,6 +34,7 @@
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::result_commits::start_commits;
 use crate::keeper::tracked_job::TrackedJob;
+use crate::platform_adapter::part_subjects;
 use crate::target_call::HeadWait;
 use crate::target_call::TargetCall;
 use crate::target_call::TargetFault;
@@ -68,9 +69,9 @@
     is_trial: bool,
     /// Most events that the output can have, if the item limits it.
     max_events: Option<u64>,
-    /// The shared parts of the item's prompt.
-    parts: Vec<PromptPart>,
     state: Rc<KeeperState<P>>,
+    /// The shared parts of the item's prompt.
+    subjects: Vec<QuarantineSubject>,
     /// Notified when the run should restart on another target.
     withdrawn: Rc<Notify>,
 }
@@ -113,21 +114,21 @@
             let tracker = job.tracker.borrow();
             P::item_headers(&tracker.spec().host, &tracker.spec().items[item])
         };
-        let (parts, max_events) =
-            (P::prompt_parts(&headers), P::request_options(&headers).max_events);
+        let (subjects, max_events) =
+            (part_subjects::<P>(&headers), P::request_options(&headers).max_events);
         let now = state.view.clock.now();
         let zone = &state.identity.zone;
         let seed = state.view.random_number();
         let request = PlacementRequest { seed, service: &service, tried: &[], zone };
-        let decision = state.view.quarantine.decide(&parts);
+        let decision = state.view.quarantine.decide(&subjects);
         let target = state.view.with_targets(|targets| {
             let choice = match decision {
                 QuarantineDecision::Admit => {
                     state.schedule.borrow().choose_target(targets, now, &request)?
                 }
-                QuarantineDecision::Try(part) => {
-                    let turn = state.view.quarantine.trial_turn(part);
-                    PlacementPolicy.choose_for_trial(targets, now, &service, part, turn)?
+                QuarantineDecision::Try(subject) => {
+                    let turn = state.view.quarantine.trial_turn(subject);
+                    PlacementPolicy.choose_for_trial(targets, now, &service, subject, turn)?
                 }
                 QuarantineDecision::Refuse(..) => return None,
             };
@@ -151,8 +152,18 @@
         // Run ids increase, so pushing at the end keeps the list sorted.
         state.withdrawals.borrow_mut().push((id, Rc::clone(&withdrawn)));
         let (job, state) = (Rc::clone(job), Rc::clone(state));
-        let run =
-            Self { job, target, item, due_ms, id, is_trial, max_events, parts, state, withdrawn };
+        let run = Self {
+            job,
+            target,
+            item,
+            due_ms,
+            id,
+            is_trial,
+            max_events,
+            state,
+            subjects,
+            withdrawn,
+        };
         monoio::spawn(async move { run.run().await });
     }
 
@@ -223,8 +234,8 @@
         if !self.target.through_sidecar {
             let desk = &self.state.view.quarantine;
             match outcome {
-                RunOutcome::Completed => desk.judge_response(self.target.address, &self.parts),
-                RunOutcome::Interrupted(_) => desk.investigate(self.target.address, &self.parts),
+                RunOutcome::Completed => desk.judge_response(self.target.address, &self.subjects),
+                RunOutcome::Interrupted(_) => desk.investigate(self.target.address, &self.subjects),
                 _ => {}
             }
         }
@@ -438,6 +449,7 @@
             let expected_run = self.state.estimate.get().remaining(spec.tokens, last_event);
             let options = QueueOptions {
                 class: WorkClass::Batch,
+                digest: None,
                 wait_budget,
                 expected_run,
                 keeper: Some(self.state.identity.internal_address()),
--- a/crates/serving/src/keeper/stored_keys.rs
+++ b/crates/serving/src/keeper/stored_keys.rs
@@ -1,7 +1,7 @@
 //! Keys and values of jobs and results in the coordination store.
 
 use cv_dispatch::ItemResult;
-use cv_dispatch::PromptPart;
+use cv_dispatch::QuarantineSubject;
 
 use crate::StoreCommit;
 use crate::StorePut;
@@ -19,7 +19,7 @@
 /// Prefix of the keys that mark jobs as closed.
 pub(crate) const CLOSED_PREFIX: &str = "cv/work/end/";
 
-/// Prefix of the keys of prompt parts in quarantine.
+/// Prefix of the keys of subjects in quarantine.
 pub(crate) const QUARANTINE_PREFIX: &str = "cv/work/quarantine/";
 
 /// Prefix of the keys of overflow parts: the bytes of a job that do not fit under its own key.
@@ -35,8 +35,8 @@
     Job(&'a str),
     /// Key that marks a job as closed.
     Closed(&'a str),
-    /// Key of a prompt part in quarantine.
-    Quarantine(PromptPart),
+    /// Key of a subject in quarantine.
+    Quarantine(QuarantineSubject),
 }
 
 impl<'a> WorkKey<'a> {
@@ -44,7 +44,7 @@
     pub fn parse(key: &'a str) -> Option<Self> {
         let job = key.strip_prefix(JOB_PREFIX).map(Self::Job);
         let closed = || key.strip_prefix(CLOSED_PREFIX).map(Self::Closed);
-        let part = || key.strip_prefix(QUARANTINE_PREFIX).map(PromptPart::from_id);
+        let part = || key.strip_prefix(QUARANTINE_PREFIX).map(QuarantineSubject::parse);
         job.or_else(closed).or_else(|| part().map(Self::Quarantine))
     }
 }
@@ -54,9 +54,9 @@
     format!("{JOB_PREFIX}{job_id}")
 }
 
-/// Returns the key of a prompt part in quarantine.
-pub(crate) fn quarantine_key(part: PromptPart) -> String {
-    format!("{QUARANTINE_PREFIX}{part}")
+/// Returns the key of a subject in quarantine.
+pub(crate) fn quarantine_key(subject: QuarantineSubject) -> String {
+    format!("{QUARANTINE_PREFIX}{subject}")
 }
 
 /// Returns the key that marks a job as closed.
--- a/crates/serving/src/platform_adapter.rs
+++ b/crates/serving/src/platform_adapter.rs
@@ -8,6 +8,7 @@
 use cv_dispatch::ItemResult;
 use cv_dispatch::ItemSpec;
 use cv_dispatch::PromptPart;
+use cv_dispatch::QuarantineSubject;
 use cv_dispatch::RouteTable;
 use cv_dispatch::TargetRecord;
 use http::HeaderMap;
@@ -152,6 +153,9 @@
     /// Reads the options of a caller's request.
     fn request_options(headers: &HeaderMap) -> RequestOptions;
 
+    /// Reads who sends a request; `None` if its headers do not name the caller.
+    fn caller(headers: &HeaderMap) -> Option<&str>;
+
     /// Reads the parts of a request's prompt that other prompts may share, in order.
     fn prompt_parts(headers: &HeaderMap) -> Vec<PromptPart>;
 
@@ -180,3 +184,8 @@
     /// Returns the key and value that report to the operator whether an instance has been retired.
     fn retire_status(instance: &str, is_done: bool) -> (String, Vec<u8>);
 }
+
+/// Returns the parts of a request's prompt as subjects of a quarantine, in order.
+pub(crate) fn part_subjects<P: PlatformAdapter>(headers: &HeaderMap) -> Vec<QuarantineSubject> {
+    P::prompt_parts(headers).into_iter().map(QuarantineSubject::Part).collect()
+}
--- a/crates/serving/src/quarantine_desk.rs
+++ b/crates/serving/src/quarantine_desk.rs
@@ -1,4 +1,4 @@
-//! This process's knowledge of the prompt parts that end engines.
+//! This process's knowledge of the subjects that end engines.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use cv_dispatch::EngineLoss;
-use cv_dispatch::PromptPart;
 use cv_dispatch::QuarantineChanges;
 use cv_dispatch::QuarantineDecision;
 use cv_dispatch::QuarantineRecord;
+use cv_dispatch::QuarantineSubject;
 use cv_dispatch::QuarantineTable;
 use cv_dispatch::SURVIVAL_TIME;
 use cv_policy::MonotonicTime;
@@ -46,7 +46,7 @@
 }
 
 impl QuarantineDesk {
-    /// Creates a desk that knows of no part.
+    /// Creates a desk that knows of no subject.
     pub fn new(clock: ProcessClock, log: LineLog) -> Rc<Self> {
         Rc::new(Self {
             clock,
@@ -59,35 +59,35 @@
         })
     }
 
-    /// Decides on a request by the shared parts of its prompt.
-    pub fn decide(&self, parts: &[PromptPart]) -> QuarantineDecision {
-        self.table.borrow().decide(parts, self.now())
+    /// Decides on a request by its subjects.
+    pub fn decide(&self, subjects: &[QuarantineSubject]) -> QuarantineDecision {
+        self.table.borrow().decide(subjects, self.now())
     }
 
-    /// Returns the turn of the targets that run the trials of a part.
-    pub fn trial_turn(&self, part: PromptPart) -> usize {
-        self.table.borrow().trial_turn(part, self.now())
+    /// Returns the turn of the targets that run the trials of a subject.
+    pub fn trial_turn(&self, subject: QuarantineSubject) -> usize {
+        self.table.borrow().trial_turn(subject, self.now())
     }
 
-    /// Returns the parts in quarantine, sorted, each with the time for which it has been there.
-    pub fn quarantined(&self) -> Vec<(PromptPart, Duration)> {
+    /// Returns the subjects in quarantine, sorted, each with the time for which it has been there.
+    pub fn quarantined(&self) -> Vec<(QuarantineSubject, Duration)> {
         let now = self.now();
         let table = self.table.borrow();
-        table.quarantined().map(|(part, since)| (part, now.since(since))).collect()
+        table.quarantined().map(|(subject, since)| (subject, now.since(since))).collect()
     }
 
-    /// Records that a request with these parts is run as a trial.
-    pub fn begin_trial(&self, parts: &[PromptPart]) {
-        self.table.borrow_mut().begin_trial(parts, self.now());
+    /// Records that a request with these subjects is run as a trial.
+    pub fn begin_trial(&self, subjects: &[QuarantineSubject]) {
+        self.table.borrow_mut().begin_trial(subjects, self.now());
         self.news.notify_one();
     }
 
-    /// Records that the engine of an instance has ended, with the parts of each run that may be the
+    /// Records that the engine of an instance has ended, with the subjects of each run that may be the
     /// cause.
     pub fn record_loss<'a>(
         &self,
         engine: IpAddr,
-        suspects: impl IntoIterator<Item = &'a [PromptPart]>,
+        suspects: impl IntoIterator<Item = &'a [QuarantineSubject]>,
     ) {
         let loss = EngineLoss { at: self.now(), engine };
         let changes = self.table.borrow_mut().record_loss(loss, suspects);
@@ -95,9 +95,9 @@
         self.news.notify_one();
     }
 
-    /// Records that an engine has survived a whole response to a prompt with these parts.
-    pub fn record_served(&self, parts: &[PromptPart]) {
-        let changes = self.table.borrow_mut().record_served(parts, self.now());
+    /// Records that an engine has survived a whole response to a request with these subjects.
+    pub fn record_served(&self, subjects: &[QuarantineSubject]) {
+        let changes = self.table.borrow_mut().record_served(subjects, self.now());
         self.log_changes(&changes, "engines");
         if changes != QuarantineChanges::default() {
             self.news.notify_one();
@@ -106,16 +106,16 @@
 
     /// Records a whole response that came through a sidecar, which judges itself whether its engine
     /// survives it.
-    pub fn record_response(&self, parts: &[PromptPart]) {
-        self.table.borrow_mut().record_response(parts, self.now());
+    pub fn record_response(&self, subjects: &[QuarantineSubject]) {
+        self.table.borrow_mut().record_response(subjects, self.now());
     }
 
     /// Finds out whether an engine has ended that broke off a response without a sidecar between.
-    pub fn investigate(self: &Rc<Self>, engine: SocketAddr, parts: &[PromptPart]) {
-        if parts.is_empty() {
+    pub fn investigate(self: &Rc<Self>, engine: SocketAddr, subjects: &[QuarantineSubject]) {
+        if subjects.is_empty() {
             return;
         }
-        let (desk, parts) = (Rc::clone(self), parts.to_vec());
+        let (desk, subjects) = (Rc::clone(self), subjects.to_vec());
         monoio::spawn(async move {
             if has_ended(engine).await {
                 let mut losses = desk.direct_losses.borrow_mut();
@@ -124,18 +124,18 @@
                 }
                 losses.push(EngineLoss { at: desk.now(), engine: engine.ip() });
                 drop(losses);
-                desk.record_loss(engine.ip(), [parts.as_slice()]);
+                desk.record_loss(engine.ip(), [subjects.as_slice()]);
             }
         });
     }
 
     /// Records a whole response that came without a sidecar between, once its engine has survived
     /// it.
-    pub fn judge_response(self: &Rc<Self>, engine: SocketAddr, parts: &[PromptPart]) {
-        if parts.is_empty() {
+    pub fn judge_response(self: &Rc<Self>, engine: SocketAddr, subjects: &[QuarantineSubject]) {
+        if subjects.is_empty() {
             return;
         }
-        let (desk, parts, ended_at) = (Rc::clone(self), parts.to_vec(), self.now());
+        let (desk, subjects, ended_at) = (Rc::clone(self), subjects.to_vec(), self.now());
         monoio::spawn(async move {
             monoio::time::sleep(SURVIVAL_TIME).await;
             let is_lost = desk
@@ -144,16 +144,16 @@
                 .iter()
                 .any(|loss| loss.engine == engine.ip() && loss.at >= ended_at);
             if !is_lost {
-                desk.record_served(&parts);
+                desk.record_served(&subjects);
             }
         });
     }
 
-    /// Puts a part back into quarantine in which it has been for a time, since before this process
+    /// Puts a subject back into quarantine in which it has been for a time, since before this process
     /// started.
-    pub fn restore(&self, part: PromptPart, age: Duration) {
+    pub fn restore(&self, subject: QuarantineSubject, age: Duration) {
         let now = self.now();
-        let changes = self.table.borrow_mut().restore(part, now.before(age), now);
+        let changes = self.table.borrow_mut().restore(subject, now.before(age), now);
         self.log_changes(&changes, "store");
         self.news.notify_one();
     }
@@ -203,15 +203,16 @@
         self.news.notified().await;
     }
 
-    /// Logs the parts that came into quarantine or left it, and from where that is known.
+    /// Logs the subjects that came into quarantine or left it, and from where that is known.
     fn log_changes(&self, changes: &QuarantineChanges, source: &str) {
-        let quarantined = changes.quarantined.iter().map(|part| (EventKind::PartQuarantined, part));
-        let lifted = changes.lifted.iter().map(|part| (EventKind::QuarantineEnded, part));
-        for (kind, part) in quarantined.chain(lifted) {
-            let subject = part.to_string();
-            self.log.record(LinePriority::Essential, kind, &subject, || {
+        let quarantined =
+            changes.quarantined.iter().map(|subject| (EventKind::PartQuarantined, subject));
+        let lifted = changes.lifted.iter().map(|subject| (EventKind::QuarantineEnded, subject));
+        for (kind, subject) in quarantined.chain(lifted) {
+            let name = subject.to_string();
+            self.log.record(LinePriority::Essential, kind, &name, || {
                 let table = self.table.borrow();
-                let losses = table.losses(*part).len();
+                let losses = table.losses(*subject).len();
                 format!("source={source} losses={losses}")
             });
         }
--- a/crates/serving/src/sidecar/batch_relay.rs
+++ b/crates/serving/src/sidecar/batch_relay.rs
@@ -117,7 +117,7 @@
         let options = AttemptOptions { resume_after: self.last_event, ..AttemptOptions::default() };
         let forwarded = SidecarHandler::<P>::engine_request(self.request, options);
         let id = self.request.request_id.as_deref();
-        let guard = self.handler.watch.begin(id.unwrap_or_default(), &self.request.parts);
+        let guard = self.handler.watch.begin(id.unwrap_or_default(), &self.request.subjects);
         let started = monoio::select! {
             started = EngineRun::start(&call, &forwarded, id, guard, STALL_TIMEOUT) => started,
             () = self.ticket.preempted() => return Ok(RunOutcome::Preempted),
--- a/crates/serving/src/sidecar/engine_watch.rs
+++ b/crates/serving/src/sidecar/engine_watch.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cv_dispatch::PromptPart;
+use cv_dispatch::QuarantineSubject;
 use cv_dispatch::RunWatch;
 use cv_dispatch::WatchedRun;
 use cv_dispatch::WatchedRunId;
@@ -44,7 +44,7 @@
 pub(crate) struct EngineWatchParts {
     /// The process's clock.
     pub clock: ProcessClock,
-    /// Learns which prompt parts the engine survives.
+    /// Learns which subjects the engine survives.
     pub desk: Rc<QuarantineDesk>,
     /// Address of the engine.
     pub engine: SocketAddr,
@@ -84,8 +84,8 @@
             loop {
                 let now = ticks.next().await;
                 let survived = checking.runs.borrow_mut().take_survived(now);
-                for run in survived.iter().filter(|run| !run.parts.is_empty()) {
-                    checking.desk.record_served(&run.parts);
+                for run in survived.iter().filter(|run| !run.subjects.is_empty()) {
+                    checking.desk.record_served(&run.subjects);
                 }
             }
         });
@@ -93,8 +93,12 @@
     }
 
     /// Records that a request is handed to the engine.
-    pub fn begin(self: &Rc<Self>, request_id: &str, parts: &[PromptPart]) -> EngineRunGuard {
-        let id = self.runs.borrow_mut().begin(request_id, parts, self.clock.now());
+    pub fn begin(
+        self: &Rc<Self>,
+        request_id: &str,
+        subjects: &[QuarantineSubject],
+    ) -> EngineRunGuard {
+        let id = self.runs.borrow_mut().begin(request_id, subjects, self.clock.now());
         EngineRunGuard { id, watch: Rc::clone(self) }
     }
 
@@ -120,13 +124,12 @@
         self.runs.borrow_mut().record_loss(self.clock.now());
         let is_planned = self.gate.is_draining();
         if !is_planned {
-            let suspects = suspects.iter().map(|run| run.parts.as_slice());
+            let suspects = suspects.iter().map(|run| run.subjects.as_slice());
             self.desk.record_loss(self.instance, suspects);
         }
         self.log.record(LinePriority::Essential, EventKind::EngineLost, "engine", || {
             let runs = suspects.iter().map(|run| {
-                let parts: Vec<String> = run.parts.iter().map(ToString::to_string).collect();
-                format!("{}:{}", run.request_id, parts.join("+"))
+                format!("{}:{}", run.request_id, QuarantineSubject::join(&run.subjects))
             });
             let runs: Vec<String> = runs.collect();
             format!("engine={} planned={is_planned} suspects={}", self.engine, runs.join(","))
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use cv_dispatch::AdmissionOptions;
 use cv_dispatch::PeerPresence;
-use cv_dispatch::PromptPart;
 use cv_dispatch::QuarantineDecision;
+use cv_dispatch::QuarantineSubject;
 use cv_http::ClientRequest;
 use cv_http::ConnectionPool;
 use cv_http::HttpFault;
@@ -37,6 +37,7 @@
 use crate::internal_headers::WAITING_COMMENT;
 use crate::internal_headers::strip_hop_by_hop;
 use crate::internal_headers::strip_internal_headers;
+use crate::platform_adapter::part_subjects;
 use crate::quarantine_desk::QuarantineDesk;
 use crate::sidecar::batch_relay::BatchRelay;
 use crate::sidecar::engine_run::EngineRun;
@@ -87,7 +88,7 @@
     pub pool: ConnectionPool,
     /// When the keepers were last heard.
     pub presence: Rc<RefCell<PeerPresence>>,
-    /// The prompt parts that end engines.
+    /// The subjects that end engines.
     pub quarantine: Rc<QuarantineDesk>,
     /// Watches the runs of the engine.
     pub watch: Rc<EngineWatch>,
@@ -105,14 +106,14 @@
     pub headers: HeaderMap,
     /// The request method.
     pub method: Method,
-    /// The shared parts of the request's prompt, in order.
-    pub parts: Vec<PromptPart>,
     /// The request target with its query.
     pub path: String,
     /// Id of the request, if it has one.
     pub request_id: Option<String>,
     /// Options with which the request is queued.
     pub options: QueueOptions,
+    /// What may end the engine: the shared parts of the prompt in order, then the request.
+    pub subjects: Vec<QuarantineSubject>,
 }
 
 impl<P: PlatformAdapter> RequestHandler for SidecarHandler<P> {
@@ -126,15 +127,17 @@
         let options = QueueOptions::read(&headers);
         let request_options = P::request_options(&headers);
         strip_internal_headers(&mut headers);
+        let mut subjects = part_subjects::<P>(&headers);
+        subjects.extend(options.digest.map(QuarantineSubject::Request));
         let request = SidecarRequest {
             received_at: Instant::now(),
             body,
             headers,
             method: exchange.head().method.clone(),
-            parts: P::prompt_parts(&exchange.head().headers),
             path: exchange.head().uri.to_string(),
             request_id: request_options.request_id,
             options,
+            subjects,
         };
         if !self.passes_quarantine(&request) {
             return self.refuse_quarantined(exchange, &request).await;
@@ -150,9 +153,9 @@
 }
 
 impl<P: PlatformAdapter> SidecarHandler<P> {
-    /// Returns whether the prompt's parts allow a request to enter the queue.
+    /// Returns whether its subjects allow a request to enter the queue.
     fn passes_quarantine(&self, request: &SidecarRequest) -> bool {
-        match self.quarantine.decide(&request.parts) {
+        match self.quarantine.decide(&request.subjects) {
             QuarantineDecision::Admit => true,
             QuarantineDecision::Try(_) => request.options.is_trial,
             QuarantineDecision::Refuse(..) => false,
@@ -162,10 +165,10 @@
     /// Returns whether a request that has a slot may be handed over. Begins the trial of a
     /// quarantine if it is one, so that a request which gets no slot uses up none.
     pub fn may_hand_over(&self, request: &SidecarRequest) -> bool {
-        let decision = self.quarantine.decide(&request.parts);
+        let decision = self.quarantine.decide(&request.subjects);
         let is_trial = matches!(decision, QuarantineDecision::Try(_)) && request.options.is_trial;
         if is_trial {
-            self.quarantine.begin_trial(&request.parts);
+            self.quarantine.begin_trial(&request.subjects);
         }
         is_trial || decision == QuarantineDecision::Admit
     }
@@ -177,7 +180,7 @@
         }
     }
 
-    /// Refuses a request because of a part of its prompt.
+    /// Refuses a request because of a subject in quarantine.
     pub async fn refuse_quarantined(
         &self,
         exchange: &mut ServerExchange<'_>,
@@ -238,7 +241,7 @@
             let options = AttemptOptions { deadline: time_left, ..AttemptOptions::default() };
             let forwarded = Self::engine_request(request, options);
             let timeout = time_left.unwrap_or(DEFAULT_RESPONSE_TIMEOUT);
-            let guard = self.watch.begin(id.unwrap_or_default(), &request.parts);
+            let guard = self.watch.begin(id.unwrap_or_default(), &request.subjects);
             let started = monoio::select! {
                 started = EngineRun::start(call, &forwarded, id, guard, timeout) => started,
                 () = exchange.closed() => return Err(HttpFault::Closed),
--- a/tests/dispatch/crash_simulation.rs
+++ b/tests/dispatch/crash_simulation.rs
@@ -1,7 +1,7 @@
 //! Simulates entries, sidecars and engines under requests of which some end their engine.
 
-use cv_dispatch::PromptPart;
 use cv_dispatch::QuarantineDecision;
+use cv_dispatch::QuarantineSubject;
 use cv_dispatch::QuarantineTable;
 use cv_dispatch::RunWatch;
 use cv_dispatch::WatchedRunId;
@@ -11,6 +11,7 @@
 use crate::quarantine::CRASHING;
 use crate::quarantine::at;
 use crate::quarantine::loss;
+use crate::quarantine::part;
 
 /// A request under way.
 #[derive(Clone, Debug)]
@@ -20,7 +21,7 @@
     engine: usize,
     entry: usize,
     id: WatchedRunId,
-    parts: Vec<PromptPart>,
+    parts: Vec<QuarantineSubject>,
 }
 
 /// Engines, sidecars and entries under requests of which some end their engine.
@@ -92,7 +93,7 @@
     }
 
     /// Sends a request from an entry to an engine; the first sidecar runs the trials.
-    fn request(&mut self, now: u64, entry: usize, parts: &[PromptPart], attempts: u32) {
+    fn request(&mut self, now: u64, entry: usize, parts: &[QuarantineSubject], attempts: u32) {
         let is_crashing = parts.contains(&CRASHING);
         let up: Vec<usize> =
             (0..ENGINES).filter(|engine| self.down_until[*engine] <= now).collect();
@@ -144,7 +145,7 @@
         }
         for engine in 0..ENGINES {
             for run in self.watches[engine].take_survived(at(now)) {
-                self.tables[ENTRIES + engine].record_served(&run.parts, at(now));
+                self.tables[ENTRIES + engine].record_served(&run.subjects, at(now));
             }
         }
         if now.is_multiple_of(EXCHANGE_MS) {
@@ -160,7 +161,7 @@
         self.down_until[engine] = now + DOWN_MS;
         let suspects = self.watches[engine].suspects(at(now));
         self.watches[engine] = RunWatch::default();
-        let suspects = suspects.iter().map(|run| run.parts.as_slice());
+        let suspects = suspects.iter().map(|run| run.subjects.as_slice());
         self.tables[ENTRIES + engine].record_loss(loss(engine as u8, now), suspects);
         self.tell(ENTRIES + engine, now, false);
         let lost: Vec<_> = self.runs.extract_if(.., |run| run.engine == engine).collect();
@@ -178,8 +179,8 @@
             };
             let entry = self.random.below(ENTRIES);
             if draw(&mut self.random, 25) {
-                let first = PromptPart(0xc0 + self.random.below(40) as u64);
-                let second = PromptPart(0x1000 + self.random.below(800) as u64);
+                let first = part(0xc0 + self.random.below(40) as u64);
+                let second = part(0x1000 + self.random.below(800) as u64);
                 self.sound.0 += 1;
                 self.request(now, entry, &[first, second], 4);
             }
--- a/tests/dispatch/placement.rs
+++ b/tests/dispatch/placement.rs
@@ -6,6 +6,7 @@
 use cv_dispatch::PlacementPolicy;
 use cv_dispatch::PlacementRequest;
 use cv_dispatch::PromptPart;
+use cv_dispatch::QuarantineSubject;
 use cv_dispatch::RunSchedule;
 use cv_dispatch::TargetRecord;
 use cv_dispatch::TargetState;
@@ -359,6 +360,11 @@
     assert!(choices.iter().all(|choice| choice.id != "t6"), "its sidecar is silent");
 }
 
+/// A part of a prompt.
+const fn part_subject(id: u64) -> QuarantineSubject {
+    QuarantineSubject::Part(PromptPart(id))
+}
+
 #[test]
 fn all_processes_send_the_trials_of_a_part_to_the_same_target() {
     let table = |ids: &[u8]| {
@@ -369,7 +375,7 @@
         targets
     };
     let choose = |targets: &TargetTable, part: u64, now: MonotonicTime| {
-        let choice = PlacementPolicy.choose_for_trial(targets, now, "llm", PromptPart(part), 0);
+        let choice = PlacementPolicy.choose_for_trial(targets, now, "llm", part_subject(part), 0);
         choice.map(|choice| choice.id)
     };
     let (mut targets, other) = (table(&[1, 2, 3, 4, 5, 6]), table(&[6, 4, 2, 5, 3, 1]));
@@ -390,7 +396,7 @@
     for last in 1..=5 {
         targets.upsert(record(&format!("t{last}"), "a", last), MonotonicTime::ZERO);
     }
-    for part in (0..50).map(PromptPart) {
+    for part in (0..50).map(part_subject) {
         let mut chosen: Vec<String> = (3..8)
             .filter_map(|turn| PlacementPolicy.choose_for_trial(&targets, at(0), "llm", part, turn))
             .map(|choice| choice.id)
--- a/tests/dispatch/quarantine.rs
+++ b/tests/dispatch/quarantine.rs
@@ -8,6 +8,7 @@
 use cv_dispatch::EngineLoss;
 use cv_dispatch::PromptPart;
 use cv_dispatch::QuarantineDecision;
+use cv_dispatch::QuarantineSubject;
 use cv_dispatch::QuarantineTable;
 use cv_dispatch::RunWatch;
 use cv_dispatch::ThawDetector;
@@ -17,10 +18,15 @@
 use crate::crash_simulation::CrashSimulation;
 
 /// The part that ends engines.
-pub(crate) const CRASHING: PromptPart = PromptPart(0xbad);
+pub(crate) const CRASHING: QuarantineSubject = part(0xbad);
 
 /// A part that crashing and sound prompts have in common.
-pub(crate) const COMMON: PromptPart = PromptPart(0xc0);
+pub(crate) const COMMON: QuarantineSubject = part(0xc0);
+
+/// A part of a prompt.
+pub(crate) const fn part(id: u64) -> QuarantineSubject {
+    QuarantineSubject::Part(PromptPart(id))
+}
 
 /// A time in milliseconds; processes have been running for an hour at its origin.
 pub(crate) fn at(millis: u64) -> MonotonicTime {
@@ -33,7 +39,7 @@
 }
 
 /// Records the loss of an engine with the runs that may be the cause.
-fn lose(table: &mut QuarantineTable, engine: u8, millis: u64, suspects: &[&[PromptPart]]) {
+fn lose(table: &mut QuarantineTable, engine: u8, millis: u64, suspects: &[&[QuarantineSubject]]) {
     table.record_loss(loss(engine, millis), suspects.iter().copied());
 }
 
@@ -48,14 +54,14 @@
 }
 
 /// Returns whether requests with the parts are served.
-fn is_admitted(table: &QuarantineTable, parts: &[PromptPart], millis: u64) -> bool {
+fn is_admitted(table: &QuarantineTable, parts: &[QuarantineSubject], millis: u64) -> bool {
     table.decide(parts, at(millis)) == QuarantineDecision::Admit
 }
 
 #[test]
 fn a_part_that_has_ended_four_engines_ends_no_fifth() {
     let table = convicted_table();
-    let decision = table.decide(&[PromptPart(1), CRASHING], at(1_000));
+    let decision = table.decide(&[part(1), CRASHING], at(1_000));
     assert!(
         matches!(decision, QuarantineDecision::Refuse(CRASHING, left) if !left.is_zero()),
         "{decision:?}"
@@ -66,25 +72,25 @@
 fn prompts_with_the_same_first_part_as_a_crashing_one_are_served() {
     let table = convicted_table();
     assert!(is_admitted(&table, &[COMMON], 1_000));
-    assert!(is_admitted(&table, &[COMMON, PromptPart(7)], 1_000));
+    assert!(is_admitted(&table, &[COMMON, part(7)], 1_000));
 }
 
 #[test]
 fn a_crashing_first_part_is_found_among_varying_other_parts() {
     let mut table = QuarantineTable::default();
     for engine in 1..=4 {
-        let prompt = [CRASHING, PromptPart(100 + u64::from(engine))];
+        let prompt = [CRASHING, part(100 + u64::from(engine))];
         lose(&mut table, engine, 200 * u64::from(engine), &[&prompt]);
     }
-    assert!(!is_admitted(&table, &[CRASHING, PromptPart(9)], 1_000));
-    assert!(is_admitted(&table, &[PromptPart(101)], 1_000));
+    assert!(!is_admitted(&table, &[CRASHING, part(9)], 1_000));
+    assert!(is_admitted(&table, &[part(101)], 1_000));
 }
 
 #[test]
 fn a_prompt_that_only_shared_engines_with_a_crashing_one_is_served() {
-    let (mut table, neighbour) = (QuarantineTable::default(), [PromptPart(5), PromptPart(6)]);
+    let (mut table, neighbour) = (QuarantineTable::default(), [part(5), part(6)]);
     for engine in 1..=8 {
-        let prompts: [&[PromptPart]; 2] = [&neighbour, &[COMMON, CRASHING]];
+        let prompts: [&[QuarantineSubject]; 2] = [&neighbour, &[COMMON, CRASHING]];
         // The neighbour was not at the first engine.
         let suspects = if engine == 1 { &prompts[1..] } else { &prompts[..] };
         lose(&mut table, engine, 200 * u64::from(engine), suspects);
@@ -324,13 +330,13 @@
 #[test]
 fn runs_that_began_long_ago_are_not_blamed_for_the_loss_of_their_engine() {
     let mut watch = RunWatch::default();
-    let old = watch.begin("old", &[PromptPart(1)], at(0));
-    let done = watch.begin("done", &[PromptPart(2)], at(0));
+    let old = watch.begin("old", &[part(1)], at(0));
+    let done = watch.begin("done", &[part(2)], at(0));
     watch.answer(old, at(50));
     watch.answer(done, at(350));
     watch.end(done, at(380), true);
-    let fresh = watch.begin("fresh", &[PromptPart(3)], at(390));
-    watch.begin("waiting", &[PromptPart(4)], at(0));
+    let fresh = watch.begin("fresh", &[part(3)], at(390));
+    watch.begin("waiting", &[part(4)], at(0));
     watch.answer(fresh, at(450));
     let suspects = watch.suspects(at(500));
     let ids: Vec<&str> = suspects.iter().map(|run| run.request_id.as_str()).collect();
@@ -389,12 +395,12 @@
 fn a_quarantine_names_the_longest_wait_of_a_prompts_parts() {
     let mut table = convicted_table();
     for engine in 1..=4 {
-        lose(&mut table, engine, 3_000 + 200 * u64::from(engine), &[&[PromptPart(3)]]);
+        lose(&mut table, engine, 3_000 + 200 * u64::from(engine), &[&[part(3)]]);
     }
-    let decision = table.decide(&[CRASHING, PromptPart(3)], at(4_000));
+    let decision = table.decide(&[CRASHING, part(3)], at(4_000));
     assert!(
-        matches!(decision, QuarantineDecision::Refuse(PromptPart(3), left)
-            if left > Duration::from_secs(4)),
+        matches!(decision, QuarantineDecision::Refuse(subject, left)
+            if subject == part(3) && left > Duration::from_secs(4)),
         "{decision:?}"
     );
 }
