--- a/tests/dispatch/crash_simulation.rs
+++ b/tests/dispatch/crash_simulation.rs
@@ -3,6 +3,7 @@
 use cv_dispatch::QuarantineDecision;
 use cv_dispatch::QuarantineSubject;
 use cv_dispatch::QuarantineTable;
+use cv_dispatch::RequestDigest;
 use cv_dispatch::RunWatch;
 use cv_dispatch::WatchedRunId;
 use cv_policy::SeededRandom;
@@ -35,6 +36,13 @@
     pub crashes: Vec<u64>,
     /// Times at which crashing requests began to run.
     pub crashing_runs: Vec<u64>,
+    /// Requests that end each engine by themselves, and how they are repeated.
+    pub crashing_requests: Vec<CrashingRequest>,
+    /// Number of requests that came, each of which has a digest of its own.
+    came: u64,
+    /// Times that each caller repeats a request with [`CRASHING`].
+    pub repetitions: u32,
+    repeated: Vec<(u64, u32, Vec<QuarantineSubject>)>,
     random: SeededRandom,
     /// Sound requests that came, and those refused because of their prompt.
     pub sound: (u32, u32),
@@ -42,6 +50,33 @@
     watches: Vec<RunWatch>,
 }
 
+/// A request that ends each engine that begins to run it, and comes again and again.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashingRequest {
+    /// Times at which engines ended of it.
+    pub crashes: Vec<u64>,
+    /// Time between two attempts of its caller, in milliseconds.
+    pub interval: u64,
+    /// Times at which its caller's attempts reached engines.
+    pub runs: Vec<u64>,
+    pub subjects: Vec<QuarantineSubject>,
+}
+
+impl CrashingRequest {
+    /// Creates a request with a digest and the parts of its prompt.
+    pub fn new(digest: u64, parts: &[QuarantineSubject], interval: u64) -> Self {
+        let mut subjects = parts.to_vec();
+        subjects.push(QuarantineSubject::Request(RequestDigest(digest)));
+        Self { crashes: Vec::new(), interval, runs: Vec::new(), subjects }
+    }
+
+    /// Counts the attempts that reached engines later than three seconds after the third loss.
+    pub fn late_runs(&self) -> usize {
+        let third = self.crashes.get(2).copied();
+        third.map_or(0, |third| self.runs.iter().filter(|at| **at > third + 3_000).count())
+    }
+}
+
 /// Number of entries of the simulation.
 const ENTRIES: usize = 5;
 
@@ -63,6 +98,9 @@
 /// Time between two exchanges of what processes know, in milliseconds.
 const EXCHANGE_MS: u64 = 500;
 
+/// Time after which a caller repeats a request, in milliseconds.
+const REPETITION_MS: u64 = 900;
+
 /// Exchanges after which processes tell all that they know.
 const FULL_EXCHANGES: u64 = 4;
 
@@ -75,12 +113,22 @@
             runs: Vec::new(),
             crashes: Vec::new(),
             crashing_runs: Vec::new(),
+            crashing_requests: Vec::new(),
+            came: 0,
+            repetitions: 0,
+            repeated: Vec::new(),
             random: SeededRandom::new(seed),
             sound: (0, 0),
             watches: vec![RunWatch::default(); ENGINES],
         }
     }
 
+    /// Returns the digest of a request that has not come before.
+    fn next_request(&mut self) -> QuarantineSubject {
+        self.came += 1;
+        QuarantineSubject::Request(RequestDigest(self.came))
+    }
+
     /// Tells the other side what a process knows; a tenth of the messages is lost.
     fn tell(&mut self, from: usize, now: u64, is_full: bool) {
         let records = self.tables[from].records(at(now), is_full);
@@ -95,6 +143,8 @@
     /// Sends a request from an entry to an engine; the first sidecar runs the trials.
     fn request(&mut self, now: u64, entry: usize, parts: &[QuarantineSubject], attempts: u32) {
         let is_crashing = parts.contains(&CRASHING);
+        let repeated = self.crashing_requests.iter().position(|request| request.subjects == parts);
+        let is_sound = !is_crashing && repeated.is_none();
         let up: Vec<usize> =
             (0..ENGINES).filter(|engine| self.down_until[*engine] <= now).collect();
         if up.is_empty() {
@@ -104,7 +154,7 @@
             QuarantineDecision::Admit => up[self.random.below(up.len())],
             QuarantineDecision::Try(_) if up[0] == 0 => 0,
             _ => {
-                self.sound.1 += u32::from(!is_crashing);
+                self.sound.1 += u32::from(is_sound);
                 return;
             }
         };
@@ -115,13 +165,16 @@
                 self.tell(ENTRIES, now, false);
             }
             _ => {
-                self.sound.1 += u32::from(!is_crashing);
+                self.sound.1 += u32::from(is_sound);
                 return;
             }
         }
         if is_crashing {
             self.crashing_runs.push(now);
         }
+        if let Some(index) = repeated {
+            self.crashing_requests[index].runs.push(now);
+        }
         let id = self.watches[engine].begin("", parts, at(now));
         let (attempts_left, parts) = (attempts - 1, parts.to_vec());
         self.runs.push(SimulatedRun { attempts_left, begun: now, engine, entry, id, parts });
@@ -132,11 +185,23 @@
         for run in self.runs.iter().filter(|run| now == run.begun + HEAD_MS) {
             self.watches[run.engine].answer(run.id, at(now));
         }
-        let is_crash =
-            |run: &SimulatedRun| run.parts.contains(&CRASHING) && now >= run.begun + CRASH_MS;
-        while let Some(run) = self.runs.iter().find(|run| is_crash(run)) {
-            self.crashes.push(now);
-            self.lose_engine(run.engine, now);
+        loop {
+            let is_cause = |parts: &[QuarantineSubject]| {
+                let mut requests = self.crashing_requests.iter();
+                parts.contains(&CRASHING) || requests.any(|request| request.subjects == parts)
+            };
+            let is_crash =
+                |run: &&SimulatedRun| now >= run.begun + CRASH_MS && is_cause(&run.parts);
+            let Some(run) = self.runs.iter().find(is_crash) else {
+                break;
+            };
+            let engine = run.engine;
+            let mut requests = self.crashing_requests.iter_mut();
+            match requests.find(|request| request.subjects == run.parts) {
+                Some(request) => request.crashes.push(now),
+                None => self.crashes.push(now),
+            }
+            self.lose_engine(engine, now);
         }
         let ended: Vec<_> = self.runs.extract_if(.., |run| now >= run.begun + RUN_MS).collect();
         for run in ended {
@@ -182,11 +247,31 @@
                 let first = part(0xc0 + self.random.below(40) as u64);
                 let second = part(0x1000 + self.random.below(800) as u64);
                 self.sound.0 += 1;
-                self.request(now, entry, &[first, second], 4);
+                let subjects = [first, second, self.next_request()];
+                self.request(now, entry, &subjects, 4);
             }
             // Some seconds without trouble come first.
             if now > 5_000 && draw(&mut self.random, crashing_ms) {
-                self.request(now, entry, &[COMMON, CRASHING], 2);
+                let subjects = [COMMON, CRASHING, self.next_request()];
+                self.request(now, entry, &subjects, 2);
+                self.repeated.push((now + REPETITION_MS, self.repetitions, subjects.to_vec()));
+            }
+            for (_, left, subjects) in
+                self.repeated.extract_if(.., |row| row.0 <= now).collect::<Vec<_>>()
+            {
+                if left > 0 {
+                    let entry = self.random.below(ENTRIES);
+                    self.request(now, entry, &subjects, 2);
+                    self.repeated.push((now + REPETITION_MS, left - 1, subjects));
+                }
+            }
+            for index in 0..self.crashing_requests.len() {
+                let request = &self.crashing_requests[index];
+                if now > 5_000 && now.is_multiple_of(request.interval) {
+                    let subjects = request.subjects.clone();
+                    let entry = self.random.below(ENTRIES);
+                    self.request(now, entry, &subjects, 2);
+                }
             }
             if now > 5_000 && draw(&mut self.random, random_loss_ms) {
                 let engine = self.random.below(ENGINES);
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -18,6 +18,7 @@
 mod placement;
 mod quarantine;
 mod request_limits;
+mod request_quarantine;
 mod reservations;
 mod results_load;
 mod route_table;
