Quarantine of requests by their digests

The third loss of a request convicts it, each engine counts, evidence does not lapse, and there is one trial in all, none after a restart; a request that relapses is convicted by its first loss. What a convicted request explains does not accuse the parts of prompts, unless different requests with a part end engines. Parts and requests have caps of their own.

--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -1,4 +1,4 @@
-//! The evidence against one subject.
+//! The evidence against one subject of a quarantine.
 
 use std::time::Duration;
 
@@ -18,6 +18,25 @@
 /// Losses that put a subject into quarantine that has been served before.
 const MAX_LOSSES_IF_SERVED: usize = 6;
 
+/// Losses that put a request into quarantine.
+const MAX_REQUEST_LOSSES: usize = 3;
+
+/// Losses that put a request into quarantine that has been there before.
+const MAX_LOSSES_IF_RELAPSED: usize = 1;
+
+/// Trials of a request in all. Its callers repeat it for as long as it is not served.
+const MAX_REQUEST_TRIALS: u8 = 1;
+
+/// Time after the last event after which the quarantine of a part ends.
+const PART_LIFETIME: Duration = Duration::from_mins(15);
+
+/// Time after the last event after which the quarantine of a request ends.
+const REQUEST_LIFETIME: Duration = Duration::from_hours(12);
+
+/// Time after which a loss is no evidence any more against a part that is not in quarantine.
+/// Requests that come rarely are identified by losses long ago.
+const EVIDENCE_LIFETIME: Duration = Duration::from_secs(30);
+
 /// Most losses that are kept for one subject.
 const KEPT_LOSSES: usize = 12;
 
@@ -52,6 +71,8 @@
     served_at: Option<MonotonicTime>,
     trials: u8,
     tried_at: Option<MonotonicTime>,
+    /// Whether the subject is or was in quarantine, as far as this process knows.
+    was_quarantined: bool,
 }
 
 impl QuarantineRow {
@@ -70,6 +91,7 @@
             served_at,
             trials: 0,
             tried_at: None,
+            was_quarantined: false,
         }
     }
 
@@ -97,6 +119,9 @@
     /// verdict, and ever later after those that ended their engines.
     pub fn trial_due(&self) -> Option<MonotonicTime> {
         let since = self.quarantined_at?;
+        if self.subject.is_request() && self.trials >= MAX_REQUEST_TRIALS {
+            return Some(self.last_event() + REQUEST_LIFETIME);
+        }
         if let Some(tried_at) = self.tried_at
             && !self.has_loss_since(tried_at.before(TIME_ERROR))
         {
@@ -140,8 +165,12 @@
         latest.unwrap_or(MonotonicTime::ZERO)
     }
 
-    /// Counts the losses that `is_explained` does not attribute to another subject.
+    /// Counts the losses that `is_explained` does not attribute to another subject. A request runs at
+    /// one engine at a time for each caller, so its losses have no common cause.
     pub fn count_losses(&self, is_explained: impl Fn(&EngineLoss) -> bool) -> usize {
+        if self.subject.is_request() {
+            return self.losses.iter().filter(|loss| !is_explained(loss)).count();
+        }
         let mut count = 0;
         let mut last: Option<MonotonicTime> = None;
         for loss in self.losses.iter().filter(|loss| !is_explained(loss)) {
@@ -155,7 +184,13 @@
 
     /// Returns whether that many losses are enough for a quarantine.
     pub fn is_convicted_by(&self, losses: usize) -> bool {
-        losses >= if self.was_served() { MAX_LOSSES_IF_SERVED } else { MAX_LOSSES }
+        let limit = match (self.subject, self.was_quarantined, self.was_served()) {
+            (QuarantineSubject::Request(_), true, _) => MAX_LOSSES_IF_RELAPSED,
+            (QuarantineSubject::Request(_), false, _) => MAX_REQUEST_LOSSES,
+            (QuarantineSubject::Part(_), _, true) => MAX_LOSSES_IF_SERVED,
+            (QuarantineSubject::Part(_), _, false) => MAX_LOSSES,
+        };
+        losses >= limit
     }
 
     /// Adds a loss; returns whether it was not known.
@@ -173,12 +208,13 @@
 
     /// Puts the subject into quarantine.
     pub fn quarantine(&mut self, now: MonotonicTime) {
-        self.quarantined_at = Some(now);
-        (self.trials, self.tried_at) = (0, None);
+        let is_relapse = self.was_quarantined && self.subject.is_request();
+        (self.quarantined_at, self.was_quarantined) = (Some(now), true);
+        (self.trials, self.tried_at) = (if is_relapse { MAX_REQUEST_TRIALS } else { 0 }, None);
         self.changed_at = now;
     }
 
-    /// Puts the subject into quarantine after a restart, with the delay after one failed trial.
+    /// Puts the subject into quarantine after a restart, as after one failed trial.
     pub fn restore(&mut self, since: MonotonicTime, now: MonotonicTime) {
         self.quarantine(since);
         self.changed_at = now;
@@ -204,14 +240,40 @@
         is_lifted
     }
 
-    /// Forgets the losses before a time.
-    pub fn forget_losses_before(&mut self, time: MonotonicTime) {
-        self.losses.retain(|loss| loss.at >= time);
+    /// Forgets what has expired; returns whether that ends the quarantine.
+    pub fn expire(&mut self, now: MonotonicTime) -> bool {
+        let is_request = self.subject.is_request();
+        if !self.is_in_quarantine() {
+            if !is_request {
+                self.losses.retain(|loss| loss.at >= now.before(EVIDENCE_LIFETIME));
+            }
+            return false;
+        }
+        let lifetime = if is_request { REQUEST_LIFETIME } else { PART_LIFETIME };
+        let is_lifted = now.since(self.last_event()) >= lifetime;
+        if is_lifted {
+            (self.quarantined_at, self.trials, self.tried_at) = (None, 0, None);
+            self.losses.clear();
+        }
+        is_lifted
     }
 
-    /// Returns whether the row holds any evidence.
+    /// Returns whether the row has to be kept.
     pub fn has_evidence(&self) -> bool {
-        self.is_in_quarantine() || !self.losses.is_empty()
+        let may_relapse = self.subject.is_request() && self.was_quarantined;
+        self.is_in_quarantine() || !self.losses.is_empty() || may_relapse
+    }
+
+    /// Returns whether all of the losses are among the evidence.
+    pub fn has_losses(&self, losses: &[&EngineLoss]) -> bool {
+        losses.iter().all(|loss| self.has_loss(loss))
+    }
+
+    /// Returns how long the row is kept if there are too many; those with the least go first.
+    pub fn retention(&self) -> impl Ord {
+        let losses = if self.subject.is_request() { self.losses.len() } else { 0 };
+        let may_relapse = self.subject.is_request() && self.was_quarantined;
+        (self.is_in_quarantine(), may_relapse, losses, self.last_event())
     }
 
     /// Merges what another process knew at `sent_at`; returns whether it is new here.
@@ -230,7 +292,7 @@
         if let Some(age) = record.quarantined {
             let since = time(age);
             if self.quarantined_at.is_none() && self.served_at.is_none_or(|served| served < since) {
-                self.quarantined_at = Some(since);
+                (self.quarantined_at, self.was_quarantined) = (Some(since), true);
             }
             if self.quarantined_at.is_some() && record.trials >= self.trials {
                 self.trials = record.trials;
--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -1,4 +1,4 @@
-//! Quarantine of subjects that end the engines that they run on.
+//! Quarantine of requests and parts of prompts that end the engines that they run on.
 
 use std::time::Duration;
 
@@ -9,22 +9,22 @@
 use crate::QuarantineSubject;
 use crate::quarantine_row::QuarantineRow;
 
-/// Time after which a loss is no evidence any more against a subject that is not in quarantine.
-const EVIDENCE_LIFETIME: Duration = Duration::from_secs(30);
-
-/// Time after the last loss or trial after which a quarantine ends.
-const QUARANTINE_LIFETIME: Duration = Duration::from_mins(15);
+/// Time after its last change for which a row without evidence is kept, so that peers learn of it.
+const ROW_LIFETIME: Duration = Duration::from_secs(30);
 
 /// Time for which news of a subject is repeated to other processes.
 const NEWS_LIFETIME: Duration = Duration::from_secs(2);
 
-/// Most subjects with evidence that are kept.
-const MAX_ROWS: usize = 128;
+/// Most parts with evidence that are kept.
+const MAX_PARTS: usize = 128;
+
+/// Most requests with evidence that are kept.
+const MAX_REQUESTS: usize = 512;
 
-/// Most subjects that are told to other processes at once.
+/// Most parts, and most requests, that are told to other processes at once.
 const MAX_RECORDS: usize = 48;
 
-/// Most subjects of which the last service is remembered.
+/// Most parts of which the last service is remembered.
 const MAX_SERVED: usize = 4_096;
 
 /// What to do with a request.
@@ -108,9 +108,6 @@
     ) -> QuarantineChanges {
         for subjects in suspects {
             for (index, subject) in subjects.iter().enumerate() {
-                if subject.is_request() {
-                    continue;
-                }
                 let row = self.row_mut(*subject, loss.at);
                 row.position = row.position.max(u8::try_from(index).unwrap_or(u8::MAX));
                 if row.record_loss(loss) {
@@ -162,48 +159,38 @@
         now: MonotonicTime,
     ) -> QuarantineChanges {
         let mut changes = QuarantineChanges::default();
+        let mut is_new = false;
         for record in records {
             let row = self.row_mut(record.subject, now);
             let was_in_quarantine = row.is_in_quarantine();
-            row.merge(record, sent_at, now);
+            is_new |= row.merge(record, sent_at, now);
             match (was_in_quarantine, row.is_in_quarantine()) {
                 (true, false) => changes.lifted.push(record.subject),
                 (false, true) => changes.quarantined.push(record.subject),
                 _ => {}
             }
         }
-        changes.quarantined.extend(self.convict(now));
-        self.limit_rows();
+        if is_new {
+            changes.quarantined.extend(self.convict(now));
+            self.limit_rows();
+        }
         changes
     }
 
-    /// Returns what other processes should know: all quarantines if `is_full`, and news.
+    /// Returns what other processes should know: news and, if `is_full`, quarantines, in turn if
+    /// there are many.
     #[must_use]
     pub fn records(&self, now: MonotonicTime, is_full: bool) -> Vec<QuarantineRecord> {
-        let is_told = |row: &&QuarantineRow| {
-            is_full && row.is_in_quarantine() || now.since(row.changed_at) < NEWS_LIFETIME
-        };
-        let mut told: Vec<&QuarantineRow> = self.rows.iter().filter(is_told).collect();
-        told.sort_by_key(|row| {
-            (!row.is_in_quarantine(), std::cmp::Reverse(row.count_losses(|_| false)))
-        });
-        told.into_iter().take(MAX_RECORDS).map(|row| row.record(now)).collect()
+        let (parts, requests) = self.rows.split_at(self.part_count());
+        let told = [parts, requests].into_iter().flat_map(|rows| told_rows(rows, now, is_full));
+        told.map(|row| row.record(now)).collect()
     }
 
     /// Removes evidence and quarantines that have expired; returns the subjects that left quarantine.
     pub fn expire(&mut self, now: MonotonicTime) -> Vec<QuarantineSubject> {
-        let mut lifted = Vec::new();
-        for row in &mut self.rows {
-            if !row.is_in_quarantine() {
-                row.forget_losses_before(now.before(EVIDENCE_LIFETIME));
-            } else if now.since(row.last_event()) >= QUARANTINE_LIFETIME {
-                lifted.push(row.subject);
-            }
-        }
-        self.rows.retain(|row| {
-            let is_news = now.since(row.changed_at) < EVIDENCE_LIFETIME;
-            !lifted.contains(&row.subject) && (row.has_evidence() || is_news)
-        });
+        let lifted =
+            self.rows.iter_mut().filter_map(|row| row.expire(now).then_some(row.subject)).collect();
+        self.rows.retain(|row| row.has_evidence() || now.since(row.changed_at) < ROW_LIFETIME);
         lifted
     }
 
@@ -236,13 +223,13 @@
 
     /// Puts subjects into quarantine as long as the evidence suffices for one; returns them.
     fn convict(&mut self, now: MonotonicTime) -> Vec<QuarantineSubject> {
-        let mut convicted = Vec::new();
+        let mut convicted = self.convict_requests(now);
+        let part_count = self.part_count();
         loop {
-            let candidates =
-                self.rows.iter().enumerate().filter(|(_, row)| !row.is_in_quarantine());
+            let candidates = self.rows[..part_count].iter().enumerate();
+            let candidates = candidates.filter(|(_, row)| !row.is_in_quarantine());
             let counted = candidates.map(|(index, row)| {
-                let losses = row.count_losses(|loss| self.is_explained(loss));
-                (losses, !row.was_served(), row.position, index)
+                (self.count_unexplained(row), !row.was_served(), row.position, index)
             });
             let guilty =
                 counted.filter(|(losses, _, _, index)| self.rows[*index].is_convicted_by(*losses));
@@ -254,9 +241,45 @@
         }
     }
 
-    /// Returns whether a subject in quarantine accounts for a loss.
-    fn is_explained(&self, loss: &EngineLoss) -> bool {
-        self.rows.iter().any(|row| row.is_in_quarantine() && row.has_loss(loss))
+    /// Puts each request into quarantine against which the evidence suffices. Nothing else explains
+    /// its losses: a mistake costs the one request, and one too few an engine with each repetition.
+    fn convict_requests(&mut self, now: MonotonicTime) -> Vec<QuarantineSubject> {
+        let mut convicted = Vec::new();
+        let part_count = self.part_count();
+        for row in self.rows[part_count..].iter_mut().filter(|row| !row.is_in_quarantine()) {
+            if row.is_convicted_by(row.count_losses(|_| false)) {
+                row.quarantine(now);
+                convicted.push(row.subject);
+            }
+        }
+        convicted
+    }
+
+    /// Counts the losses of a part that no quarantine accounts for.
+    ///
+    /// A request in quarantine of which the part has not taken part in each loss does not contain
+    /// it, or requests with the part were served in between. Any other may contain the part. Alone
+    /// it explains the part's losses; if there are more, the part explains them better.
+    fn count_unexplained(&self, row: &QuarantineRow) -> usize {
+        let (parts, requests) = self.rows.split_at(self.part_count());
+        let (inside, outside): (Vec<&QuarantineRow>, Vec<&QuarantineRow>) = requests
+            .iter()
+            .filter(|request| request.is_in_quarantine())
+            .partition(|request| request.losses().iter().all(|loss| row.has_loss(loss)));
+        let parts = parts.iter().filter(|part| part.is_in_quarantine());
+        let causes: Vec<&QuarantineRow> = parts.chain(outside).collect();
+        let is_explained = |loss: &EngineLoss| causes.iter().any(|cause| cause.has_loss(loss));
+        let left: Vec<&EngineLoss> =
+            row.losses().iter().filter(|loss| !is_explained(loss)).collect();
+        if inside.iter().any(|request| request.has_losses(&left)) {
+            return 0;
+        }
+        row.count_losses(is_explained)
+    }
+
+    /// Returns the number of parts, whose rows come before those of requests.
+    fn part_count(&self) -> usize {
+        self.rows.partition_point(|row| !row.subject.is_request())
     }
 
     /// Remembers the last service of a subject, at the cost of those served longest ago.
@@ -276,14 +299,24 @@
         }
     }
 
-    /// Removes the oldest rows that are not in quarantine beyond [`MAX_ROWS`].
+    /// Removes the rows with the least evidence beyond [`MAX_PARTS`] and [`MAX_REQUESTS`].
     fn limit_rows(&mut self) {
-        while self.rows.len() > MAX_ROWS {
-            let rows = self.rows.iter().enumerate();
-            let oldest = rows.min_by_key(|(_, row)| (row.is_in_quarantine(), row.last_event()));
-            let Some((position, _)) = oldest else {
-                return;
-            };
+        let part_count = self.part_count();
+        let request_count = self.rows.len() - part_count;
+        for _ in MAX_REQUESTS..request_count {
+            self.remove_least(part_count);
+        }
+        for _ in MAX_PARTS..part_count {
+            let requests = self.rows.split_off(self.part_count());
+            self.remove_least(0);
+            self.rows.extend(requests);
+        }
+    }
+
+    /// Removes the row with the least evidence of those from an index on.
+    fn remove_least(&mut self, begin: usize) {
+        let rows = self.rows.iter().enumerate().skip(begin);
+        if let Some((position, _)) = rows.min_by_key(|(_, row)| row.retention()) {
             self.rows.remove(position);
         }
     }
@@ -312,3 +345,22 @@
         self.rows.binary_search_by_key(&subject, |row| row.subject)
     }
 }
+
+/// Returns those rows of which other processes are told, news first.
+fn told_rows(
+    rows: &[QuarantineRow],
+    now: MonotonicTime,
+    is_full: bool,
+) -> impl Iterator<Item = &QuarantineRow> {
+    let is_news = move |row: &&QuarantineRow| now.since(row.changed_at) < NEWS_LIFETIME;
+    let mut news: Vec<&QuarantineRow> = rows.iter().filter(is_news).collect();
+    news.sort_by_key(|row| {
+        (!row.is_in_quarantine(), std::cmp::Reverse(row.count_losses(|_| false)))
+    });
+    let is_rest = |row: &&QuarantineRow| is_full && row.is_in_quarantine() && !is_news(row);
+    let mut rest: Vec<&QuarantineRow> = rows.iter().filter(is_rest).collect();
+    let turn = (now.as_micros() / 1_000_000) as usize * MAX_RECORDS / 2;
+    let begin = turn.checked_rem(rest.len()).unwrap_or(0);
+    rest.rotate_left(begin);
+    news.into_iter().chain(rest).take(MAX_RECORDS)
+}
--- a/tests/dispatch/request_quarantine.rs
+++ b/tests/dispatch/request_quarantine.rs
@@ -285,6 +285,7 @@
             assert!(late <= 3, "seed {seed}: {late} late runs, {} losses", request.crashes.len());
         }
         let (came, refused) = simulation.sound;
+        let refused = refused + simulation.lost_thrice;
         assert!(refused * 50 <= came, "seed {seed}: {refused} of {came} sound requests refused");
     }
 }
@@ -304,6 +305,7 @@
         let late = simulation.crashing_runs.iter().filter(|at| **at > fifth + 3_000).count();
         assert!(late <= 3, "seed {seed}: {late} requests ran after the fifth crash");
         let (came, refused) = simulation.sound;
+        let refused = refused + simulation.lost_thrice;
         assert!(refused * 100 <= came, "seed {seed}: {refused} of {came} sound requests refused");
     }
 }
