Quarantine of requests at targets without sidecars; convictions are told at once

An entry asks before each hand-over, finds out whether a target without a sidecar has ended before the request goes on, and begins the trial of a request itself where there are no sidecars.

--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -210,6 +210,12 @@
         QuarantineChanges { lifted: Vec::new(), quarantined: vec![subject] }
     }
 
+    /// Returns whether there is evidence against a subject, or has been recently.
+    #[must_use]
+    pub fn is_suspect(&self, subject: QuarantineSubject) -> bool {
+        self.position(subject).is_ok()
+    }
+
     /// Returns the losses that are known of a subject.
     #[must_use]
     pub fn losses(&self, subject: QuarantineSubject) -> &[EngineLoss] {
--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -1,5 +1,6 @@
 //! Serves one caller's online request, with up to as many attempts as its route allows.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -26,6 +27,9 @@
 /// Targets that may refuse a request before the caller is told to retry later.
 const MAX_REFUSALS: usize = 6;
 
+/// Longest wait for whether a target has ended, until the request goes to another one.
+const MAX_INVESTIGATION: Duration = Duration::from_millis(50);
+
 /// Times that all of a request's reservations are denied before its caller is told to retry later.
 const MAX_DENIED_ROUNDS: u32 = 2;
 
@@ -153,8 +157,10 @@
         let context = &mut self.context;
         let mut attempt = TargetAttempt { choice: &choice, context, is_trial, reservation };
         let outcome = attempt.send(exchange, relay).await?;
-        self.context.is_handed_over =
-            matches!(outcome, AttemptOutcome::Finished | AttemptOutcome::Interrupted(_));
+        self.context.is_handed_over = matches!(
+            outcome,
+            AttemptOutcome::Finished | AttemptOutcome::Failed(_) | AttemptOutcome::Interrupted(_)
+        );
         Ok(match outcome {
             AttemptOutcome::Finished => RequestStep::Finished,
             AttemptOutcome::RateLimited => RequestStep::Continue,
@@ -165,8 +171,12 @@
             }
             AttemptOutcome::NotRun => self.record_refusal(choice, reservation.is_some()),
             AttemptOutcome::Unreachable => self.record_unreachable(choice),
+            AttemptOutcome::Failed(detail) => {
+                self.record_failure(choice, &detail, relay.can_resume())
+            }
             AttemptOutcome::Interrupted(detail) => {
-                self.record_interruption(choice, &detail, relay.can_resume())
+                self.investigate(&choice).await;
+                self.record_failure(choice, &detail, relay.can_resume())
             }
         })
     }
@@ -205,8 +215,17 @@
         RequestStep::Continue
     }
 
-    /// Records that a target broke off the request, for the reason in `detail`.
-    fn record_interruption(
+    /// Finds out whether a target without a sidecar has ended, before another one gets the request.
+    async fn investigate(&self, choice: &TargetChoice) {
+        if !choice.through_sidecar {
+            let desk = &self.context.handler.view.quarantine;
+            let verdict = desk.investigate(choice.address, &self.context.subjects);
+            let _ = monoio::time::timeout(MAX_INVESTIGATION, verdict).await;
+        }
+    }
+
+    /// Records that a target failed on the request or broke it off, for the reason in `detail`.
+    fn record_failure(
         &mut self,
         choice: TargetChoice,
         detail: &str,
@@ -214,9 +233,6 @@
     ) -> RequestStep {
         let context = &mut self.context;
         context.recorder().record_failure(&choice, detail);
-        if !choice.through_sidecar {
-            context.handler.view.quarantine.investigate(choice.address, &context.subjects);
-        }
         context.tried_targets.push(choice.id);
         let may_retry = context.route.may_repeat() && can_resume;
         if !may_retry || context.attempts >= context.route.max_attempts {
@@ -234,16 +250,24 @@
             tried: &self.context.tried_targets,
             zone: &self.context.handler.identity.zone,
         };
-        let is_model = view
-            .routes()
-            .is_some_and(|routes| routes.service(&self.service).is_some_and(|rule| rule.is_model));
         let now = view.clock.now();
         let choice = view.with_targets(|targets| PlacementPolicy.choose(targets, now, &request))?;
-        Some(TargetChoice { through_sidecar: choice.through_sidecar && is_model, ..choice })
+        let through_sidecar = choice.through_sidecar && self.is_model();
+        Some(TargetChoice { through_sidecar, ..choice })
     }
 
-    /// Chooses the target that runs the trial of a subject in quarantine.
+    /// Returns whether the targets of the service are model engines.
+    fn is_model(&self) -> bool {
+        let routes = self.context.handler.view.routes();
+        routes.is_some_and(|routes| routes.service(&self.service).is_some_and(|rule| rule.is_model))
+    }
+
+    /// Chooses the target that runs the trial of a subject in quarantine. Services without sidecars
+    /// get it from the entry to which the request comes first when it is due.
     fn choose_for_trial(&self, subject: QuarantineSubject) -> Option<TargetChoice> {
+        if subject.is_request() && !self.is_model() {
+            return self.choose_target();
+        }
         let view = &self.context.handler.view;
         let now = view.clock.now();
         view.with_targets(|targets| {
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -71,6 +71,8 @@
     Quarantined,
     /// The target or its sidecar could not be reached.
     Unreachable,
+    /// The target has failed on the request, or not responded as agreed; holds the reason.
+    Failed(String),
     /// The request may have run without a complete response; holds the reason.
     Interrupted(String),
 }
@@ -86,7 +88,7 @@
         relay: &mut ResponseRelay<'_>,
     ) -> Result<AttemptOutcome, HttpFault> {
         // The request may have waited for a slot since the last decision.
-        if !self.is_trial && self.context.decide_quarantine() != QuarantineDecision::Admit {
+        if !self.passes_quarantine() {
             return Ok(AttemptOutcome::Quarantined);
         }
         let (choice, handler) = (self.choice, self.context.handler);
@@ -96,6 +98,12 @@
             if !(DirectSend { handler, request }).is_permitted(choice).await {
                 return Ok(AttemptOutcome::RateLimited);
             }
+            if !self.passes_quarantine() {
+                return Ok(AttemptOutcome::Quarantined);
+            }
+            if self.is_trial {
+                handler.view.quarantine.begin_trial(&self.context.subjects);
+            }
         }
         let address = if choice.through_sidecar {
             handler.identity.sidecar_address(choice.address)
@@ -130,6 +138,15 @@
         self.handle_response(exchange, &call, connection, &head, relay).await
     }
 
+    /// Returns whether the request may be handed over now. A sidecar decides itself on a trial.
+    fn passes_quarantine(&self) -> bool {
+        match self.context.decide_quarantine() {
+            QuarantineDecision::Admit => true,
+            QuarantineDecision::Try(_) => self.is_trial,
+            QuarantineDecision::Refuse(..) => self.is_trial && self.choice.through_sidecar,
+        }
+    }
+
     /// Handles a response whose head has arrived.
     async fn handle_response(
         &mut self,
@@ -159,14 +176,14 @@
         }
         self.context.attempts += 1;
         if !marks.is_signed || verdict.is_some() {
-            return Ok(AttemptOutcome::Interrupted(format!("status={} unsigned", head.status)));
+            return Ok(AttemptOutcome::Failed(format!("status={} unsigned", head.status)));
         }
         let is_last = self.context.attempts >= self.context.route.max_attempts
             || !self.context.route.may_repeat();
         // Only a stream can go on within the response that the caller has begun to receive.
         let breaks_stream = relay.has_started() && !head.status.is_success();
         if breaks_stream || head.status.is_server_error() && !is_last {
-            return Ok(AttemptOutcome::Interrupted(format!("status={}", head.status)));
+            return Ok(AttemptOutcome::Failed(format!("status={}", head.status)));
         }
         let headers = P::response_headers(&head.headers);
         let time_left = self.context.time_left();
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -235,7 +235,9 @@
             let desk = &self.state.view.quarantine;
             match outcome {
                 RunOutcome::Completed => desk.judge_response(self.target.address, &self.subjects),
-                RunOutcome::Interrupted(_) => desk.investigate(self.target.address, &self.subjects),
+                RunOutcome::Interrupted(_) => {
+                    drop(desk.investigate(self.target.address, &self.subjects));
+                }
                 _ => {}
             }
         }
--- a/crates/serving/src/quarantine_desk.rs
+++ b/crates/serving/src/quarantine_desk.rs
@@ -1,4 +1,4 @@
-//! This process's knowledge of the subjects that end engines.
+//! This process's knowledge of the requests and parts of prompts that end engines.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -19,6 +19,7 @@
 use cv_timeline::LineLog;
 use cv_timeline::LinePriority;
 use cv_timer::ProcessClock;
+use monoio::task::JoinHandle;
 use tokio::sync::Notify;
 
 use crate::engine_probe::has_ended;
@@ -111,10 +112,12 @@
     }
 
     /// Finds out whether an engine has ended that broke off a response without a sidecar between.
-    pub fn investigate(self: &Rc<Self>, engine: SocketAddr, subjects: &[QuarantineSubject]) {
-        if subjects.is_empty() {
-            return;
-        }
+    /// Resolves when that is known.
+    pub fn investigate(
+        self: &Rc<Self>,
+        engine: SocketAddr,
+        subjects: &[QuarantineSubject],
+    ) -> JoinHandle<()> {
         let (desk, subjects) = (Rc::clone(self), subjects.to_vec());
         monoio::spawn(async move {
             if has_ended(engine).await {
@@ -125,17 +128,23 @@
                 losses.push(EngineLoss { at: desk.now(), engine: engine.ip() });
                 drop(losses);
                 desk.record_loss(engine.ip(), [subjects.as_slice()]);
+                desk.log_loss(engine, &subjects);
             }
-        });
+        })
     }
 
     /// Records a whole response that came without a sidecar between, once its engine has survived
     /// it.
     pub fn judge_response(self: &Rc<Self>, engine: SocketAddr, subjects: &[QuarantineSubject]) {
+        // Requests come too often for each to be remembered.
+        let is_known = |subject: &&QuarantineSubject| {
+            !subject.is_request() || self.table.borrow().is_suspect(**subject)
+        };
+        let subjects: Vec<QuarantineSubject> = subjects.iter().filter(is_known).copied().collect();
         if subjects.is_empty() {
             return;
         }
-        let (desk, subjects, ended_at) = (Rc::clone(self), subjects.to_vec(), self.now());
+        let (desk, ended_at) = (Rc::clone(self), self.now());
         monoio::spawn(async move {
             monoio::time::sleep(SURVIVAL_TIME).await;
             let is_lost = desk
@@ -185,6 +194,9 @@
         let now = self.now();
         let changes = self.table.borrow_mut().merge(records, now.before(delay), now);
         self.log_changes(&changes, "peer");
+        if changes != QuarantineChanges::default() {
+            self.news.notify_one();
+        }
     }
 
     /// Returns what other processes should know: all quarantines if `is_full`, and news.
@@ -203,6 +215,14 @@
         self.news.notified().await;
     }
 
+    /// Logs the loss of an engine without a sidecar between.
+    fn log_loss(&self, engine: SocketAddr, subjects: &[QuarantineSubject]) {
+        self.log.record(LinePriority::Essential, EventKind::EngineLost, "engine", || {
+            let subjects = QuarantineSubject::join(subjects);
+            format!("engine={engine} through_sidecar=false suspects={subjects}")
+        });
+    }
+
     /// Logs the subjects that came into quarantine or left it, and from where that is known.
     fn log_changes(&self, changes: &QuarantineChanges, source: &str) {
         let quarantined =
