--- a/tests/support/node_caller.rs
+++ b/tests/support/node_caller.rs
@@ -74,7 +74,8 @@
         events: u64,
         prefix: &str,
     ) -> CallerOutcome {
-        let mut stream = build_request(Method::POST, &format!("/{route}/x"), id, "prompt")
+        let body = format!("prompt of {id}");
+        let mut stream = build_request(Method::POST, &format!("/{route}/x"), id, body)
             .with_header("token-count", &format!("10,{events}"));
         if !prefix.is_empty() {
             stream = stream.with_header("prompt-prefix", prefix);
@@ -97,7 +98,7 @@
 
     /// Requests a plain response and checks it.
     pub async fn request_plain(&mut self, route: &str, id: &str) -> CallerOutcome {
-        let plain = build_request(Method::POST, &format!("/{route}/x"), id, "order");
+        let plain = build_request(Method::POST, &format!("/{route}/x"), id, format!("order {id}"));
         match self.call(&plain).await {
             Ok((StatusCode::OK, body)) if body == PlatformTarget::event_data(id, 0).as_bytes() => {
                 CallerOutcome::Completed
