--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -182,7 +182,8 @@
     #[must_use]
     pub fn records(&self, now: MonotonicTime, is_full: bool) -> Vec<QuarantineRecord> {
         let (parts, requests) = self.rows.split_at(self.part_count());
-        let told = [parts, requests].into_iter().flat_map(|rows| told_rows(rows, now, is_full));
+        // What requests explain is known before the losses of their parts.
+        let told = [requests, parts].into_iter().flat_map(|rows| told_rows(rows, now, is_full));
         told.map(|row| row.record(now)).collect()
     }
 
--- a/tests/dispatch/request_quarantine.rs
+++ b/tests/dispatch/request_quarantine.rs
@@ -185,6 +185,31 @@
     assert!(is_admitted(&table, &[COMMON, part(5), request(7)], 1_000));
 }
 
+#[test]
+fn a_request_does_not_accuse_its_parts_at_processes_that_hear_of_it_in_pieces() {
+    let (mut witness, mut table) = (QuarantineTable::default(), QuarantineTable::default());
+    for engine in 1..=4 {
+        let neighbours = (0..12).map(|number| [part(0x100 + number), request(0x100 + number)]);
+        let neighbours: Vec<[QuarantineSubject; 2]> = neighbours.collect();
+        let cause = [COMMON, part(5), REQUEST];
+        let suspects = neighbours.iter().map(<[QuarantineSubject; 2]>::as_slice);
+        let now = 200 * u64::from(engine);
+        witness.record_loss(loss(engine, now), suspects.chain([cause.as_slice()]));
+        for (index, neighbour) in neighbours.iter().enumerate() {
+            if index % 4 != usize::from(engine) % 4 {
+                witness.record_served(neighbour, at(now + 10));
+            }
+        }
+        for records in witness.records(at(now + 20), false).chunks(8) {
+            table.merge(records, at(now + 20), at(now + 20));
+        }
+    }
+    for table in [&witness, &table] {
+        assert!(!is_admitted(table, &[REQUEST], 1_000));
+        assert!(is_admitted(table, &[COMMON, part(5), request(7)], 1_000));
+    }
+}
+
 #[test]
 fn requests_in_quarantine_do_not_accuse_the_parts_of_others() {
     let (mut table, neighbour) = (QuarantineTable::default(), [part(5), request(7)]);
