--- a/tests/adapter/prompts_and_limits.rs
+++ b/tests/adapter/prompts_and_limits.rs
@@ -100,3 +100,9 @@
     assert_eq!(PermitReply::decode(&[]), None);
     assert_eq!(PermitRequest::decode(&request.encode()[..20]), None);
 }
+
+#[test]
+fn the_caller_is_the_tenant_that_a_request_names() {
+    assert_eq!(GrowersPlatform::caller(&header_map(&[("tenant", "t-7")])), Some("t-7"));
+    assert_eq!(GrowersPlatform::caller(&header_map(&[("host", "growers.example")])), None);
+}
