--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -1,24 +1,43 @@
-//! The evidence against one prompt part.
+//! The evidence against one subject of a quarantine.
 
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
 
 use crate::EngineLoss;
-use crate::PromptPart;
 use crate::QuarantineRecord;
+use crate::QuarantineSubject;
 
 /// Losses of several engines within this time have a common cause other than their prompts, for
 /// example the power supply, and count once.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(50);
 
-/// Losses that put a part into quarantine of which no response is known that an engine survived.
+/// Losses that put a subject into quarantine of which no response is known that an engine survived.
 const MAX_LOSSES: usize = 4;
 
-/// Losses that put a part into quarantine that has been served before.
+/// Losses that put a subject into quarantine that has been served before.
 const MAX_LOSSES_IF_SERVED: usize = 6;
 
-/// Most losses that are kept for one part.
+/// Losses that put a request into quarantine.
+const MAX_REQUEST_LOSSES: usize = 3;
+
+/// Losses that put a request into quarantine that has been there before.
+const MAX_LOSSES_IF_RELAPSED: usize = 1;
+
+/// Trials of a request in all. Its callers repeat it for as long as it is not served.
+const MAX_REQUEST_TRIALS: u8 = 1;
+
+/// Time after the last event after which the quarantine of a part ends.
+const PART_LIFETIME: Duration = Duration::from_mins(15);
+
+/// Time after the last event after which the quarantine of a request ends.
+const REQUEST_LIFETIME: Duration = Duration::from_hours(12);
+
+/// Time after which a loss is no evidence any more against a part that is not in quarantine.
+/// Requests that come rarely are identified by losses long ago.
+const EVIDENCE_LIFETIME: Duration = Duration::from_secs(30);
+
+/// Most losses that are kept for one subject.
 const KEPT_LOSSES: usize = 12;
 
 /// Time from the start of a quarantine to the first trial.
@@ -37,62 +56,72 @@
 /// Longest delay between two trials. Each failed trial costs an engine with all of its runs.
 const MAX_TRIAL_DELAY: Duration = Duration::from_mins(2);
 
-/// The evidence against one prompt part. Rows of two processes merge in any order and any number
+/// The evidence against one subject. Rows of two processes merge in any order and any number
 /// of times to the same state.
 #[derive(Clone, Debug)]
 pub(crate) struct QuarantineRow {
-    /// When this process last learned something new about the part.
+    /// When this process last learned something new about the subject.
     pub changed_at: MonotonicTime,
-    /// Losses since the part was last served, in order of time.
+    /// Losses since the subject was last served, in order of time.
     losses: Vec<EngineLoss>,
-    pub part: PromptPart,
-    /// Number of parts before it in the prompt.
+    pub subject: QuarantineSubject,
+    /// Number of subjects before it in the prompt.
     pub position: u8,
     quarantined_at: Option<MonotonicTime>,
     served_at: Option<MonotonicTime>,
     trials: u8,
     tried_at: Option<MonotonicTime>,
+    /// Whether the subject is or was in quarantine, as far as this process knows.
+    was_quarantined: bool,
 }
 
 impl QuarantineRow {
-    /// Creates the row of a part without evidence; `served_at` is when it was last served.
-    pub fn new(part: PromptPart, served_at: Option<MonotonicTime>, now: MonotonicTime) -> Self {
+    /// Creates the row of a subject without evidence; `served_at` is when it was last served.
+    pub fn new(
+        subject: QuarantineSubject,
+        served_at: Option<MonotonicTime>,
+        now: MonotonicTime,
+    ) -> Self {
         Self {
             changed_at: now,
             losses: Vec::new(),
-            part,
+            subject,
             position: 0,
             quarantined_at: None,
             served_at,
             trials: 0,
             tried_at: None,
+            was_quarantined: false,
         }
     }
 
-    /// Returns whether requests with the part are refused.
+    /// Returns whether requests with the subject are refused.
     pub fn is_in_quarantine(&self) -> bool {
         self.quarantined_at.is_some()
     }
 
-    /// Returns since when requests with the part are refused; `None` if they are not.
+    /// Returns since when requests with the subject are refused; `None` if they are not.
     pub fn quarantined_at(&self) -> Option<MonotonicTime> {
         self.quarantined_at
     }
 
-    /// Returns the losses since the part was last served.
+    /// Returns the losses since the subject was last served.
     pub fn losses(&self) -> &[EngineLoss] {
         &self.losses
     }
 
-    /// Returns whether the part is known to have been served.
+    /// Returns whether the subject is known to have been served.
     pub fn was_served(&self) -> bool {
         self.served_at.is_some()
     }
 
-    /// Returns when the next request with the part may be tried: soon after a trial that brought no
+    /// Returns when the next request with the subject may be tried: soon after a trial that brought no
     /// verdict, and ever later after those that ended their engines.
     pub fn trial_due(&self) -> Option<MonotonicTime> {
         let since = self.quarantined_at?;
+        if self.subject.is_request() && self.trials >= MAX_REQUEST_TRIALS {
+            return Some(self.last_event() + REQUEST_LIFETIME);
+        }
         if let Some(tried_at) = self.tried_at
             && !self.has_loss_since(tried_at.before(TIME_ERROR))
         {
@@ -129,15 +158,19 @@
         self.losses.iter().any(|known| known.is_same(loss))
     }
 
-    /// Returns the time of the last event that concerns the part.
+    /// Returns the time of the last event that concerns the subject.
     pub fn last_event(&self) -> MonotonicTime {
         let last_loss = self.losses.last().map(|loss| loss.at);
         let latest = last_loss.max(self.quarantined_at).max(self.tried_at).max(self.served_at);
         latest.unwrap_or(MonotonicTime::ZERO)
     }
 
-    /// Counts the losses that `is_explained` does not attribute to another part.
+    /// Counts the losses that `is_explained` does not attribute to another subject. A request runs at
+    /// one engine at a time for each caller, so its losses have no common cause.
     pub fn count_losses(&self, is_explained: impl Fn(&EngineLoss) -> bool) -> usize {
+        if self.subject.is_request() {
+            return self.losses.iter().filter(|loss| !is_explained(loss)).count();
+        }
         let mut count = 0;
         let mut last: Option<MonotonicTime> = None;
         for loss in self.losses.iter().filter(|loss| !is_explained(loss)) {
@@ -151,7 +184,13 @@
 
     /// Returns whether that many losses are enough for a quarantine.
     pub fn is_convicted_by(&self, losses: usize) -> bool {
-        losses >= if self.was_served() { MAX_LOSSES_IF_SERVED } else { MAX_LOSSES }
+        let limit = match (self.subject, self.was_quarantined, self.was_served()) {
+            (QuarantineSubject::Request(_), true, _) => MAX_LOSSES_IF_RELAPSED,
+            (QuarantineSubject::Request(_), false, _) => MAX_REQUEST_LOSSES,
+            (QuarantineSubject::Part(_), _, true) => MAX_LOSSES_IF_SERVED,
+            (QuarantineSubject::Part(_), _, false) => MAX_LOSSES,
+        };
+        losses >= limit
     }
 
     /// Adds a loss; returns whether it was not known.
@@ -167,14 +206,15 @@
         true
     }
 
-    /// Puts the part into quarantine.
+    /// Puts the subject into quarantine.
     pub fn quarantine(&mut self, now: MonotonicTime) {
-        self.quarantined_at = Some(now);
-        (self.trials, self.tried_at) = (0, None);
+        let is_relapse = self.was_quarantined && self.subject.is_request();
+        (self.quarantined_at, self.was_quarantined) = (Some(now), true);
+        (self.trials, self.tried_at) = (if is_relapse { MAX_REQUEST_TRIALS } else { 0 }, None);
         self.changed_at = now;
     }
 
-    /// Puts the part into quarantine after a restart, with the delay after one failed trial.
+    /// Puts the subject into quarantine after a restart, as after one failed trial.
     pub fn restore(&mut self, since: MonotonicTime, now: MonotonicTime) {
         self.quarantine(since);
         self.changed_at = now;
@@ -188,7 +228,7 @@
         self.changed_at = now;
     }
 
-    /// Records that the part was served, which clears it of what was seen before; returns whether
+    /// Records that the subject was served, which clears it of what was seen before; returns whether
     /// that ends its quarantine.
     pub fn record_served(&mut self, at: MonotonicTime) -> bool {
         self.served_at = self.served_at.max(Some(at));
@@ -200,14 +240,40 @@
         is_lifted
     }
 
-    /// Forgets the losses before a time.
-    pub fn forget_losses_before(&mut self, time: MonotonicTime) {
-        self.losses.retain(|loss| loss.at >= time);
+    /// Forgets what has expired; returns whether that ends the quarantine.
+    pub fn expire(&mut self, now: MonotonicTime) -> bool {
+        let is_request = self.subject.is_request();
+        if !self.is_in_quarantine() {
+            if !is_request {
+                self.losses.retain(|loss| loss.at >= now.before(EVIDENCE_LIFETIME));
+            }
+            return false;
+        }
+        let lifetime = if is_request { REQUEST_LIFETIME } else { PART_LIFETIME };
+        let is_lifted = now.since(self.last_event()) >= lifetime;
+        if is_lifted {
+            (self.quarantined_at, self.trials, self.tried_at) = (None, 0, None);
+            self.losses.clear();
+        }
+        is_lifted
     }
 
-    /// Returns whether the row holds any evidence.
+    /// Returns whether the row has to be kept.
     pub fn has_evidence(&self) -> bool {
-        self.is_in_quarantine() || !self.losses.is_empty()
+        let may_relapse = self.subject.is_request() && self.was_quarantined;
+        self.is_in_quarantine() || !self.losses.is_empty() || may_relapse
+    }
+
+    /// Returns whether all of the losses are among the evidence.
+    pub fn has_losses(&self, losses: &[&EngineLoss]) -> bool {
+        losses.iter().all(|loss| self.has_loss(loss))
+    }
+
+    /// Returns how long the row is kept if there are too many; those with the least go first.
+    pub fn retention(&self) -> impl Ord {
+        let losses = if self.subject.is_request() { self.losses.len() } else { 0 };
+        let may_relapse = self.subject.is_request() && self.was_quarantined;
+        (self.is_in_quarantine(), may_relapse, losses, self.last_event())
     }
 
     /// Merges what another process knew at `sent_at`; returns whether it is new here.
@@ -226,7 +292,7 @@
         if let Some(age) = record.quarantined {
             let since = time(age);
             if self.quarantined_at.is_none() && self.served_at.is_none_or(|served| served < since) {
-                self.quarantined_at = Some(since);
+                (self.quarantined_at, self.was_quarantined) = (Some(since), true);
             }
             if self.quarantined_at.is_some() && record.trials >= self.trials {
                 self.trials = record.trials;
@@ -251,7 +317,7 @@
             |time: MonotonicTime| u32::try_from(now.since(time).as_millis()).unwrap_or(u32::MAX);
         QuarantineRecord {
             losses: self.losses.iter().map(|loss| (loss.engine, age(loss.at))).collect(),
-            part: self.part,
+            subject: self.subject,
             position: self.position,
             quarantined: self.quarantined_at.map(age),
             served: self.served_at.map(age),
--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -1,27 +1,27 @@
-//! Quarantine of prompt parts that end the engines that they run on.
+//! Quarantine of requests and parts of prompts that end the engines that they run on.
 
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
 
 use crate::EngineLoss;
-use crate::PromptPart;
 use crate::QuarantineRecord;
+use crate::QuarantineSubject;
 use crate::quarantine_row::QuarantineRow;
 
-/// Time after which a loss is no evidence any more against a part that is not in quarantine.
-const EVIDENCE_LIFETIME: Duration = Duration::from_secs(30);
+/// Time after its last change for which a row without evidence is kept, so that peers learn of it.
+const ROW_LIFETIME: Duration = Duration::from_secs(30);
 
-/// Time after the last loss or trial after which a quarantine ends.
-const QUARANTINE_LIFETIME: Duration = Duration::from_mins(15);
-
-/// Time for which news of a part is repeated to other processes.
+/// Time for which news of a subject is repeated to other processes.
 const NEWS_LIFETIME: Duration = Duration::from_secs(2);
 
 /// Most parts with evidence that are kept.
-const MAX_ROWS: usize = 128;
+const MAX_PARTS: usize = 128;
+
+/// Most requests with evidence that are kept.
+const MAX_REQUESTS: usize = 512;
 
-/// Most parts that are told to other processes at once.
+/// Most parts, and most requests, that are told to other processes at once.
 const MAX_RECORDS: usize = 48;
 
 /// Most parts of which the last service is remembered.
@@ -32,66 +32,66 @@
 pub enum QuarantineDecision {
     /// Serve it.
     Admit,
-    /// Run it, and no other, to find out whether engines survive this part by now.
-    Try(PromptPart),
-    /// Refuse it because of this part; the next trial is due after the given time.
-    Refuse(PromptPart, Duration),
+    /// Run it, and no other, to find out whether engines survive this subject by now.
+    Try(QuarantineSubject),
+    /// Refuse it because of this subject; the next trial is due after the given time.
+    Refuse(QuarantineSubject, Duration),
 }
 
 /// Parts that came into quarantine or left it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct QuarantineChanges {
     /// Parts that left quarantine.
-    pub lifted: Vec<PromptPart>,
+    pub lifted: Vec<QuarantineSubject>,
     /// Parts that came into quarantine.
-    pub quarantined: Vec<PromptPart>,
+    pub quarantined: Vec<QuarantineSubject>,
 }
 
-/// Decides which prompt parts end engines, from the losses of engines and the runs that each took
+/// Decides which subjects end engines, from the losses of engines and the runs that each took
 /// with it.
 ///
-/// An engine that ends takes innocent runs with it. A part is convicted by several losses without a
-/// single response in between that an engine survived. Requests share parts, so the part with most
+/// An engine that ends takes innocent runs with it. A subject is convicted by several losses without a
+/// single response in between that an engine survived. Requests share subjects, so the subject with most
 /// losses is convicted first, and its losses are no evidence against others.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineTable {
-    /// Parts with evidence, sorted by part.
+    /// Parts with evidence, sorted by subject.
     rows: Vec<QuarantineRow>,
-    /// Last service of parts, sorted by part.
-    served: Vec<(PromptPart, MonotonicTime)>,
+    /// Last service of subjects, sorted by subject.
+    served: Vec<(QuarantineSubject, MonotonicTime)>,
 }
 
 impl QuarantineTable {
-    /// Decides on a request by the shared parts of its prompt.
+    /// Decides on a request by its subjects.
     #[must_use]
-    pub fn decide(&self, parts: &[PromptPart], now: MonotonicTime) -> QuarantineDecision {
+    pub fn decide(&self, subjects: &[QuarantineSubject], now: MonotonicTime) -> QuarantineDecision {
         let mut decision = QuarantineDecision::Admit;
-        for row in parts.iter().filter_map(|part| self.get(*part)) {
+        for row in subjects.iter().filter_map(|subject| self.get(*subject)) {
             let Some(due) = row.trial_due() else {
                 continue;
             };
             let left = now.until(due);
             match decision {
                 QuarantineDecision::Refuse(_, longest) if longest >= left => {}
-                _ if !left.is_zero() => decision = QuarantineDecision::Refuse(row.part, left),
-                QuarantineDecision::Admit => decision = QuarantineDecision::Try(row.part),
+                _ if !left.is_zero() => decision = QuarantineDecision::Refuse(row.subject, left),
+                QuarantineDecision::Admit => decision = QuarantineDecision::Try(row.subject),
                 _ => {}
             }
         }
         decision
     }
 
-    /// Returns the turn of the targets that run the trials of a part, see
+    /// Returns the turn of the targets that run the trials of a subject, see
     /// [`PlacementPolicy::choose_for_trial`](crate::PlacementPolicy::choose_for_trial).
     #[must_use]
-    pub fn trial_turn(&self, part: PromptPart, now: MonotonicTime) -> usize {
-        self.get(part).map_or(0, |row| row.trial_turn(now))
+    pub fn trial_turn(&self, subject: QuarantineSubject, now: MonotonicTime) -> usize {
+        self.get(subject).map_or(0, |row| row.trial_turn(now))
     }
 
-    /// Records that a request with these parts is run as a trial.
-    pub fn begin_trial(&mut self, parts: &[PromptPart], now: MonotonicTime) {
-        for part in parts {
-            if let Ok(position) = self.position(*part)
+    /// Records that a request with these subjects is run as a trial.
+    pub fn begin_trial(&mut self, subjects: &[QuarantineSubject], now: MonotonicTime) {
+        for subject in subjects {
+            if let Ok(position) = self.position(*subject)
                 && self.rows[position].is_in_quarantine()
             {
                 self.rows[position].record_trial(now);
@@ -99,16 +99,16 @@
         }
     }
 
-    /// Records that an engine has ended. Each suspect is the parts of one run that may be the
+    /// Records that an engine has ended. Each suspect is the subjects of one run that may be the
     /// cause, in order.
     pub fn record_loss<'a>(
         &mut self,
         loss: EngineLoss,
-        suspects: impl IntoIterator<Item = &'a [PromptPart]>,
+        suspects: impl IntoIterator<Item = &'a [QuarantineSubject]>,
     ) -> QuarantineChanges {
-        for parts in suspects {
-            for (index, part) in parts.iter().enumerate() {
-                let row = self.row_mut(*part, loss.at);
+        for subjects in suspects {
+            for (index, subject) in subjects.iter().enumerate() {
+                let row = self.row_mut(*subject, loss.at);
                 row.position = row.position.max(u8::try_from(index).unwrap_or(u8::MAX));
                 if row.record_loss(loss) {
                     row.changed_at = loss.at;
@@ -120,12 +120,16 @@
         QuarantineChanges { lifted: Vec::new(), quarantined }
     }
 
-    /// Records that an engine has survived a whole response to a prompt with these parts.
-    pub fn record_served(&mut self, parts: &[PromptPart], at: MonotonicTime) -> QuarantineChanges {
+    /// Records that an engine has survived a whole response to a request with these subjects.
+    pub fn record_served(
+        &mut self,
+        subjects: &[QuarantineSubject],
+        at: MonotonicTime,
+    ) -> QuarantineChanges {
         let mut changes = QuarantineChanges::default();
-        for part in parts {
-            self.remember_served(*part, at);
-            let Ok(position) = self.position(*part) else {
+        for subject in subjects {
+            self.remember_served(*subject, at);
+            let Ok(position) = self.position(*subject) else {
                 continue;
             };
             let row = &mut self.rows[position];
@@ -133,17 +137,17 @@
                 row.changed_at = at;
             }
             if row.record_served(at) {
-                changes.lifted.push(*part);
+                changes.lifted.push(*subject);
             }
         }
         changes
     }
 
-    /// Remembers that a response to a prompt with these parts was complete. That clears no part,
+    /// Remembers that a response to a request with these subjects was complete. That clears no subject,
     /// since its engine may still end of it.
-    pub fn record_response(&mut self, parts: &[PromptPart], at: MonotonicTime) {
-        for part in parts {
-            self.remember_served(*part, at);
+    pub fn record_response(&mut self, subjects: &[QuarantineSubject], at: MonotonicTime) {
+        for subject in subjects {
+            self.remember_served(*subject, at);
         }
     }
 
@@ -155,87 +159,84 @@
         now: MonotonicTime,
     ) -> QuarantineChanges {
         let mut changes = QuarantineChanges::default();
+        let mut is_new = false;
         for record in records {
-            let row = self.row_mut(record.part, now);
+            let row = self.row_mut(record.subject, now);
             let was_in_quarantine = row.is_in_quarantine();
-            row.merge(record, sent_at, now);
+            is_new |= row.merge(record, sent_at, now);
             match (was_in_quarantine, row.is_in_quarantine()) {
-                (true, false) => changes.lifted.push(record.part),
-                (false, true) => changes.quarantined.push(record.part),
+                (true, false) => changes.lifted.push(record.subject),
+                (false, true) => changes.quarantined.push(record.subject),
                 _ => {}
             }
         }
-        changes.quarantined.extend(self.convict(now));
-        self.limit_rows();
+        if is_new {
+            changes.quarantined.extend(self.convict(now));
+            self.limit_rows();
+        }
         changes
     }
 
-    /// Returns what other processes should know: all quarantines if `is_full`, and news.
+    /// Returns what other processes should know: news and, if `is_full`, quarantines, in turn if
+    /// there are many.
     #[must_use]
     pub fn records(&self, now: MonotonicTime, is_full: bool) -> Vec<QuarantineRecord> {
-        let is_told = |row: &&QuarantineRow| {
-            is_full && row.is_in_quarantine() || now.since(row.changed_at) < NEWS_LIFETIME
-        };
-        let mut told: Vec<&QuarantineRow> = self.rows.iter().filter(is_told).collect();
-        told.sort_by_key(|row| {
-            (!row.is_in_quarantine(), std::cmp::Reverse(row.count_losses(|_| false)))
-        });
-        told.into_iter().take(MAX_RECORDS).map(|row| row.record(now)).collect()
+        let (parts, requests) = self.rows.split_at(self.part_count());
+        // What requests explain is known before the losses of their parts.
+        let told = [requests, parts].into_iter().flat_map(|rows| told_rows(rows, now, is_full));
+        told.map(|row| row.record(now)).collect()
     }
 
-    /// Removes evidence and quarantines that have expired; returns the parts that left quarantine.
-    pub fn expire(&mut self, now: MonotonicTime) -> Vec<PromptPart> {
-        let mut lifted = Vec::new();
-        for row in &mut self.rows {
-            if !row.is_in_quarantine() {
-                row.forget_losses_before(now.before(EVIDENCE_LIFETIME));
-            } else if now.since(row.last_event()) >= QUARANTINE_LIFETIME {
-                lifted.push(row.part);
-            }
-        }
-        self.rows.retain(|row| {
-            let is_news = now.since(row.changed_at) < EVIDENCE_LIFETIME;
-            !lifted.contains(&row.part) && (row.has_evidence() || is_news)
-        });
+    /// Removes evidence and quarantines that have expired; returns the subjects that left quarantine.
+    pub fn expire(&mut self, now: MonotonicTime) -> Vec<QuarantineSubject> {
+        let lifted =
+            self.rows.iter_mut().filter_map(|row| row.expire(now).then_some(row.subject)).collect();
+        self.rows.retain(|row| row.has_evidence() || now.since(row.changed_at) < ROW_LIFETIME);
         lifted
     }
 
-    /// Puts a part into quarantine that has been there since before this process started. Processes
-    /// that know of a later response to the part are not told to refuse it.
+    /// Puts a subject into quarantine that has been there since before this process started. Processes
+    /// that know of a later response to the subject are not told to refuse it.
     pub fn restore(
         &mut self,
-        part: PromptPart,
+        subject: QuarantineSubject,
         since: MonotonicTime,
         now: MonotonicTime,
     ) -> QuarantineChanges {
-        let row = self.row_mut(part, now);
+        let row = self.row_mut(subject, now);
         if row.is_in_quarantine() {
             return QuarantineChanges::default();
         }
         row.restore(since, now);
-        QuarantineChanges { lifted: Vec::new(), quarantined: vec![part] }
+        QuarantineChanges { lifted: Vec::new(), quarantined: vec![subject] }
     }
 
-    /// Returns the losses that are known of a part.
+    /// Returns whether there is evidence against a subject, or has been recently.
     #[must_use]
-    pub fn losses(&self, part: PromptPart) -> &[EngineLoss] {
-        self.get(part).map_or(&[], QuarantineRow::losses)
+    pub fn is_suspect(&self, subject: QuarantineSubject) -> bool {
+        self.position(subject).is_ok()
     }
 
-    /// Returns the parts in quarantine, sorted, each with the time since when it is there.
-    pub fn quarantined(&self) -> impl Iterator<Item = (PromptPart, MonotonicTime)> {
-        self.rows.iter().filter_map(|row| Some((row.part, row.quarantined_at()?)))
+    /// Returns the losses that are known of a subject.
+    #[must_use]
+    pub fn losses(&self, subject: QuarantineSubject) -> &[EngineLoss] {
+        self.get(subject).map_or(&[], QuarantineRow::losses)
     }
 
-    /// Puts parts into quarantine as long as the evidence suffices for one; returns them.
-    fn convict(&mut self, now: MonotonicTime) -> Vec<PromptPart> {
-        let mut convicted = Vec::new();
+    /// Returns the subjects in quarantine, sorted, each with the time since when it is there.
+    pub fn quarantined(&self) -> impl Iterator<Item = (QuarantineSubject, MonotonicTime)> {
+        self.rows.iter().filter_map(|row| Some((row.subject, row.quarantined_at()?)))
+    }
+
+    /// Puts subjects into quarantine as long as the evidence suffices for one; returns them.
+    fn convict(&mut self, now: MonotonicTime) -> Vec<QuarantineSubject> {
+        let mut convicted = self.convict_requests(now);
+        let part_count = self.part_count();
         loop {
-            let candidates =
-                self.rows.iter().enumerate().filter(|(_, row)| !row.is_in_quarantine());
+            let candidates = self.rows[..part_count].iter().enumerate();
+            let candidates = candidates.filter(|(_, row)| !row.is_in_quarantine());
             let counted = candidates.map(|(index, row)| {
-                let losses = row.count_losses(|loss| self.is_explained(loss));
-                (losses, !row.was_served(), row.position, index)
+                (self.count_unexplained(row), !row.was_served(), row.position, index)
             });
             let guilty =
                 counted.filter(|(losses, _, _, index)| self.rows[*index].is_convicted_by(*losses));
@@ -243,20 +244,59 @@
                 return convicted;
             };
             self.rows[index].quarantine(now);
-            convicted.push(self.rows[index].part);
+            convicted.push(self.rows[index].subject);
         }
     }
 
-    /// Returns whether a part in quarantine accounts for a loss.
-    fn is_explained(&self, loss: &EngineLoss) -> bool {
-        self.rows.iter().any(|row| row.is_in_quarantine() && row.has_loss(loss))
+    /// Puts each request into quarantine against which the evidence suffices. Nothing else explains
+    /// its losses: a mistake costs the one request, and one too few an engine with each repetition.
+    fn convict_requests(&mut self, now: MonotonicTime) -> Vec<QuarantineSubject> {
+        let mut convicted = Vec::new();
+        let part_count = self.part_count();
+        for row in self.rows[part_count..].iter_mut().filter(|row| !row.is_in_quarantine()) {
+            if row.is_convicted_by(row.count_losses(|_| false)) {
+                row.quarantine(now);
+                convicted.push(row.subject);
+            }
+        }
+        convicted
+    }
+
+    /// Counts the losses of a part that no quarantine accounts for.
+    ///
+    /// A request in quarantine of which the part has not taken part in each loss does not contain
+    /// it, or requests with the part were served in between. Any other may contain the part. Alone
+    /// it explains the part's losses; if there are more, the part explains them better.
+    fn count_unexplained(&self, row: &QuarantineRow) -> usize {
+        let (parts, requests) = self.rows.split_at(self.part_count());
+        let (inside, outside): (Vec<&QuarantineRow>, Vec<&QuarantineRow>) = requests
+            .iter()
+            .filter(|request| request.is_in_quarantine())
+            .partition(|request| request.losses().iter().all(|loss| row.has_loss(loss)));
+        let parts = parts.iter().filter(|part| part.is_in_quarantine());
+        let causes: Vec<&QuarantineRow> = parts.chain(outside).collect();
+        let is_explained = |loss: &EngineLoss| causes.iter().any(|cause| cause.has_loss(loss));
+        let left: Vec<&EngineLoss> =
+            row.losses().iter().filter(|loss| !is_explained(loss)).collect();
+        if inside.iter().any(|request| request.has_losses(&left)) {
+            return 0;
+        }
+        row.count_losses(is_explained)
     }
 
-    /// Remembers the last service of a part, at the cost of those served longest ago.
-    fn remember_served(&mut self, part: PromptPart, at: MonotonicTime) {
-        match self.served.binary_search_by_key(&part, |(part, _)| *part) {
+    /// Returns the number of parts, whose rows come before those of requests.
+    fn part_count(&self) -> usize {
+        self.rows.partition_point(|row| !row.subject.is_request())
+    }
+
+    /// Remembers the last service of a subject, at the cost of those served longest ago.
+    fn remember_served(&mut self, subject: QuarantineSubject, at: MonotonicTime) {
+        if subject.is_request() {
+            return;
+        }
+        match self.served.binary_search_by_key(&subject, |(subject, _)| *subject) {
             Ok(position) => self.served[position].1 = self.served[position].1.max(at),
-            Err(position) => self.served.insert(position, (part, at)),
+            Err(position) => self.served.insert(position, (subject, at)),
         }
         if self.served.len() > MAX_SERVED {
             let mut times: Vec<MonotonicTime> = self.served.iter().map(|(_, at)| *at).collect();
@@ -266,39 +306,68 @@
         }
     }
 
-    /// Removes the oldest rows that are not in quarantine beyond [`MAX_ROWS`].
+    /// Removes the rows with the least evidence beyond [`MAX_PARTS`] and [`MAX_REQUESTS`].
     fn limit_rows(&mut self) {
-        while self.rows.len() > MAX_ROWS {
-            let rows = self.rows.iter().enumerate();
-            let oldest = rows.min_by_key(|(_, row)| (row.is_in_quarantine(), row.last_event()));
-            let Some((position, _)) = oldest else {
-                return;
-            };
+        let part_count = self.part_count();
+        let request_count = self.rows.len() - part_count;
+        for _ in MAX_REQUESTS..request_count {
+            self.remove_least(part_count);
+        }
+        for _ in MAX_PARTS..part_count {
+            let requests = self.rows.split_off(self.part_count());
+            self.remove_least(0);
+            self.rows.extend(requests);
+        }
+    }
+
+    /// Removes the row with the least evidence of those from an index on.
+    fn remove_least(&mut self, begin: usize) {
+        let rows = self.rows.iter().enumerate().skip(begin);
+        if let Some((position, _)) = rows.min_by_key(|(_, row)| row.retention()) {
             self.rows.remove(position);
         }
     }
 
-    /// Returns the row of a part.
-    fn get(&self, part: PromptPart) -> Option<&QuarantineRow> {
-        self.position(part).ok().map(|position| &self.rows[position])
+    /// Returns the row of a subject.
+    fn get(&self, subject: QuarantineSubject) -> Option<&QuarantineRow> {
+        self.position(subject).ok().map(|position| &self.rows[position])
     }
 
-    /// Returns the row of a part, which is added if it is missing.
-    fn row_mut(&mut self, part: PromptPart, now: MonotonicTime) -> &mut QuarantineRow {
-        let position = match self.position(part) {
+    /// Returns the row of a subject, which is added if it is missing.
+    fn row_mut(&mut self, subject: QuarantineSubject, now: MonotonicTime) -> &mut QuarantineRow {
+        let position = match self.position(subject) {
             Ok(position) => position,
             Err(position) => {
-                let served = self.served.binary_search_by_key(&part, |(part, _)| *part);
+                let served = self.served.binary_search_by_key(&subject, |(subject, _)| *subject);
                 let served_at = served.ok().map(|index| self.served[index].1);
-                self.rows.insert(position, QuarantineRow::new(part, served_at, now));
+                self.rows.insert(position, QuarantineRow::new(subject, served_at, now));
                 position
             }
         };
         &mut self.rows[position]
     }
 
-    /// Returns the index of a part's row, or the index at which to insert it.
-    fn position(&self, part: PromptPart) -> Result<usize, usize> {
-        self.rows.binary_search_by_key(&part, |row| row.part)
+    /// Returns the index of a subject's row, or the index at which to insert it.
+    fn position(&self, subject: QuarantineSubject) -> Result<usize, usize> {
+        self.rows.binary_search_by_key(&subject, |row| row.subject)
     }
 }
+
+/// Returns those rows of which other processes are told, news first.
+fn told_rows(
+    rows: &[QuarantineRow],
+    now: MonotonicTime,
+    is_full: bool,
+) -> impl Iterator<Item = &QuarantineRow> {
+    let is_news = move |row: &&QuarantineRow| now.since(row.changed_at) < NEWS_LIFETIME;
+    let mut news: Vec<&QuarantineRow> = rows.iter().filter(is_news).collect();
+    news.sort_by_key(|row| {
+        (!row.is_in_quarantine(), std::cmp::Reverse(row.count_losses(|_| false)))
+    });
+    let is_rest = |row: &&QuarantineRow| is_full && row.is_in_quarantine() && !is_news(row);
+    let mut rest: Vec<&QuarantineRow> = rows.iter().filter(is_rest).collect();
+    let turn = (now.as_micros() / 1_000_000) as usize * MAX_RECORDS / 2;
+    let begin = turn.checked_rem(rest.len()).unwrap_or(0);
+    rest.rotate_left(begin);
+    news.into_iter().chain(rest).take(MAX_RECORDS)
+}
