--- a/tests/support/node_caller.rs
+++ b/tests/support/node_caller.rs
@@ -40,7 +40,12 @@
 }
 
 /// Builds a request with the headers that every request has.
-fn build_request(method: Method, path: &str, id: &str, body: impl Into<Bytes>) -> ClientRequest {
+pub(crate) fn build_request(
+    method: Method,
+    path: &str,
+    id: &str,
+    body: impl Into<Bytes>,
+) -> ClientRequest {
     ClientRequest::new(method, path, body)
         .with_header("host", "growers.example")
         .with_header("request-id", id)
@@ -134,7 +139,7 @@
 }
 
 /// Makes one call over a new connection.
-async fn call(
+pub(crate) async fn call(
     address: SocketAddr,
     request: &ClientRequest,
 ) -> Result<(StatusCode, Bytes), HttpFault> {
@@ -273,7 +278,7 @@
 }
 
 /// Returns the outcome of a call that did not succeed.
-fn failure_outcome(result: Result<(StatusCode, Bytes), HttpFault>) -> CallerOutcome {
+pub(crate) fn failure_outcome(result: Result<(StatusCode, Bytes), HttpFault>) -> CallerOutcome {
     match result {
         Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _)) => {
             CallerOutcome::NotRun
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -86,6 +86,8 @@
     pub has_engine_proxies: bool,
     /// Whether proxies stand before the processes: between them, and between callers and entries.
     pub has_node_proxies: bool,
+    /// Number of targets of the plain service.
+    pub plain_targets: u8,
     /// Tokens that may wait on each batch route.
     pub queued_tokens: u64,
 }
@@ -96,6 +98,7 @@
             engine_queue: 0,
             has_engine_proxies: true,
             has_node_proxies: false,
+            plain_targets: 1,
             queued_tokens: 100_000,
         }
     }
@@ -129,7 +132,7 @@
     address_block: [u8; 2],
     /// Keeps other processes from using the same addresses.
     _reservation: TcpListener,
-    /// Prompts that end the engines.
+    /// Prompts and requests that end the targets.
     pub crash_rule: CrashRule,
     /// Whether the engines' streams have no chunks and end with their connection.
     pub has_unframed_streams: Arc<AtomicBool>,
@@ -327,7 +330,9 @@
         for index in 0..size.engines {
             fleet.register(&engine_id(index), "ready");
         }
-        fleet.register("plain-0", "ready");
+        for index in 0..options.plain_targets {
+            fleet.register(&plain_id(index), "ready");
+        }
         fleet.add_nodes(binary);
         for node in &mut fleet.nodes {
             node.start();
@@ -463,6 +468,9 @@
             Some(("engine" | "ghost", index)) => {
                 ("llm", 10 + index.parse::<u8>().expect("the id ends in an index"))
             }
+            Some(("plain", index)) => {
+                ("desk", 30 + index.parse::<u8>().expect("the id ends in an index"))
+            }
             _ => ("desk", 30),
         };
         let record: Value = json!({
@@ -514,7 +522,9 @@
         let engine = TargetKind::Engine { event_interval, queue, slots: 4 };
         let plain = TargetKind::Plain { processing_time: Duration::from_millis(5) };
         let engines = (0..self.size.engines).map(|index| (engine_id(index), 10 + index, engine));
-        let targets: Vec<_> = engines.chain([("plain-0".to_owned(), 30, plain)]).collect();
+        let plains =
+            (0..self.options.plain_targets).map(|index| (plain_id(index), 30 + index, plain));
+        let targets: Vec<_> = engines.chain(plains).collect();
         for (id, host, kind) in targets {
             let crash_rule = self.crash_rule.clone();
             let is_unframed = Arc::clone(&self.has_unframed_streams);
@@ -680,6 +690,11 @@
     format!("engine-{index}")
 }
 
+/// Returns the id of a target of the plain service.
+fn plain_id(index: u8) -> String {
+    format!("plain-{index}")
+}
+
 /// Returns the loopback address of a host in a fleet's address block.
 fn ip_address(block: [u8; 2], host: u8) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, block[0], block[1], host))
