--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -2,6 +2,7 @@
 
 mod batch_jobs;
 mod crashing_prompts;
+mod crashing_requests;
 mod cut_heads;
 mod endless_bytes;
 mod faulty_responses;
