--- a/crates/clementinevale/tests/nodes/crashing_requests.rs
+++ b/crates/clementinevale/tests/nodes/crashing_requests.rs
@@ -193,6 +193,22 @@
     check_late_runs(&fleet);
 }
 
+#[rstest]
+#[case::plain(PLAIN_CALL)]
+#[case::shared_parts(SHARED_CALL)]
+fn a_sound_request_does_not_clear_one_that_ends_targets(#[case] call: RepeatedCall) {
+    /// Time in which parts in quarantine are tried with a sound request.
+    const SOUND_TIME: Duration = Duration::from_secs(8);
+    let fleet = crashing_fleet(&call);
+    let entries = fleet.entry_addresses();
+    repeat_crashing(&entries, call, Duration::from_secs(2));
+    let sound = RepeatedCall { body: "sound", ..call };
+    let calls = repeat_call(&entries, sound, "sound", SOUND_INTERVAL, SOUND_TIME);
+    assert!(calls.iter().any(|call| call.outcome == CallerOutcome::Completed));
+    repeat_crashing(&entries, call, Duration::from_secs(6));
+    check_late_runs(&fleet);
+}
+
 #[rstest]
 fn processes_that_were_all_killed_remember_a_request_that_ends_targets(
     #[values(PLAIN_CALL, SHARED_CALL)] call: RepeatedCall,
