Peer views: a removal counts as far as the peer can know

Callers saw less capacity, or refusals, after an outage of the store: processes dropped a live target until it registered again.

Cause: a process that was stopped during the outage recorded no failure, so it applied the removals of registrations that had lapsed at once. Processes that were still turned away copied its view, which removed whatever it did not list, keepers too.

Change: a view bears the time of its process's contact; what it misses counts at once only after the grace of own removals (2.5 s), otherwise once no peer has listed it for 5 s. A time of over 2 s without a call counts as a failure since the last call, so own removals are deferred until a peer vouches for the store. a_keeper_that_alone_was_stopped_drops_a_target_that_has_left guards DRAIN: gone within 1.5 s. During a rollout a new process ignores the views of old ones, which lack the contact.

--- a/crates/clementinevale/tests/nodes/stale_views.rs
+++ b/crates/clementinevale/tests/nodes/stale_views.rs
@@ -163,3 +163,46 @@
         assert!(!node.output().contains("state=gone"), "{}: {}", node.name, node.output());
     }
 }
+
+// Guards against a removal that a process applied at once after it had been stopped, and that those
+// without contact copied from it.
+#[test]
+fn a_removal_by_a_process_that_was_stopped_is_not_copied() {
+    let fleet = small_fleet();
+    let (stopped, others): (Vec<_>, Vec<_>) =
+        fleet.nodes.iter().partition(|node| node.name == "keeper-71");
+    stopped[0].signal(Signal::STOP);
+    for node in &others {
+        node.store_proxy.set_mode(FaultMode::TurnAway);
+    }
+    std::thread::sleep(Duration::from_millis(3_500));
+    fleet.deregister(&engine_id(1));
+    stopped[0].signal(Signal::CONT);
+    std::thread::sleep(Duration::from_secs(2));
+    fleet.register(&engine_id(1), "ready");
+    for node in &others {
+        node.store_proxy.set_mode(FaultMode::Pass);
+    }
+    std::thread::sleep(Duration::from_millis(1_500));
+    for node in fleet.nodes.iter().filter(|node| !node.name.starts_with("sidecar")) {
+        assert!(!node.output().contains("state=gone"), "{}: {}", node.name, node.output());
+    }
+    assert!(others.iter().any(|node| node.output().contains("peer=")), "no view was copied");
+}
+
+// Guards against a deferral that outlasts its reason: the keeper alone was stopped, which its peers
+// can tell, so that it has to stop sending to a target that has left.
+#[test]
+fn a_keeper_that_alone_was_stopped_drops_a_target_that_has_left() {
+    let fleet = small_fleet();
+    let keeper = fleet.nodes.iter().find(|node| node.name == "keeper-71").expect("a keeper");
+    keeper.signal(Signal::STOP);
+    std::thread::sleep(Duration::from_millis(3_500));
+    fleet.deregister(&engine_id(1));
+    keeper.signal(Signal::CONT);
+    let has_removed = |_: &NodeFleet| {
+        let output = keeper.output();
+        output.lines().any(|line| line.contains("engine-1") && line.contains("state=gone"))
+    };
+    assert!(fleet.wait_for(Duration::from_millis(1_500), has_removed), "{}", keeper.output());
+}
--- a/crates/dispatch/src/contact_history.rs
+++ b/crates/dispatch/src/contact_history.rs
@@ -19,6 +19,8 @@
     contact_since: Option<MonotonicTime>,
     /// When the first of the recent failures happened.
     failing_since: Option<MonotonicTime>,
+    /// When the last call ended, with or without a response.
+    last_call: Option<MonotonicTime>,
     last_failure: Option<MonotonicTime>,
     last_success: Option<MonotonicTime>,
 }
@@ -26,6 +28,7 @@
 impl ContactHistory {
     /// Records a call that the store has responded to.
     pub fn record_success(&mut self, now: MonotonicTime) {
+        self.record_call(now);
         let has_gap = self.last_success.is_none_or(|time| now.since(time) > MAX_CALL_GAP);
         if has_gap || self.contact_since.is_none() {
             self.contact_since = Some(now);
@@ -35,6 +38,7 @@
 
     /// Records a call that the store has not responded to.
     pub fn record_failure(&mut self, now: MonotonicTime) {
+        self.record_call(now);
         if self.last_failure.is_none_or(|time| now.since(time) >= FAILURE_MEMORY) {
             self.failing_since = Some(now);
         }
@@ -42,6 +46,21 @@
         self.contact_since = None;
     }
 
+    /// Records that a call has ended. A time without any counts as a failure: the store may have failed
+    /// for all meanwhile.
+    fn record_call(&mut self, now: MonotonicTime) {
+        let Some(last_call) = self.last_call.replace(now) else {
+            return;
+        };
+        if now.since(last_call) <= MAX_CALL_GAP {
+            return;
+        }
+        if self.last_failure.is_none_or(|time| last_call.since(time) >= FAILURE_MEMORY) {
+            self.failing_since = Some(last_call);
+        }
+        self.last_failure = Some(now);
+    }
+
     /// Returns for how long the store has responded to each call, or `None` if it does not.
     #[must_use]
     pub fn contact_time(&self, now: MonotonicTime) -> Option<Duration> {
--- a/crates/dispatch/src/deferred_removals.rs
+++ b/crates/dispatch/src/deferred_removals.rs
@@ -5,7 +5,7 @@
 use cv_policy::MonotonicTime;
 
 /// Grace period after the store's last failure, in which live instances register again.
-const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_500);
+pub(crate) const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_500);
 
 /// Time for which the store responds, all told, after which a missing key counts as removed although
 /// single calls go on failing.
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cv_dispatch::CopiedRemovals;
 use cv_dispatch::DeferredRemovals;
 use cv_dispatch::KeeperRecord;
 use cv_dispatch::KeeperSet;
@@ -62,6 +63,8 @@
     /// The active configuration, as the operator wrote it.
     config: RefCell<Option<Vec<u8>>>,
     random: RefCell<SeededRandom>,
+    copied_keeper_removals: RefCell<CopiedRemovals>,
+    copied_target_removals: RefCell<CopiedRemovals>,
     keepers: RefCell<KeeperSet>,
     /// Number of registrations of keepers that were applied.
     keeper_changes: Cell<u64>,
@@ -87,6 +90,8 @@
             store_health: StoreHealth::new(clock, log.clone()),
             log,
             random: RefCell::new(SeededRandom::new(seed)),
+            copied_keeper_removals: RefCell::default(),
+            copied_target_removals: RefCell::default(),
             keepers: RefCell::default(),
             keeper_changes: Cell::new(0),
             keeper_removals: RefCell::default(),
@@ -231,11 +236,12 @@
             config: self.config.borrow().clone(),
             keepers: self.keepers.borrow().keepers().to_vec(),
             targets: targets.rows().iter().map(|row| row.record.clone()).collect(),
+            contact_time: self.store_health.contact_time(),
         }
     }
 
-    /// Replaces targets and keepers by those of a peer to which the store responds, and
-    /// applies the peer's configuration if it is newer.
+    /// Applies the targets and keepers of a peer to which the store responds, and the peer's
+    /// configuration if it is newer. What the peer does not list is removed as far as the peer can know.
     pub(crate) fn apply_snapshot<P: PlatformAdapter>(
         &self,
         snapshot: ViewSnapshot,
@@ -243,38 +249,56 @@
     ) {
         self.log.record(LinePriority::Routine, EventKind::DirectoryChanged, "relay", || {
             let (keepers, targets) = (snapshot.keepers.len(), snapshot.targets.len());
-            format!("peer={peer} targets={targets} keepers={keepers}")
+            let contact_ms = snapshot.contact_time.map_or(0, |time| time.as_millis());
+            format!("peer={peer} targets={targets} keepers={keepers} contact_ms={contact_ms}")
         });
         if let Some(value) = &snapshot.config {
             // One that cannot be decoded has been logged, and the active one stays.
             let _ = self.apply_config::<P>(value);
         }
-        let known_ids = self.with_targets(|targets| {
-            targets.rows().iter().map(|row| row.record.id.clone()).collect::<Vec<_>>()
-        });
-        // The peer has already deferred these removals for as long as necessary.
-        for id in known_ids {
-            if !snapshot.targets.iter().any(|target| target.id == id) {
-                self.forget_target(&id);
-            }
-        }
+        self.apply_copied_removals(&snapshot);
         for target in snapshot.targets {
             self.upsert_target(target);
         }
         // The peer may know less than the watches have told before.
         self.store_health.record_missed_changes();
-        let mut keepers = KeeperSet::default();
         for keeper in snapshot.keepers {
             self.keeper_removals.borrow_mut().restore(&keeper.name);
-            keepers.upsert(keeper);
+            self.keepers.borrow_mut().upsert(keeper);
         }
-        self.keepers.replace(keepers);
         self.keeper_changes.set(self.keeper_changes.get() + 1);
         self.targets_loaded.set(true);
         self.keepers_loaded.set(true);
         self.loaded.notify_one();
     }
 
+    /// Removes the targets and keepers that a peer does not list and that count as removed.
+    fn apply_copied_removals(&self, snapshot: &ViewSnapshot) {
+        let (now, peer_contact) = (self.clock.now(), snapshot.contact_time);
+        let is_listed = |id: &String| snapshot.targets.iter().any(|target| target.id == *id);
+        let missing = self.known_targets().into_iter().filter(|id| !is_listed(id)).collect();
+        let removed = self.copied_target_removals.borrow_mut().remove(now, peer_contact, missing);
+        for id in &removed {
+            self.forget_target(id);
+        }
+        let is_listed = |name: &String| snapshot.keepers.iter().any(|keeper| keeper.name == *name);
+        let missing = self.known_keepers().into_iter().filter(|name| !is_listed(name)).collect();
+        let removed = self.copied_keeper_removals.borrow_mut().remove(now, peer_contact, missing);
+        for name in &removed {
+            self.keepers.borrow_mut().remove(name);
+        }
+    }
+
+    /// Returns the ids of the known targets, sorted.
+    fn known_targets(&self) -> Vec<String> {
+        self.targets.borrow().rows().iter().map(|row| row.record.id.clone()).collect()
+    }
+
+    /// Returns the names of the known keepers, sorted.
+    fn known_keepers(&self) -> Vec<String> {
+        self.keepers.borrow().keepers().iter().map(|keeper| keeper.name.clone()).collect()
+    }
+
     /// Activates a configuration unless the active one is as new; returns whether it did.
     pub fn apply_routes(&self, table: RouteTable) -> bool {
         let current = self.routes.borrow().as_ref().map(|routes| routes.version);
@@ -340,16 +364,13 @@
 
     /// Applies an update of the targets' registrations.
     fn apply_target_update<P: PlatformAdapter>(&self, update: StoreUpdate) {
-        let known_ids = || {
-            let targets = self.targets.borrow();
-            targets.rows().iter().map(|row| row.record.id.clone()).collect::<Vec<_>>()
-        };
         let id_of = |key: &str| key.strip_prefix(P::TARGETS_PREFIX).unwrap_or(key).to_owned();
         match update {
             StoreUpdate::Snapshot(items) => {
                 let is_listed =
                     |id: &String| items.iter().any(|item| id_of(&item.key) == id.as_str());
-                let known = known_ids();
+                self.copied_target_removals.borrow_mut().clear();
+                let known = self.known_targets();
                 let missing: Vec<&String> = known.iter().filter(|id| !is_listed(id)).collect();
                 self.record_target_removals(missing.len());
                 for id in missing {
@@ -480,14 +501,8 @@
         match update {
             StoreUpdate::Snapshot(items) => {
                 self.keepers_loaded.set(true);
-                let names: Vec<String> = self
-                    .keepers
-                    .borrow()
-                    .keepers()
-                    .iter()
-                    .map(|keeper| keeper.name.clone())
-                    .collect();
-                for name in names {
+                self.copied_keeper_removals.borrow_mut().clear();
+                for name in self.known_keepers() {
                     if !items.iter().any(|item| keeper_name(&item.key) == name) {
                         self.remove_or_defer_keeper(&name);
                     }
--- a/crates/serving/src/peer_sync.rs
+++ b/crates/serving/src/peer_sync.rs
@@ -49,6 +49,8 @@
     pub keepers: Vec<KeeperRecord>,
     /// All known targets.
     pub targets: Vec<TargetRecord>,
+    /// For how long the store has responded to the process, or `None` if it does not.
+    pub contact_time: Option<Duration>,
 }
 
 /// Starts the task that asks random peers for their view while the store does not respond to this
--- a/tests/dispatch/contact_history.rs
+++ b/tests/dispatch/contact_history.rs
@@ -52,3 +52,19 @@
     assert_eq!(own.failing_time(at(20_000)), None);
     assert_eq!(own.contact_time(at(20_000)), Some(Duration::from_secs(8)));
 }
+
+#[rstest]
+#[case::calls_succeed_afterwards(&[], 4_500)]
+#[case::calls_fail_afterwards(&[(13_000, 13_500)], 4_500)]
+fn a_process_that_was_stopped_does_not_take_that_time_for_contact(
+    #[case] outages: &[(u64, u64)],
+    #[case] failing_millis: u64,
+) {
+    let mut own = play(13_000, outages, |millis| (9_000..13_000).contains(&millis));
+    let (now, failing_time) = (at(13_000), Duration::from_millis(failing_millis));
+    assert_eq!(own.last_failure(), Some(now));
+    assert_eq!(own.failing_time(now), Some(failing_time));
+    assert_eq!(own.forget_own_failures(now, failing_time), None);
+    let longer = failing_time + Duration::from_millis(1);
+    assert_eq!(own.forget_own_failures(now, longer), Some(now));
+}
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod caller_waits;
 mod close_knowledge;
 mod contact_history;
+mod copied_removals;
 mod crash_simulation;
 mod deferred_removals;
 mod dispatch_pass;
