Node settings: each fault is reported once

Operators saw two findings for one fault: an invalid inner_port was also reported as missing, and a missing ip as no IP address, since the reader's default and its absence were both read as a second fault.

--- a/crates/settings/src/document_reader.rs
+++ b/crates/settings/src/document_reader.rs
@@ -156,15 +156,13 @@
         let Some(scalar) = self.scalar(name) else {
             return default;
         };
-        match scalar.as_str().parse::<u64>() {
-            Ok(number) if range.contains(&number) => number,
-            _ => {
-                let message = format!("`{name}` is `{}`", scalar.as_str());
-                let hint = format!("a whole number from {} to {}", range.start(), range.end());
-                self.document.report(scalar.span(), message, hint);
-                default
-            }
-        }
+        self.parse_number(scalar, name, &range).unwrap_or(default)
+    }
+
+    /// Reads a required integer within a range.
+    #[must_use]
+    pub fn required_number(&self, name: &'static str, range: RangeInclusive<u64>) -> Option<u64> {
+        self.parse_number(self.required_scalar(name)?, name, &range)
     }
 
     /// Reads a duration in seconds, possibly fractional, within a range, or returns the default.
@@ -319,6 +317,22 @@
         self.document.report(self.mapping.span(), message, format!("add `{name}: …`"));
     }
 
+    /// Parses an integer within a range, or reports that it is invalid.
+    fn parse_number(
+        &self,
+        scalar: &MarkedScalarNode,
+        name: &str,
+        range: &RangeInclusive<u64>,
+    ) -> Option<u64> {
+        let number = scalar.as_str().parse().ok().filter(|number| range.contains(number));
+        if number.is_none() {
+            let message = format!("`{name}` is `{}`", scalar.as_str());
+            let hint = format!("a whole number from {} to {}", range.start(), range.end());
+            self.document.report(scalar.span(), message, hint);
+        }
+        number
+    }
+
     /// Parses an IP address with a port, or reports that it is invalid.
     fn parse_address(&self, scalar: &MarkedScalarNode, name: &str) -> Option<SocketAddr> {
         let address = scalar.as_str().parse().ok();
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -79,21 +79,19 @@
     };
     let name = reader.text("name");
     let zone = reader.text("zone");
-    let ip = reader.text("ip").and_then(|text| text.parse::<IpAddr>().ok());
-    if ip.is_none() {
+    let ip_text = reader.text("ip");
+    let ip = ip_text.and_then(|text| text.parse::<IpAddr>().ok());
+    if ip_text.is_some() && ip.is_none() {
         reader.report("ip", "`ip` is not an IP address", "an IPv4 or IPv6 address without a port");
     }
-    let port = reader.number("inner_port", 1..=65_535, 0);
-    if port == 0 {
-        reader.report("inner_port", "`inner_port` is missing", "set it to a free port");
-    }
+    let port = reader.required_number("inner_port", 1..=65_535);
     let has_listen = reader.optional_text("inner_listen").is_some();
     let internal_listen = has_listen.then(|| reader.address("inner_listen"));
     let seeds = reader.addresses("seeds");
     let store = reader.address("store");
     let grace = reader.seconds("grace_s", 0.0..=3_600.0, DEFAULT_GRACE_S);
     reader.finish();
-    let internal_address = SocketAddr::new(ip?, u16::try_from(port).ok()?);
+    let internal_address = SocketAddr::new(ip?, u16::try_from(port?).ok()?);
     Some(NodeSettings {
         grace,
         internal_address,
--- a/tests/border/settings_findings.rs
+++ b/tests/border/settings_findings.rs
@@ -1,10 +1,12 @@
 //! Settings and configurations report all findings at once, each with its line and a hint.
 
+use cv_settings::NodeSettings;
 use cv_settings::ServerSettings;
 use cv_settings::parse_fleet_config;
 use proptest::prelude::any;
 use proptest::prelude::prop;
 use proptest::proptest;
+use rstest::rstest;
 
 /// Sidecar settings with an invalid `listen`, `drain_limit_ms` and `kind`, and with `targt` in
 /// place of `target`.
@@ -56,6 +58,38 @@
     assert!(messages.contains(&"no such service"), "{messages:?}");
 }
 
+/// Returns the line and message of each finding in a keeper's settings with one line replaced.
+fn keeper_findings(line: &str, replacement: &str) -> Vec<(usize, String)> {
+    let text = "role: keeper
+name: keeper-1
+zone: fraser-a
+ip: 127.0.0.1
+inner_port: 7000
+store: 127.0.0.1:81
+seeds: []
+";
+    assert!(NodeSettings::parse("keeper.yaml", text).is_ok());
+    let findings = NodeSettings::parse("keeper.yaml", &text.replace(line, replacement));
+    let findings = findings.expect_err("the text is invalid").0;
+    findings.into_iter().map(|finding| (finding.line, finding.message)).collect()
+}
+
+#[rstest]
+#[case::port_missing("inner_port: 7000\n", "", "`inner_port` is missing")]
+#[case::port_invalid("inner_port: 7000", "inner_port: many", "`inner_port` is `many`")]
+#[case::port_zero("inner_port: 7000", "inner_port: 0", "`inner_port` is `0`")]
+#[case::ip_missing("ip: 127.0.0.1\n", "", "`ip` is missing")]
+#[case::ip_invalid("ip: 127.0.0.1", "ip: localhost", "`ip` is not an IP address")]
+fn a_fault_of_a_node_setting_is_reported_once(
+    #[case] line: &str,
+    #[case] replacement: &str,
+    #[case] message: &str,
+) {
+    let findings = keeper_findings(line, replacement);
+    let messages: Vec<&str> = findings.iter().map(|(_, message)| message.as_str()).collect();
+    assert_eq!(messages, [message]);
+}
+
 proptest! {
     #[test]
     fn arbitrary_text_is_parsed_or_reported(text in prop::collection::vec(any::<char>(), 0..200)) {
