Settings: an entry of a list that is no single value is a finding

Operators saw no finding for a seed or a token hash that is a list or a mapping of its own: such entries were dropped, so that the process started with fewer seeds, or the organisation had fewer tokens than written.

an_address_that_is_a_list_of_its_own_is_reported and a_token_hash_that_is_a_mapping_is_reported failed on the code before, since it accepted both texts; now they pass.

--- a/crates/settings/src/document_reader.rs
+++ b/crates/settings/src/document_reader.rs
@@ -134,20 +134,11 @@
         self.parse_address(scalar, name)
     }
 
-    /// Reads an optional list of IP addresses with ports; empty if omitted. Entries that are not
-    /// scalars are ignored.
+    /// Reads an optional list of IP addresses with ports; empty if omitted.
     #[must_use]
     pub fn addresses(&self, name: &'static str) -> Vec<SocketAddr> {
-        let Some(node) = self.node(name) else {
-            return Vec::new();
-        };
-        let Some(sequence) = node.as_sequence() else {
-            let hint = "write a list with one `- address:port` per line";
-            self.document.report(node.span(), format!("`{name}` is not a list"), hint);
-            return Vec::new();
-        };
-        let scalars = sequence.iter().filter_map(Node::as_scalar);
-        scalars.filter_map(|scalar| self.parse_address(scalar, name)).collect()
+        let scalars = self.scalars(name, "write a list with one `- address:port` per line");
+        scalars.into_iter().filter_map(|scalar| self.parse_address(scalar, name)).collect()
     }
 
     /// Reads an integer within a range, or returns the default.
@@ -218,18 +209,10 @@
         choice
     }
 
-    /// Reads an optional list of strings; empty if omitted. Entries that are not scalars are
-    /// ignored.
+    /// Reads an optional list of strings; empty if omitted.
     #[must_use]
     pub fn texts(&self, name: &'static str) -> Vec<&'d str> {
-        let Some(node) = self.node(name) else {
-            return Vec::new();
-        };
-        let Some(sequence) = node.as_sequence() else {
-            self.document.report(node.span(), format!("`{name}` is not a list"), "write a list");
-            return Vec::new();
-        };
-        sequence.iter().filter_map(Node::as_scalar).map(MarkedScalarNode::as_str).collect()
+        self.scalars(name, "write a list").into_iter().map(MarkedScalarNode::as_str).collect()
     }
 
     /// Reads an optional mapping.
@@ -303,6 +286,27 @@
         scalar
     }
 
+    /// Returns the scalars of an optional list and reports its other entries; `hint` says how to write
+    /// the list.
+    fn scalars(&self, name: &'static str, hint: &str) -> Vec<&'d MarkedScalarNode> {
+        let Some(node) = self.node(name) else {
+            return Vec::new();
+        };
+        let Some(sequence) = node.as_sequence() else {
+            self.document.report(node.span(), format!("`{name}` is not a list"), hint);
+            return Vec::new();
+        };
+        let scalars = sequence.iter().filter_map(|entry| {
+            let scalar = entry.as_scalar();
+            if scalar.is_none() {
+                let message = format!("an entry of `{name}` is not a single value");
+                self.document.report(entry.span(), message, "write one value behind the dash");
+            }
+            scalar
+        });
+        scalars.collect()
+    }
+
     /// Returns a required field's scalar value, or reports that the field is missing.
     fn required_scalar(&self, name: &'static str) -> Option<&'d MarkedScalarNode> {
         if self.node(name).is_none() {
--- a/tests/border/settings_findings.rs
+++ b/tests/border/settings_findings.rs
@@ -90,6 +90,28 @@
     assert_eq!(messages, [message]);
 }
 
+#[test]
+fn an_address_that_is_a_list_of_its_own_is_reported() {
+    let findings = keeper_findings("seeds: []", "seeds:\n  - 127.0.0.1:7001\n  - [127.0.0.1:7002]");
+    assert_eq!(findings, [(9, "an entry of `seeds` is not a single value".to_owned())]);
+}
+
+#[test]
+fn a_token_hash_that_is_a_mapping_is_reported() {
+    let text = "services:
+  - name: assist-llm
+    kind: model
+organisations:
+  - name: orders-app
+    token_hashes:
+      - hash: none
+";
+    let findings = parse_fleet_config("configuration", text).expect_err("the text is invalid").0;
+    let findings: Vec<(usize, &str)> =
+        findings.iter().map(|finding| (finding.line, finding.message.as_str())).collect();
+    assert_eq!(findings, [(7, "an entry of `token_hashes` is not a single value")]);
+}
+
 proptest! {
     #[test]
     fn arbitrary_text_is_parsed_or_reported(text in prop::collection::vec(any::<char>(), 0..200)) {
