Peer views: a draining target stays draining

Requests could go to a target that drains: processes without contact to the store copied the view of a peer that had lost its watch of the targets, but to which other calls succeeded, and made the target ready again.

--- a/crates/clementinevale/tests/nodes/stale_views.rs
+++ b/crates/clementinevale/tests/nodes/stale_views.rs
@@ -206,3 +206,31 @@
     };
     assert!(fleet.wait_for(Duration::from_millis(1_500), has_removed), "{}", keeper.output());
 }
+
+// Guards against a view whose process has lost its watch of the targets: those that copy it have seen
+// already that the target drains.
+#[test]
+fn a_copied_view_does_not_make_a_draining_target_ready_again() {
+    let fleet = small_fleet();
+    fleet.store.set_read_delay("servers/", Duration::from_secs(3));
+    set_connection(&fleet, "keeper-71", FaultMode::Disconnect);
+    std::thread::sleep(DISCONNECTION_TIME);
+    set_connection(&fleet, "keeper-71", FaultMode::Pass);
+    std::thread::sleep(Duration::from_millis(200));
+    fleet.register(&engine_id(1), "draining");
+    std::thread::sleep(PROPAGATION_TIME);
+    let others: Vec<_> = fleet.nodes.iter().filter(|node| node.name != "keeper-71").collect();
+    for node in &others {
+        node.store_proxy.set_mode(FaultMode::TurnAway);
+    }
+    std::thread::sleep(Duration::from_millis(1_500));
+    let copying: Vec<_> =
+        others.iter().filter(|node| node.output().contains("contact_ms=")).collect();
+    assert!(!copying.is_empty(), "no view was copied");
+    for node in copying {
+        let output = node.output();
+        let states = output.lines().filter(|line| line.contains("engine-1\"")).collect::<Vec<_>>();
+        let last = states.last().expect("the target is known");
+        assert!(last.contains("state=draining"), "{}: {states:#?}", node.name);
+    }
+}
--- a/crates/dispatch/src/copied_removals.rs
+++ b/crates/dispatch/src/copied_removals.rs
@@ -28,7 +28,7 @@
         peer_contact: Option<Duration>,
         mut missing: Vec<String>,
     ) -> Vec<String> {
-        if peer_contact.is_some_and(|contact| contact >= REREGISTRATION_GRACE) {
+        if Self::is_steady(peer_contact) {
             self.clear();
             return missing;
         }
@@ -42,6 +42,12 @@
         expired.map(|(key, _)| key).collect()
     }
 
+    /// Returns whether the store has responded to a peer for so long that its view is current.
+    #[must_use]
+    pub fn is_steady(peer_contact: Option<Duration>) -> bool {
+        peer_contact.is_some_and(|contact| contact >= REREGISTRATION_GRACE)
+    }
+
     /// Forgets all copied views, because the store itself has told which keys exist.
     pub fn clear(&mut self) {
         self.missing.clear();
--- a/crates/serving/src/fleet_view.rs
+++ b/crates/serving/src/fleet_view.rs
@@ -257,8 +257,12 @@
             let _ = self.apply_config::<P>(value);
         }
         self.apply_copied_removals(&snapshot);
+        let is_steady = CopiedRemovals::is_steady(snapshot.contact_time);
         for target in snapshot.targets {
-            self.upsert_target(target);
+            // Otherwise the peer may not have read yet that the target drains.
+            if is_steady || !self.is_draining(&target.id) {
+                self.upsert_target(target);
+            }
         }
         // The peer may know less than the watches have told before.
         self.store_health.record_missed_changes();
@@ -289,6 +293,12 @@
         }
     }
 
+    /// Returns whether a target is known to accept no new requests.
+    fn is_draining(&self, id: &str) -> bool {
+        let targets = self.targets.borrow();
+        targets.get(id).is_some_and(|row| row.record.state == TargetState::Draining)
+    }
+
     /// Returns the ids of the known targets, sorted.
     fn known_targets(&self) -> Vec<String> {
         self.targets.borrow().rows().iter().map(|row| row.record.id.clone()).collect()
