Soak: targets that refuse requests and repeat answers, and a double that the check must report

In phases drawn from a generator of their own, so that older seeds keep their faults, all targets refuse requests, end runs with 500 and repeat answers, at once or in front of the next one. The soak was blind to this fault. A double sends a refused request again on the connection of the refusal, to a target that repeats it: the check must report the second run, and the run that its caller was told of as not run.

--- a/crates/clementinevale/tests/soak/fault_schedule.rs
+++ b/crates/clementinevale/tests/soak/fault_schedule.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cv_adapter_standin::RepeatPlan;
 use cv_adapter_standin::StoreMode;
 use cv_policy::SeededRandom;
 use cv_standin::FaultMode;
@@ -66,6 +67,9 @@
 /// Sets the random numbers of the faults of keepers apart from those of the other faults.
 const KEEPER_SALT: u64 = 0x6b65_6570;
 
+/// Sets the random numbers of refusals and repeated answers apart from those of the faults.
+const REPEAT_SALT: u64 = 0x7265_7065;
+
 /// Maximum time until a terminated process has exited; longer than its grace period of 4 s.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -128,6 +132,8 @@
     last_random: SeededRandom,
     /// Draws the faults of a part of the system, apart from the others.
     partial_random: SeededRandom,
+    /// Draws when targets refuse requests and repeat answers, apart from the faults.
+    repeat_random: SeededRandom,
     /// Names of the keepers that the operator retires.
     retired: Vec<String>,
     /// Draws the targets' ways of responding, apart from the faults, so that older seeds keep theirs.
@@ -146,6 +152,7 @@
             keeper_random: SeededRandom::new(seed ^ KEEPER_SALT),
             last_random: SeededRandom::new(seed ^ LAST_FAULT_SALT),
             partial_random: SeededRandom::new(seed ^ PARTIAL_SALT),
+            repeat_random: SeededRandom::new(seed ^ REPEAT_SALT),
             retired: Vec::new(),
             response_random: SeededRandom::new(!seed),
             undos: Vec::new(),
@@ -166,6 +173,7 @@
             report_crashes(fleet, check);
             self.inject(fleet, check);
             self.change_responses(fleet);
+            self.change_repetitions(fleet);
             self.replace_retired(fleet, check);
             if self.keeper_random.below(FAULTS_PER_KEEPER_FAULT) == 0 {
                 self.disturb_keeper(fleet, check);
@@ -180,6 +188,7 @@
                 }
             }
         }
+        fleet.repeat_rule.set_plan(RepeatPlan::default(), 0);
         fleet.request_limit.store(0, Ordering::Relaxed);
         fleet.has_unframed_streams.store(false, Ordering::Relaxed);
         let last_due = self.undos.iter().map(|(due, _)| *due).max();
@@ -346,6 +355,25 @@
         }
     }
 
+    /// Changes how often the targets refuse requests, fail and repeat answers.
+    fn change_repetitions(&mut self, fleet: &NodeFleet) {
+        let random = &mut self.repeat_random;
+        match random.below(5) {
+            0 | 1 => {
+                let plan = RepeatPlan {
+                    errors: random.below(3),
+                    late_repeats: 60 + random.below(41),
+                    nameless_refusals: random.below(30),
+                    refusals: 10 + random.below(40),
+                    repeats: 50 + random.below(51),
+                };
+                fleet.repeat_rule.set_plan(plan, random.number());
+            }
+            2 => fleet.repeat_rule.set_plan(RepeatPlan::default(), 0),
+            _ => {}
+        }
+    }
+
     /// Injects one random fault and schedules its end.
     fn inject(&mut self, fleet: &mut NodeFleet, check: &GuaranteeCheck) {
         // The schedules of older seeds name two keepers for each two entries.
--- a/crates/clementinevale/tests/soak/main.rs
+++ b/crates/clementinevale/tests/soak/main.rs
@@ -4,6 +4,7 @@
 //! Without these variables it runs the seeds that have failed before and two more, 8 seconds each.
 //! `CV_SOAK_SCALE` multiplies the number of processes, up to 6.
 
+mod broken_rule;
 mod disturbance_log;
 mod fault_schedule;
 mod guarantee_check;
