Calls: refusals of targets and calls without a response keep their lines

Names: record_request for assign, which also counts for ConnectionUse, so that there is one count; the limit of responses read for a request says what it counts; take_idle is no longer public, and connect says for which servers it is.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -103,7 +103,7 @@
     stream_tail: Option<StreamTail>,
     /// Idle timeout that the server announced, if it did.
     keep_alive_timeout: Option<Duration>,
-    /// Which request of which connection this is, for the log.
+    /// Which request of which connection this is.
     connection_use: ConnectionUse,
     reader: HttpReader<OwnedReadHalf<TcpStream>>,
     /// Whether the connection is closed after its current exchange, however that ends.
@@ -157,7 +157,6 @@
     /// Fails if the connection does; the server may have received the request nevertheless.
     pub async fn send(&mut self, request: &ClientRequest) -> Result<(), HttpFault> {
         self.reusable = false;
-        self.connection_use.begin_request();
         let ClientRequest { body, headers, method, path } = request;
         self.writer.write_request(method, path, headers, body).await
     }
@@ -177,7 +176,6 @@
         continue_timeout: Duration,
     ) -> Result<(), SendFault> {
         self.reusable = false;
-        self.connection_use.begin_request();
         let ClientRequest { body, headers, method, path } = request;
         let mut headers = headers.clone();
         headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
@@ -241,7 +239,7 @@
         self.reader.read_body(&mut self.framing, limit).await.map(|_| ())
     }
 
-    /// Returns which request of which connection was sent last.
+    /// Returns which request of which connection was recorded last.
     #[must_use]
     pub fn connection_use(&self) -> ConnectionUse {
         self.connection_use
@@ -326,10 +324,11 @@
         Ok(ClientResponse { body: body?, headers: head.headers, status: head.status })
     }
 
-    /// Dedicates the connection's next exchange to a request. A faulty server may repeat any
-    /// response on this connection, which only the request's id tells from a later one, so a request
-    /// goes out here at most once, and one without an id is the last.
-    pub(crate) fn assign(&mut self, request_id: Option<&str>) {
+    /// Records the request that is sent next. A faulty server may repeat any response on this
+    /// connection, and only the request's id tells the copy from a later response. So a request goes
+    /// out here at most once, and one without an id is the last.
+    pub(crate) fn record_request(&mut self, request_id: Option<&str>) {
+        self.connection_use.begin_request();
         match request_id {
             Some(id) => self.carried.insert(id),
             None => self.retire(),
--- a/crates/http/src/connection_use.rs
+++ b/crates/http/src/connection_use.rs
@@ -1,8 +1,8 @@
-//! Identifies a connection and its requests in log lines.
+//! Identifies the requests of a connection.
 
 use std::fmt;
 
-/// A connection of this process, and how many requests have been sent on it.
+/// A connection of this process, and how many requests have been recorded on it.
 ///
 /// Displays as `connection.request`, for example `17.3` for the third request of connection 17.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -12,7 +12,7 @@
 }
 
 impl ConnectionUse {
-    /// Creates the use of a connection on which no request has been sent.
+    /// Creates the use of a connection that has carried no request.
     pub(crate) fn new(connection: u64) -> Self {
         Self { connection, requests: 0 }
     }
@@ -22,7 +22,7 @@
         self.requests += 1;
     }
 
-    /// Returns whether at most one request has been sent.
+    /// Returns whether the connection has carried no earlier request.
     #[must_use]
     pub fn is_first_request(self) -> bool {
         self.requests <= 1
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -59,12 +59,6 @@
         Self { limits, rows: RefCell::default() }
     }
 
-    /// Takes an idle connection that can still be used, if there is one.
-    #[must_use]
-    pub fn take_idle(&self, address: SocketAddr) -> Option<ClientConnection> {
-        self.take_idle_where(address, |_| true)
-    }
-
     /// Takes an idle connection that can still be used and meets a condition, if there is one.
     fn take_idle_where(
         &self,
@@ -90,7 +84,8 @@
         None
     }
 
-    /// Takes an idle connection or opens a new one within `connect_timeout`.
+    /// Takes an idle connection or opens a new one within `connect_timeout`, for servers that never
+    /// send a response twice.
     ///
     /// # Errors
     /// Fails if no connection can be opened; no byte of a request has been sent then.
@@ -99,7 +94,7 @@
         address: SocketAddr,
         connect_timeout: Duration,
     ) -> Result<ClientConnection, HttpFault> {
-        match self.take_idle(address) {
+        match self.take_idle_where(address, |_| true) {
             Some(connection) => Ok(connection),
             None => ClientConnection::connect(address, connect_timeout, self.limits).await,
         }
@@ -122,7 +117,7 @@
             Some(connection) => connection,
             None => ClientConnection::connect(address, connect_timeout, self.limits).await?,
         };
-        connection.assign(request_id);
+        connection.record_request(request_id);
         Ok(connection)
     }
 
--- a/crates/serving/src/call_log.rs
+++ b/crates/serving/src/call_log.rs
@@ -1,8 +1,5 @@
 //! Records how the calls of a process to targets and sidecars ended.
 
-use std::net::SocketAddr;
-
-use cv_http::ConnectionUse;
 use cv_timeline::EventKind;
 use cv_timeline::LineLog;
 use cv_timeline::LinePriority;
@@ -10,6 +7,9 @@
 use prometheus::IntCounter;
 use prometheus::Registry;
 
+use crate::logged_call::LoggedCall;
+use crate::pending_call::PendingCall;
+
 /// Log and metrics of the calls of one process.
 #[derive(Clone, Debug)]
 pub(crate) struct CallLog {
@@ -18,17 +18,6 @@
     strays: IntCounter,
 }
 
-/// A call to a server, as log lines name it.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct LoggedCall<'a> {
-    /// Address of the server.
-    pub address: SocketAddr,
-    /// The connection that carries the call.
-    pub connection: ConnectionUse,
-    /// Id of the request, if it has one.
-    pub request_id: Option<&'a str>,
-}
-
 impl CallLog {
     /// Creates the log, whose counter of skipped responses has the name `metric`.
     ///
@@ -40,14 +29,20 @@
         Ok(Self { log, strays })
     }
 
+    /// Begins to watch a call that is about to be sent.
+    pub fn begin<'a>(&'a self, call: LoggedCall<'a>) -> PendingCall<'a> {
+        PendingCall::new(self, call)
+    }
+
     /// Records a response, with the id of the request that it names.
     pub fn record_response(
         &self,
+        priority: LinePriority,
         call: &LoggedCall<'_>,
         status: StatusCode,
         named_id: Option<&str>,
     ) {
-        self.record(LinePriority::Routine, EventKind::ResponseReceived, call, || {
+        self.record(priority, EventKind::ResponseReceived, call, || {
             format!("status={} named={}", status.as_u16(), named_id.unwrap_or("none"))
         });
     }
@@ -60,15 +55,8 @@
         });
     }
 
-    /// Records a call that was handed over, or partly so, and got no response.
-    pub fn record_fault(&self, call: &LoggedCall<'_>, fault: &str) {
-        self.record(LinePriority::Essential, EventKind::ResponseReceived, call, || {
-            format!("fault={}", fault.replace(' ', "_"))
-        });
-    }
-
     /// Writes a line about a call.
-    fn record(
+    pub fn record(
         &self,
         priority: LinePriority,
         kind: EventKind,
--- a/crates/serving/src/target_call.rs
+++ b/crates/serving/src/target_call.rs
@@ -9,15 +9,16 @@
 use cv_http::ConnectionPool;
 use cv_http::HttpFault;
 use cv_http::SendFault;
+use cv_timeline::LinePriority;
 use http::HeaderMap;
 use http::response::Parts as ResponseHead;
 use monoio::time::timeout;
 
 use crate::call_log::CallLog;
-use crate::call_log::LoggedCall;
+use crate::logged_call::LoggedCall;
 
-/// Most responses to other requests that are skipped before the connection is closed.
-const MAX_STRAY_RESPONSES: usize = 3;
+/// Most responses that are read for one request, including those to other requests.
+const MAX_RESPONSES_READ: usize = 3;
 
 /// Longest wait for a sidecar's `100 Continue`, which it sends before anything else. A frozen
 /// sidecar sends none, and cannot run the request later because it never gets the body.
@@ -102,26 +103,35 @@
         request_id: Option<&str>,
         head_timeout: Duration,
     ) -> Result<(ClientConnection, ResponseHead), TargetFault> {
-        let sent = timeout(head_timeout, self.send_request(&mut connection, request)).await;
-        sent.unwrap_or(Err(TargetFault::Unknown(HttpFault::TimedOut("request"))))?;
         let call = LoggedCall {
             address: self.address,
             connection: connection.connection_use(),
             request_id,
         };
-        let head = self.read_own_head(&mut connection, request, &call, head_timeout).await;
-        match head {
-            Ok(head) => Ok((connection, head)),
+        let pending = self.log.begin(call);
+        let sent = timeout(head_timeout, self.send_request(&mut connection, request)).await;
+        let sent = sent.unwrap_or(Err(TargetFault::Unknown(HttpFault::TimedOut("request"))));
+        if let Err(fault) = sent {
+            pending.fail(&fault.to_string());
+            return Err(fault);
+        }
+        match self.read_own_head(&mut connection, request, &call, head_timeout).await {
+            Ok(head) => {
+                pending.finish();
+                Ok((connection, head))
+            }
             Err(fault) => {
-                self.log.record_fault(&call, &fault.to_string());
+                pending.fail(&fault.to_string());
                 Err(TargetFault::Unknown(fault))
             }
         }
     }
 
     /// Reads the head of the response to a request that has been sent, and skips responses to other
-    /// requests before it. A sidecar sends no response twice, so its own need no request id; a
-    /// target's without one is taken only on a connection that has carried nothing else.
+    /// requests before it.
+    ///
+    /// A target's response without a request id is believed only on a connection that has carried no
+    /// other request. A sidecar leaves the id out of its refusals, but sends no response twice.
     async fn read_own_head(
         &self,
         connection: &mut ClientConnection,
@@ -129,7 +139,7 @@
         call: &LoggedCall<'_>,
         head_timeout: Duration,
     ) -> Result<ResponseHead, HttpFault> {
-        for _ in 0..MAX_STRAY_RESPONSES {
+        for _ in 0..MAX_RESPONSES_READ {
             let head = connection.read_head(&request.method, head_timeout).await?;
             let named_id = (self.request_id_of)(&head.headers);
             // A target may repeat its response to an earlier request on the same connection.
@@ -141,7 +151,10 @@
                     return Err(HttpFault::Malformed("response without a request id"));
                 }
                 (_, named_id) => {
-                    self.log.record_response(call, head.status, named_id);
+                    let is_refusal = !self.is_sidecar && !head.status.is_success();
+                    let priority =
+                        if is_refusal { LinePriority::Essential } else { LinePriority::Routine };
+                    self.log.record_response(priority, call, head.status, named_id);
                     if named_id.is_none() && !self.is_sidecar {
                         connection.retire();
                     }
