--- a/crates/clementinevale/tests/nodes/repeated_refusals.rs
+++ b/crates/clementinevale/tests/nodes/repeated_refusals.rs
@@ -42,8 +42,8 @@
 /// An engine that refuses its first request, and sends the refusal once more on that connection
 /// before it responds to the next request there.
 struct RepeatingEngine {
-    /// Whether refusals name their request.
-    has_request_id: bool,
+    /// Whether refusals, and their copies, name their request.
+    names_request: [bool; 2],
     /// Status line of the refusal.
     refusal: &'static str,
     refused: AtomicU32,
@@ -52,11 +52,15 @@
 
 impl RepeatingEngine {
     /// Starts an engine at an address, whose refusal has the given status line.
-    fn start(ip: IpAddr, refusal: &'static str, has_request_id: bool) -> (Arc<Self>, SocketAddr) {
+    fn start(
+        ip: IpAddr,
+        refusal: &'static str,
+        names_request: [bool; 2],
+    ) -> (Arc<Self>, SocketAddr) {
         let listener = TcpListener::bind((ip, 0)).expect("a port is free");
         let address = listener.local_addr().expect("the listener is bound");
         let engine = Arc::new(Self {
-            has_request_id,
+            names_request,
             refusal,
             refused: AtomicU32::new(0),
             runs: AtomicU32::new(0),
@@ -87,16 +91,14 @@
         let mut refusal = String::new();
         while let Some(id) = read_request(&mut reader) {
             if self.refused.fetch_add(1, Ordering::Relaxed) == 0 {
-                let name = if self.has_request_id {
-                    format!("Request-Id: {id}\r\n")
-                } else {
-                    String::new()
-                };
-                refusal = format!(
-                    "HTTP/1.1 {}\r\nNot-Run: 1\r\n{name}Content-Length: 0\r\n\r\n",
-                    self.refusal
-                );
-                if stream.write_all(refusal.as_bytes()).is_err() {
+                let [answer, copy] = self.names_request.map(|is_named| {
+                    let name =
+                        if is_named { format!("Request-Id: {id}\r\n") } else { String::new() };
+                    let status = self.refusal;
+                    format!("HTTP/1.1 {status}\r\nNot-Run: 1\r\n{name}Content-Length: 0\r\n\r\n")
+                });
+                refusal = copy;
+                if stream.write_all(answer.as_bytes()).is_err() {
                     return;
                 }
                 continue;
@@ -205,7 +207,7 @@
 fn a_repeated_refusal_is_not_taken_for_a_new_one(#[case] has_request_id: bool, #[case] host: u8) {
     let ip = test_address(host);
     let (engine, engine_address) =
-        RepeatingEngine::start(ip, "503 Service Unavailable", has_request_id);
+        RepeatingEngine::start(ip, "503 Service Unavailable", [has_request_id; 2]);
     let folder = TempDir::new().expect("a temporary folder can be created");
     let address = SocketAddr::new(ip, INTERNAL_PORT);
     let _sidecar = start_sidecar(&folder, address, engine_address);
@@ -220,6 +222,18 @@
     assert_eq!(engine.runs(), 1, "the item has run more than once");
 }
 
+/// Returns an online request.
+fn online_request() -> ClientRequest {
+    ClientRequest::new(Method::POST, "/orders", "body")
+        .with_header("host", "growers.example")
+        .with_header("deadline-ms", "5000")
+        .with_header("cv-class", "online")
+        .with_header("cv-stay-ms", "2000")
+        .with_header("cv-objective-ms", "2000")
+        .with_header("cv-patience-ms", "2000")
+        .with_header("cv-slots", "4")
+}
+
 // Guards against an online request that runs and is reported as refused, so that its entry sends it
 // to another target.
 #[rstest]
@@ -234,19 +248,11 @@
     #[case] host: u8,
 ) {
     let ip = test_address(host);
-    let (engine, engine_address) = RepeatingEngine::start(ip, refusal, has_request_id);
+    let (engine, engine_address) = RepeatingEngine::start(ip, refusal, [has_request_id; 2]);
     let folder = TempDir::new().expect("a temporary folder can be created");
     let address = SocketAddr::new(ip, INTERNAL_PORT);
     let _sidecar = start_sidecar(&folder, address, engine_address);
-    let request = ClientRequest::new(Method::POST, "/orders", "body")
-        .with_header("host", "growers.example")
-        .with_header("request-id", "order1")
-        .with_header("deadline-ms", "5000")
-        .with_header("cv-class", "online")
-        .with_header("cv-stay-ms", "2000")
-        .with_header("cv-objective-ms", "2000")
-        .with_header("cv-patience-ms", "2000")
-        .with_header("cv-slots", "4");
+    let request = online_request().with_header("request-id", "order1");
     let mut response = send(address, &request);
     if engine.runs() == 0 {
         // What an entry does after a refusal.
@@ -260,19 +266,45 @@
 #[test]
 fn a_request_without_an_id_shares_no_connection() {
     let ip = test_address(30);
-    let (engine, engine_address) = RepeatingEngine::start(ip, "421 Misdirected Request", false);
+    let (engine, engine_address) =
+        RepeatingEngine::start(ip, "421 Misdirected Request", [false; 2]);
     let folder = TempDir::new().expect("a temporary folder can be created");
     let address = SocketAddr::new(ip, INTERNAL_PORT);
     let _sidecar = start_sidecar(&folder, address, engine_address);
-    let unnamed = ClientRequest::new(Method::POST, "/orders", "body")
-        .with_header("host", "growers.example")
-        .with_header("deadline-ms", "5000")
-        .with_header("cv-class", "online")
-        .with_header("cv-patience-ms", "2000")
-        .with_header("cv-slots", "4");
+    let unnamed = online_request();
     send(address, &unnamed);
     let named = unnamed.with_header("request-id", "order2");
     let response = send(address, &named);
     assert_eq!(engine.runs(), 1);
     assert_eq!(response.status, StatusCode::OK, "a request that runs was reported as refused");
 }
+
+// Guards against a copy without a request id that passes for the refusal of another request.
+#[test]
+fn a_copy_without_an_id_is_not_taken_for_a_refusal_of_the_next_request() {
+    let ip = test_address(31);
+    let (engine, engine_address) =
+        RepeatingEngine::start(ip, "421 Misdirected Request", [true, false]);
+    let folder = TempDir::new().expect("a temporary folder can be created");
+    let address = SocketAddr::new(ip, INTERNAL_PORT);
+    let _sidecar = start_sidecar(&folder, address, engine_address);
+    send(address, &online_request().with_header("request-id", "order1"));
+    let response = send(address, &online_request().with_header("request-id", "order2"));
+    assert_eq!(engine.runs(), 1);
+    let verdict = response.headers.get("cv-verdict").expect("a verdict of the sidecar");
+    assert_eq!(verdict, "unknown", "a request that runs was reported as refused");
+}
+
+// Guards against a copy without a request id that costs the next request its response.
+#[test]
+fn a_connection_with_a_response_without_an_id_carries_no_other_request() {
+    let ip = test_address(32);
+    let (engine, engine_address) =
+        RepeatingEngine::start(ip, "421 Misdirected Request", [false; 2]);
+    let folder = TempDir::new().expect("a temporary folder can be created");
+    let address = SocketAddr::new(ip, INTERNAL_PORT);
+    let _sidecar = start_sidecar(&folder, address, engine_address);
+    send(address, &online_request().with_header("request-id", "order1"));
+    let response = send(address, &online_request().with_header("request-id", "order2"));
+    assert_eq!((engine.runs(), response.status), (1, StatusCode::OK));
+}
