Frozen keepers: stop a keeper once the entries know both

`a_refused_job_does_not_run_when_a_frozen_keeper_continues` failed because its set-up stopped keeper-70 too early. The fleet counts as ready when each entry knows one keeper. If both entries knew only keeper-70, the lagging store hid keeper-71 from them for the rest of the test, and every submission of `first` was refused ("keepers=1"). If an entry knew only keeper-71, the test passed without a job being offered to the stopped keeper by that entry.

The set-up now waits until both entries list both keepers in the view they share. No bound is raised and no check is dropped; the cases in which the stopped keeper is not tried are gone.

--- a/crates/clementinevale/tests/nodes/frozen_keepers.rs
+++ b/crates/clementinevale/tests/nodes/frozen_keepers.rs
@@ -1,8 +1,12 @@
 //! Keepers that are stopped for longer than their lease, and then continue.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use cv_http::ClientConnection;
+use cv_http::ClientRequest;
+use cv_http::HttpLimits;
 use cv_runtime::block_on;
 use cv_tests::FleetOptions;
 use cv_tests::NodeFleet;
@@ -12,6 +16,7 @@
 use cv_tests::node_caller::close_job;
 use cv_tests::node_caller::submit_job;
 use futures::future::join_all;
+use http::Method;
 
 use crate::job_checks::EVENTS_PER_ITEM;
 use crate::job_checks::JOB_TIMEOUT;
@@ -23,11 +28,40 @@
 /// Time for which two targets may work on the same item after it has moved.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 
-/// Starts a fleet of two engines, two entries and two keepers.
+/// Maximum time until the entries of a fleet that is ready know all keepers.
+const VIEW_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Starts a fleet of two engines, two entries and two keepers, and waits until both entries know both
+/// keepers.
+///
+/// The fleet is ready when each entry knows one of them. An entry that knew only the one that is
+/// stopped would not learn of the other while the store lags, and could not place any job.
 fn start_fleet(queued_tokens: u64) -> NodeFleet {
     let size = NodeFleetSize { engines: 2, entries: 2, keepers: 2 };
     let options = FleetOptions { queued_tokens, ..FleetOptions::default() };
-    NodeFleet::start_with(env!("CARGO_BIN_EXE_clementinevale"), size, options)
+    let fleet = NodeFleet::start_with(env!("CARGO_BIN_EXE_clementinevale"), size, options);
+    let know_keepers = fleet.wait_for(VIEW_TIMEOUT, |fleet| {
+        [50, 51].into_iter().all(|entry| knows_both_keepers(fleet.internal_address(entry)))
+    });
+    assert!(know_keepers, "an entry does not know both keepers within {VIEW_TIMEOUT:?}");
+    fleet
+}
+
+/// Returns whether the view that a process shares with its peers lists both keepers.
+fn knows_both_keepers(address: SocketAddr) -> bool {
+    const TIMEOUT: Duration = Duration::from_secs(1);
+    let request = ClientRequest::new(Method::GET, "/cv/view", "");
+    let response = block_on(async {
+        let limits = HttpLimits::default();
+        let mut connection = ClientConnection::connect(address, TIMEOUT, limits).await?;
+        connection.exchange(&request, TIMEOUT, 1024 * 1024).await
+    });
+    let Ok(response) = response.expect("the runtime starts") else {
+        return false;
+    };
+    // The encoded view holds names as plain text.
+    let lists = |name: &[u8]| response.body.windows(name.len()).any(|part| part == name);
+    lists(b"keeper-70") && lists(b"keeper-71")
 }
 
 /// Sends a signal to the first keeper.
