Trials of requests: one that no engine began to run is withdrawn

A request has one trial in all. It counted also if the target was down or refused it (Not-Run), so a request under which three targets ended, for whatever reason, was refused for 12 h if the targets were down when its trial was due. Records between processes have one field more.

--- a/crates/clementinevale/tests/nodes/crashing_requests.rs
+++ b/crates/clementinevale/tests/nodes/crashing_requests.rs
@@ -395,3 +395,34 @@
     let served = calls.iter().filter(|call| call.outcome == CallerOutcome::Completed).count();
     assert_eq!(served, calls.len());
 }
+
+#[rstest]
+fn a_sound_request_is_served_again_after_targets_were_down(
+    #[values(PLAIN_CALL, BARE_CALL)] call: RepeatedCall,
+    #[values(false, true)] are_down_at_trial: bool,
+) {
+    /// Time from the third loss to the time at which targets are down for a second time.
+    const SECOND_OUTAGE_DELAY: Duration = Duration::from_millis(4_300);
+    let fleet = crashing_fleet(&call);
+    let entries = fleet.entry_addresses();
+    let has_ended_three = |fleet: &NodeFleet| fleet.target_log.losses().len() >= MAX_LOSSES;
+    for _ in 0..4 {
+        if !has_ended_three(&fleet) {
+            repeat_crashing(&entries, call, Duration::from_millis(1));
+        }
+    }
+    assert!(has_ended_three(&fleet), "{} targets ended", fleet.target_log.losses().len());
+    // The targets ended for another reason: the request is sound.
+    fleet.crash_rule.set_requests(&[]);
+    let third = fleet.target_log.losses()[MAX_LOSSES - 1];
+    let callers = std::thread::spawn(move || {
+        repeat_call(&entries, call, "sound", SOUND_INTERVAL, Duration::from_secs(14))
+    });
+    if are_down_at_trial {
+        let due = third + SECOND_OUTAGE_DELAY;
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        (0..usize::from(fleet.engine_count() + PLAIN_TARGETS))
+            .for_each(|index| fleet.restart_target(index));
+    }
+    check_served(&callers.join().expect("the callers' thread finishes"));
+}
--- a/crates/dispatch/src/quarantine_record.rs
+++ b/crates/dispatch/src/quarantine_record.rs
@@ -27,4 +27,6 @@
     pub tried: Option<u32>,
     /// Trials since the subject came into quarantine.
     pub trials: u8,
+    /// Those of the trials that no engine began to run.
+    pub withdrawn: u8,
 }
--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -27,6 +27,9 @@
 /// Trials of a request in all. Its callers repeat it for as long as it is not served.
 const MAX_REQUEST_TRIALS: u8 = 1;
 
+/// Most trials of a request that may be withdrawn.
+const MAX_WITHDRAWN_TRIALS: u8 = 100;
+
 /// Time after the last event after which the quarantine of a part ends.
 const PART_LIFETIME: Duration = Duration::from_mins(15);
 
@@ -73,6 +76,8 @@
     tried_at: Option<MonotonicTime>,
     /// Whether the subject is or was in quarantine, as far as this process knows.
     was_quarantined: bool,
+    /// Trials that no engine began to run.
+    withdrawn: u8,
 }
 
 impl QuarantineRow {
@@ -92,6 +97,7 @@
             trials: 0,
             tried_at: None,
             was_quarantined: false,
+            withdrawn: 0,
         }
     }
 
@@ -119,7 +125,7 @@
     /// verdict, and ever later after those that ended their engines.
     pub fn trial_due(&self) -> Option<MonotonicTime> {
         let since = self.quarantined_at?;
-        if self.subject.is_request() && self.trials >= MAX_REQUEST_TRIALS {
+        if self.subject.is_request() && self.trials - self.withdrawn >= MAX_REQUEST_TRIALS {
             return Some(self.last_event() + REQUEST_LIFETIME);
         }
         if let Some(tried_at) = self.tried_at
@@ -211,6 +217,7 @@
         let is_relapse = self.was_quarantined && self.subject.is_request();
         (self.quarantined_at, self.was_quarantined) = (Some(now), true);
         (self.trials, self.tried_at) = (if is_relapse { MAX_REQUEST_TRIALS } else { 0 }, None);
+        self.withdrawn = 0;
         self.changed_at = now;
     }
 
@@ -228,6 +235,14 @@
         self.changed_at = now;
     }
 
+    /// Records that no engine began to run the last trial, which tells nothing of a request.
+    pub fn withdraw_trial(&mut self, now: MonotonicTime) {
+        if self.subject.is_request() && self.withdrawn < self.trials.min(MAX_WITHDRAWN_TRIALS) {
+            self.withdrawn += 1;
+            self.changed_at = now;
+        }
+    }
+
     /// Records that the subject was served, which clears it of what was seen before; returns whether
     /// that ends its quarantine.
     pub fn record_served(&mut self, at: MonotonicTime) -> bool {
@@ -236,6 +251,7 @@
         let is_lifted = self.quarantined_at.is_some_and(|since| since < at);
         if is_lifted {
             (self.quarantined_at, self.trials, self.tried_at) = (None, 0, None);
+            self.withdrawn = 0;
         }
         is_lifted
     }
@@ -253,6 +269,7 @@
         let is_lifted = now.since(self.last_event()) >= lifetime;
         if is_lifted {
             (self.quarantined_at, self.trials, self.tried_at) = (None, 0, None);
+            self.withdrawn = 0;
             self.losses.clear();
         }
         is_lifted
@@ -276,6 +293,12 @@
         (self.is_in_quarantine(), may_relapse, losses, self.last_event())
     }
 
+    /// Returns what other processes should hear of at once when it changes.
+    fn state(&self) -> impl Eq + use<> {
+        let trials = (self.trials, self.withdrawn);
+        (self.is_in_quarantine(), trials, self.losses.len(), self.was_served())
+    }
+
     /// Merges what another process knew at `sent_at`; returns whether it is new here.
     pub fn merge(
         &mut self,
@@ -283,7 +306,7 @@
         sent_at: MonotonicTime,
         now: MonotonicTime,
     ) -> bool {
-        let before = (self.is_in_quarantine(), self.trials, self.losses.len(), self.was_served());
+        let before = self.state();
         let time = |age: u32| sent_at.before(Duration::from_millis(age.into()));
         self.position = self.position.max(record.position);
         for (engine, age) in &record.losses {
@@ -295,6 +318,9 @@
                 (self.quarantined_at, self.was_quarantined) = (Some(since), true);
             }
             if self.quarantined_at.is_some() && record.trials >= self.trials {
+                let is_later = record.trials > self.trials;
+                let known = if is_later { 0 } else { self.withdrawn };
+                self.withdrawn = record.withdrawn.min(record.trials).max(known);
                 self.trials = record.trials;
                 self.tried_at = self.tried_at.max(record.tried.map(time));
             }
@@ -302,7 +328,7 @@
         if let Some(age) = record.served {
             self.record_served(time(age));
         }
-        let after = (self.is_in_quarantine(), self.trials, self.losses.len(), self.was_served());
+        let after = self.state();
         // The other process is told what it does not know.
         let differs = record.quarantined.is_some() != self.is_in_quarantine();
         if before != after || differs {
@@ -323,6 +349,7 @@
             served: self.served_at.map(age),
             tried: self.tried_at.map(age),
             trials: self.trials,
+            withdrawn: self.withdrawn,
         }
     }
 }
--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -99,6 +99,15 @@
         }
     }
 
+    /// Records that no engine began to run a request with these subjects, which was a trial.
+    pub fn withdraw_trial(&mut self, subjects: &[QuarantineSubject], now: MonotonicTime) {
+        for subject in subjects {
+            if let Ok(position) = self.position(*subject) {
+                self.rows[position].withdraw_trial(now);
+            }
+        }
+    }
+
     /// Records that an engine has ended. Each suspect is the subjects of one run that may be the
     /// cause, in order.
     pub fn record_loss<'a>(
--- a/crates/serving/src/entry/target_attempt.rs
+++ b/crates/serving/src/entry/target_attempt.rs
@@ -129,7 +129,10 @@
         };
         let (connection, head) = match opened {
             Ok(opened) => opened,
-            Err(TargetFault::NotSent(_)) => return Ok(AttemptOutcome::Unreachable),
+            Err(TargetFault::NotSent(_)) => {
+                self.withdraw_trial();
+                return Ok(AttemptOutcome::Unreachable);
+            }
             Err(fault) => {
                 self.context.attempts += 1;
                 return Ok(AttemptOutcome::Interrupted(fault.to_string()));
@@ -138,6 +141,13 @@
         self.handle_response(exchange, &call, connection, &head, relay).await
     }
 
+    /// Records that no target has run the request, in case this process began a trial with it.
+    fn withdraw_trial(&self) {
+        if self.is_trial && !self.choice.through_sidecar {
+            self.context.handler.view.quarantine.withdraw_trial(&self.context.subjects);
+        }
+    }
+
     /// Returns whether the request may be handed over now. A sidecar decides itself on a trial.
     fn passes_quarantine(&self) -> bool {
         match self.context.decide_quarantine() {
@@ -168,6 +178,7 @@
         let verdict = SidecarVerdict::read(&head.headers);
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         if marks.not_run || is_misdirected || verdict == Some(SidecarVerdict::NotRun) {
+            self.withdraw_trial();
             return Ok(self.handle_refusal(call, connection).await);
         }
         if verdict == Some(SidecarVerdict::Quarantined) {
--- a/crates/serving/src/quarantine_desk.rs
+++ b/crates/serving/src/quarantine_desk.rs
@@ -83,6 +83,12 @@
         self.news.notify_one();
     }
 
+    /// Records that no engine began to run a trial with these subjects.
+    pub fn withdraw_trial(&self, subjects: &[QuarantineSubject]) {
+        self.table.borrow_mut().withdraw_trial(subjects, self.now());
+        self.news.notify_one();
+    }
+
     /// Records that the engine of an instance has ended, with the subjects of each run that may be the
     /// cause.
     pub fn record_loss<'a>(
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -173,6 +173,13 @@
         is_trial || decision == QuarantineDecision::Admit
     }
 
+    /// Records that the engine has not run a request, in case it was a trial.
+    fn withdraw_trial(&self, request: &SidecarRequest) {
+        if request.options.is_trial {
+            self.quarantine.withdraw_trial(&request.subjects);
+        }
+    }
+
     /// Applies the limit that a response of the engine names.
     pub fn record_limit(&self, metadata: &ResponseMetadata) {
         if let Some(limit) = metadata.named_limit() {
@@ -250,6 +257,7 @@
                 Ok(run) => run,
                 Err(verdict) => {
                     if verdict == SidecarVerdict::NotRun {
+                        self.withdraw_trial(request);
                         // An engine that is down has no free slots, however few runs it has. The
                         // request goes elsewhere, and the slots are tried again one by one.
                         ticket.requeue(Duration::ZERO);
@@ -266,6 +274,7 @@
                 return Ok(Some(run));
             }
             run.reject(call);
+            self.withdraw_trial(request);
             ticket.requeue(request.options.wait_budget);
             let started = monoio::select! {
                 started = ticket.started() => started,
