Quarantine of requests: a relapse is one soon after the quarantine

A request that had ever been in quarantine was convicted by one loss, without a trial, also after engines had survived it for an hour. Now it counts as any other once they have for a minute. Red before: a_sound_request_is_not_shut_out_by_one_loss_after_an_outage (refused for 120 s of 120).

--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -24,6 +24,10 @@
 /// Losses that put a request into quarantine that has been there before.
 const MAX_LOSSES_IF_RELAPSED: usize = 1;
 
+/// Time for which engines have to survive a request after its quarantine until the next loss is no
+/// relapse: engines ended under it for another reason.
+const RELAPSE_TIME: Duration = Duration::from_mins(1);
+
 /// Trials of a request in all. Its callers repeat it for as long as it is not served.
 const MAX_REQUEST_TRIALS: u8 = 1;
 
@@ -67,6 +71,8 @@
     pub changed_at: MonotonicTime,
     /// Losses since the subject was last served, in order of time.
     losses: Vec<EngineLoss>,
+    /// First response that an engine survived since the subject was last in quarantine.
+    sound_since: Option<MonotonicTime>,
     pub subject: QuarantineSubject,
     /// Number of subjects before it in the prompt.
     pub position: u8,
@@ -90,6 +96,7 @@
         Self {
             changed_at: now,
             losses: Vec::new(),
+            sound_since: None,
             subject,
             position: 0,
             quarantined_at: None,
@@ -217,7 +224,7 @@
         let is_relapse = self.was_quarantined && self.subject.is_request();
         (self.quarantined_at, self.was_quarantined) = (Some(now), true);
         (self.trials, self.tried_at) = (if is_relapse { MAX_REQUEST_TRIALS } else { 0 }, None);
-        self.withdrawn = 0;
+        (self.withdrawn, self.sound_since) = (0, None);
         self.changed_at = now;
     }
 
@@ -253,6 +260,10 @@
             (self.quarantined_at, self.trials, self.tried_at) = (None, 0, None);
             self.withdrawn = 0;
         }
+        if self.was_quarantined && !self.is_in_quarantine() {
+            let since = *self.sound_since.get_or_insert(at);
+            self.was_quarantined = at.since(since) < RELAPSE_TIME;
+        }
         is_lifted
     }
 
--- a/tests/dispatch/request_quarantine.rs
+++ b/tests/dispatch/request_quarantine.rs
@@ -334,3 +334,26 @@
         assert!(refused * 100 <= came, "seed {seed}: {refused} of {came} sound requests refused");
     }
 }
+
+#[test]
+fn a_sound_request_is_not_shut_out_by_one_loss_after_an_outage() {
+    // All engines of the service end at once under a request that many callers send.
+    let mut table = QuarantineTable::default();
+    for engine in 1..=3 {
+        lose(&mut table, engine, 600, &[REQUEST]);
+    }
+    assert_eq!(table.decide(&[REQUEST], at(6_000)), QuarantineDecision::Try(REQUEST));
+    table.begin_trial(&[REQUEST], at(6_000));
+    table.record_served(&[REQUEST], at(6_800));
+    // Engines survive it for an hour. Then a machine with one engine is lost.
+    for now in (7_000..3_600_000).step_by(1_000) {
+        assert!(is_admitted(&table, &[REQUEST], now));
+        table.record_served(&[REQUEST], at(now + 500));
+        table.expire(at(now + 500));
+    }
+    lose(&mut table, 2, 3_600_000, &[REQUEST]);
+    let is_refused =
+        |now: &u64| matches!(table.decide(&[REQUEST], at(*now)), QuarantineDecision::Refuse(..));
+    let refused = (3_600_000..3_720_000).step_by(1_000).filter(is_refused).count();
+    assert!(refused <= 30, "refused for {refused} s after one loss");
+}
