--- a/tests/dispatch/request_quarantine.rs
+++ b/tests/dispatch/request_quarantine.rs
@@ -5,6 +5,7 @@
 use cv_dispatch::QuarantineTable;
 use cv_dispatch::RequestDigest;
 use cv_dispatch::RequestIdentity;
+use cv_policy::SeededRandom;
 use rstest::rstest;
 
 use crate::crash_simulation::CrashSimulation;
@@ -335,6 +336,63 @@
     }
 }
 
+#[rstest]
+fn a_quarantine_does_not_flap_between_processes(
+    #[values(0, 1, 3)] drift: u64,
+    #[values(false, true)] is_served_in_trial: bool,
+) {
+    /// Number of processes, each of which passes changes on at once.
+    const PROCESSES: usize = 8;
+    for seed in 1..=200 {
+        let mut random = SeededRandom::new(seed);
+        for subject in [REQUEST, CRASHING] {
+            let mut tables = vec![QuarantineTable::default(); PROCESSES];
+            let mut pending: Vec<usize> = Vec::new();
+            let mut flips = [0; PROCESSES];
+            let mut now = 0;
+            let mut last_event = 0;
+            for step in 0..600 {
+                now += 1 + random.below(3) as u64;
+                // Losses, responses and a trial that fails, as three of the processes see them.
+                if step < 120 && step % 6 == 0 {
+                    let witness = random.below(3);
+                    if random.below(4) == 0 {
+                        tables[witness].record_served(&[subject], at(now));
+                    } else {
+                        lose(&mut tables[witness], step as u8, now, &[subject]);
+                    }
+                    pending.insert(0, witness);
+                    last_event = step;
+                }
+                if step == 120 && is_served_in_trial {
+                    tables[0].record_served(&[subject], at(now));
+                    lose(&mut tables[1], 200, now + 1, &[subject]);
+                    pending.extend([0, 1]);
+                    last_event = step;
+                }
+                let Some(sender) = pending.pop() else {
+                    continue;
+                };
+                let records = tables[sender].records(at(now), false);
+                for other in (0..PROCESSES).filter(|other| *other != sender) {
+                    // The time under way is estimated too low by up to `drift`.
+                    let delay = random.below(drift as usize + 1) as u64;
+                    let changes = tables[other].merge(&records, at(now + delay), at(now + delay));
+                    let changed = changes.lifted.len() + changes.quarantined.len();
+                    if changed > 0 {
+                        pending.insert(0, other);
+                        if step > last_event + 40 {
+                            flips[other] += changed;
+                        }
+                    }
+                }
+            }
+            let most = flips.iter().max().expect("there are processes");
+            assert!(*most <= 2, "seed {seed} {subject}: {flips:?} changes, {} left", pending.len());
+        }
+    }
+}
+
 #[test]
 fn a_sound_request_is_not_shut_out_by_one_loss_after_an_outage() {
     // All engines of the service end at once under a request that many callers send.
@@ -357,3 +415,26 @@
     let refused = (3_600_000..3_720_000).step_by(1_000).filter(is_refused).count();
     assert!(refused <= 30, "refused for {refused} s after one loss");
 }
+
+#[test]
+fn losses_before_a_response_do_not_count_at_a_process_that_was_cut_off_from_it() {
+    let (mut seeing, mut cut_off) = (QuarantineTable::default(), QuarantineTable::default());
+    for engine in 1..=2 {
+        lose(&mut seeing, engine, 200 * u64::from(engine), &[REQUEST]);
+    }
+    cut_off.merge(&seeing.records(at(500), false), at(500), at(500));
+    seeing.record_served(&[REQUEST], at(1_000));
+    // The cut lasts for longer than news is told.
+    for now in (4_000..600_000).step_by(500) {
+        for table in [&mut seeing, &mut cut_off] {
+            table.expire(at(now));
+        }
+        let is_full = now % 2_000 == 0;
+        cut_off.merge(&seeing.records(at(now), is_full), at(now), at(now));
+        seeing.merge(&cut_off.records(at(now), is_full), at(now), at(now));
+    }
+    lose(&mut cut_off, 3, 600_000, &[REQUEST]);
+    seeing.merge(&cut_off.records(at(600_010), false), at(600_010), at(600_010));
+    assert!(is_admitted(&cut_off, &[REQUEST], 600_100), "one loss since the response");
+    assert!(is_admitted(&seeing, &[REQUEST], 600_100), "one loss since the response");
+}
