Quarantine: small differences of estimates are the same response

Each process that tells of a response estimates its time anew, and the estimate moved on with each, past the losses and past the start of the quarantine that followed it. A response within 50 ms of the known one is now taken for that one.

--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -60,6 +60,10 @@
 /// Most by which the times of a trial and of the loss that it caused differ between processes.
 const TIME_ERROR: Duration = Duration::from_secs(1);
 
+/// Most by which the estimates of two processes of the same event differ. One that moved on with each
+/// process that tells it would overtake the losses after it.
+const ESTIMATE_ERROR: Duration = Duration::from_millis(50);
+
 /// Longest delay between two trials. Each failed trial costs an engine with all of its runs.
 const MAX_TRIAL_DELAY: Duration = Duration::from_mins(2);
 
@@ -336,8 +340,10 @@
                 self.tried_at = self.tried_at.max(record.tried.map(time));
             }
         }
-        if let Some(age) = record.served {
-            self.record_served(time(age));
+        if let Some(served_at) = record.served.map(time)
+            && self.served_at.is_none_or(|known| served_at > known + ESTIMATE_ERROR)
+        {
+            self.record_served(served_at);
         }
         let after = self.state();
         // The other process is told what it does not know.
