Quarantine: processes that missed a response learn of it

A process that was cut off while a response was told kept the losses before it, and one more loss convicted a sound request ten minutes later.

--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -378,5 +378,9 @@
     let turn = (now.as_micros() / 1_000_000) as usize * MAX_RECORDS / 2;
     let begin = turn.checked_rem(rest.len()).unwrap_or(0);
     rest.rotate_left(begin);
-    news.into_iter().chain(rest).take(MAX_RECORDS)
+    // A process that missed the news of a response would count the losses before it.
+    let is_cleared =
+        move |row: &&QuarantineRow| is_full && row.was_served() && !row.is_in_quarantine();
+    let cleared = rows.iter().filter(is_cleared).filter(move |row| !is_news(row));
+    news.into_iter().chain(rest).chain(cleared).take(MAX_RECORDS)
 }
