Crash simulation: only requests with three losses count apart

They are told by the losses of engines that ran the request now; any other refusal of a sound request fails, as before.

--- a/tests/dispatch/crash_simulation.rs
+++ b/tests/dispatch/crash_simulation.rs
@@ -40,6 +40,8 @@
     pub crashing_requests: Vec<CrashingRequest>,
     /// Sound requests refused by their digests after three engines ended under them.
     pub lost_thrice: u32,
+    /// The request of each run that an engine took with it.
+    lost_requests: Vec<QuarantineSubject>,
     /// Number of requests that came, each of which has a digest of its own.
     came: u64,
     /// Times that each caller repeats a request with [`CRASHING`].
@@ -120,6 +122,7 @@
             crashing_runs: Vec::new(),
             crashing_requests: Vec::new(),
             lost_thrice: 0,
+            lost_requests: Vec::new(),
             came: 0,
             repetitions: 0,
             repeated: Vec::new(),
@@ -161,7 +164,7 @@
             QuarantineDecision::Try(_) if up[0] == 0 => 0,
             decision => {
                 if is_sound {
-                    self.record_refusal(decision, attempts);
+                    self.record_refusal(decision);
                 }
                 return;
             }
@@ -174,7 +177,7 @@
             }
             decision => {
                 if is_sound {
-                    self.record_refusal(decision, attempts);
+                    self.record_refusal(decision);
                 }
                 return;
             }
@@ -190,15 +193,15 @@
         self.runs.push(SimulatedRun { attempts_left, begun: now, engine, entry, id, parts });
     }
 
-    /// Records the refusal of a sound request with so many attempts left.
-    fn record_refusal(&mut self, decision: QuarantineDecision, attempts: u32) {
-        let is_own = match decision {
+    /// Records the refusal of a sound request.
+    fn record_refusal(&mut self, decision: QuarantineDecision) {
+        let losses = match decision {
             QuarantineDecision::Refuse(subject, _) | QuarantineDecision::Try(subject) => {
-                subject.is_request()
+                self.lost_requests.iter().filter(|lost| **lost == subject).count()
             }
-            QuarantineDecision::Admit => false,
+            QuarantineDecision::Admit => 0,
         };
-        if is_own && attempts + 3 <= SOUND_ATTEMPTS {
+        if losses >= 3 {
             self.lost_thrice += 1;
         } else {
             self.sound.1 += 1;
@@ -255,6 +258,9 @@
         self.tables[ENTRIES + engine].record_loss(loss(engine as u8, now), suspects);
         self.tell(ENTRIES + engine, now, false);
         let lost: Vec<_> = self.runs.extract_if(.., |run| run.engine == engine).collect();
+        let requests =
+            lost.iter().flat_map(|run| &run.parts).filter(|subject| subject.is_request());
+        self.lost_requests.extend(requests);
         for run in lost.into_iter().filter(|run| run.attempts_left > 0) {
             self.request(now, run.entry, &run.parts, run.attempts_left);
         }
