Entries: a target that leaves is not lost to a request

By reading (a review): at a target without a sidecar, a request that was cut when its target left as planned counted as a loss of that target, which could put a sound request into quarantine. Sidecars made the exception already. No test shows it.

--- a/crates/serving/src/entry/online_request.rs
+++ b/crates/serving/src/entry/online_request.rs
@@ -10,6 +10,7 @@
 use cv_dispatch::QuarantineSubject;
 use cv_dispatch::RouteRule;
 use cv_dispatch::TargetChoice;
+use cv_dispatch::TargetState;
 use cv_http::HttpFault;
 use cv_http::ServerExchange;
 
@@ -217,8 +218,13 @@
 
     /// Finds out whether a target without a sidecar has ended, before another one gets the request.
     async fn investigate(&self, choice: &TargetChoice) {
-        if !choice.through_sidecar {
-            let desk = &self.context.handler.view.quarantine;
+        let view = &self.context.handler.view;
+        // A target that leaves ends by itself.
+        let is_leaving = view.with_targets(|targets| {
+            targets.get(&choice.id).is_some_and(|row| row.record.state == TargetState::Draining)
+        });
+        if !choice.through_sidecar && !is_leaving {
+            let desk = &view.quarantine;
             let verdict = desk.investigate(choice.address, &self.context.subjects);
             let _ = monoio::time::timeout(MAX_INVESTIGATION, verdict).await;
         }
