--- a/crates/clementinevale/tests/nodes/repeated_refusals.rs
+++ b/crates/clementinevale/tests/nodes/repeated_refusals.rs
@@ -152,17 +152,23 @@
 }
 
 /// A sidecar process, which is killed at the end.
-struct SidecarProcess(Child);
+struct SidecarProcess {
+    address: SocketAddr,
+    child: Child,
+    /// Holds its settings.
+    _folder: TempDir,
+}
 
 impl Drop for SidecarProcess {
     fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
 /// Starts a sidecar at an address and waits until it listens.
-fn start_sidecar(folder: &TempDir, address: SocketAddr, engine: SocketAddr) -> SidecarProcess {
+fn start_sidecar(address: SocketAddr, engine: SocketAddr) -> SidecarProcess {
+    let folder = TempDir::new().expect("a temporary folder can be created");
     let settings = folder.path().join("sidecar.yaml");
     let text = format!(
         "name: sidecar\nrole: sidecar\nzone: zone-0\nip: \"{}\"\ninner_port: {}\n\
@@ -173,7 +179,8 @@
     std::fs::write(&settings, text).expect("the settings file can be written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_clementinevale"));
     command.arg("node").arg(&settings).stdin(Stdio::null()).stdout(Stdio::null());
-    let process = SidecarProcess(command.spawn().expect("the binary can be run"));
+    let child = command.spawn().expect("the binary can be run");
+    let process = SidecarProcess { address, child, _folder: folder };
     let started_at = std::time::Instant::now();
     while TcpStream::connect(address).is_err() {
         assert!(started_at.elapsed() < START_TIMEOUT, "the sidecar does not listen");
@@ -188,6 +195,17 @@
     IpAddr::V4(Ipv4Addr::new(127, octet, 250, host))
 }
 
+/// Starts an engine, whose refusal has the given status line, and its sidecar.
+fn start_pair(
+    host: u8,
+    refusal: &'static str,
+    names_request: [bool; 2],
+) -> (Arc<RepeatingEngine>, SidecarProcess) {
+    let ip = test_address(host);
+    let (engine, engine_address) = RepeatingEngine::start(ip, refusal, names_request);
+    (engine, start_sidecar(SocketAddr::new(ip, INTERNAL_PORT), engine_address))
+}
+
 /// Sends a request to a sidecar and returns the response.
 fn send(address: SocketAddr, request: &ClientRequest) -> ClientResponse {
     let response = block_on(async {
@@ -205,12 +223,7 @@
 #[case::with_request_id(true, 10)]
 #[case::without_request_id(false, 11)]
 fn a_repeated_refusal_is_not_taken_for_a_new_one(#[case] has_request_id: bool, #[case] host: u8) {
-    let ip = test_address(host);
-    let (engine, engine_address) =
-        RepeatingEngine::start(ip, "503 Service Unavailable", [has_request_id; 2]);
-    let folder = TempDir::new().expect("a temporary folder can be created");
-    let address = SocketAddr::new(ip, INTERNAL_PORT);
-    let _sidecar = start_sidecar(&folder, address, engine_address);
+    let (engine, sidecar) = start_pair(host, "503 Service Unavailable", [has_request_id; 2]);
     let request = ClientRequest::new(Method::POST, "/plans/item", "body")
         .with_header("host", "growers.example")
         .with_header("request-id", "item1")
@@ -218,7 +231,7 @@
         .with_header("cv-class", "batch")
         .with_header("cv-patience-ms", "10000")
         .with_header("cv-slots", "4");
-    assert_eq!(send(address, &request).status, StatusCode::OK);
+    assert_eq!(send(sidecar.address, &request).status, StatusCode::OK);
     assert_eq!(engine.runs(), 1, "the item has run more than once");
 }
 
@@ -247,16 +260,12 @@
     #[case] has_request_id: bool,
     #[case] host: u8,
 ) {
-    let ip = test_address(host);
-    let (engine, engine_address) = RepeatingEngine::start(ip, refusal, [has_request_id; 2]);
-    let folder = TempDir::new().expect("a temporary folder can be created");
-    let address = SocketAddr::new(ip, INTERNAL_PORT);
-    let _sidecar = start_sidecar(&folder, address, engine_address);
+    let (engine, sidecar) = start_pair(host, refusal, [has_request_id; 2]);
     let request = online_request().with_header("request-id", "order1");
-    let mut response = send(address, &request);
+    let mut response = send(sidecar.address, &request);
     if engine.runs() == 0 {
         // What an entry does after a refusal.
-        response = send(address, &request);
+        response = send(sidecar.address, &request);
     }
     assert_eq!(engine.runs(), 1);
     assert_eq!(response.status, StatusCode::OK, "a request that runs was reported as refused");
@@ -265,16 +274,11 @@
 // Guards against the response to a request without an id being taken for that of the next one.
 #[test]
 fn a_request_without_an_id_shares_no_connection() {
-    let ip = test_address(30);
-    let (engine, engine_address) =
-        RepeatingEngine::start(ip, "421 Misdirected Request", [false; 2]);
-    let folder = TempDir::new().expect("a temporary folder can be created");
-    let address = SocketAddr::new(ip, INTERNAL_PORT);
-    let _sidecar = start_sidecar(&folder, address, engine_address);
+    let (engine, sidecar) = start_pair(30, "421 Misdirected Request", [false; 2]);
     let unnamed = online_request();
-    send(address, &unnamed);
+    send(sidecar.address, &unnamed);
     let named = unnamed.with_header("request-id", "order2");
-    let response = send(address, &named);
+    let response = send(sidecar.address, &named);
     assert_eq!(engine.runs(), 1);
     assert_eq!(response.status, StatusCode::OK, "a request that runs was reported as refused");
 }
@@ -282,14 +286,9 @@
 // Guards against a copy without a request id that passes for the refusal of another request.
 #[test]
 fn a_copy_without_an_id_is_not_taken_for_a_refusal_of_the_next_request() {
-    let ip = test_address(31);
-    let (engine, engine_address) =
-        RepeatingEngine::start(ip, "421 Misdirected Request", [true, false]);
-    let folder = TempDir::new().expect("a temporary folder can be created");
-    let address = SocketAddr::new(ip, INTERNAL_PORT);
-    let _sidecar = start_sidecar(&folder, address, engine_address);
-    send(address, &online_request().with_header("request-id", "order1"));
-    let response = send(address, &online_request().with_header("request-id", "order2"));
+    let (engine, sidecar) = start_pair(31, "421 Misdirected Request", [true, false]);
+    send(sidecar.address, &online_request().with_header("request-id", "order1"));
+    let response = send(sidecar.address, &online_request().with_header("request-id", "order2"));
     assert_eq!(engine.runs(), 1);
     let verdict = response.headers.get("cv-verdict").expect("a verdict of the sidecar");
     assert_eq!(verdict, "unknown", "a request that runs was reported as refused");
@@ -298,13 +297,8 @@
 // Guards against a copy without a request id that costs the next request its response.
 #[test]
 fn a_connection_with_a_response_without_an_id_carries_no_other_request() {
-    let ip = test_address(32);
-    let (engine, engine_address) =
-        RepeatingEngine::start(ip, "421 Misdirected Request", [false; 2]);
-    let folder = TempDir::new().expect("a temporary folder can be created");
-    let address = SocketAddr::new(ip, INTERNAL_PORT);
-    let _sidecar = start_sidecar(&folder, address, engine_address);
-    send(address, &online_request().with_header("request-id", "order1"));
-    let response = send(address, &online_request().with_header("request-id", "order2"));
+    let (engine, sidecar) = start_pair(32, "421 Misdirected Request", [false; 2]);
+    send(sidecar.address, &online_request().with_header("request-id", "order1"));
+    let response = send(sidecar.address, &online_request().with_header("request-id", "order2"));
     assert_eq!((engine.runs(), response.status), (1, StatusCode::OK));
 }
--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -38,12 +38,12 @@
     Refuse(QuarantineSubject, Duration),
 }
 
-/// Parts that came into quarantine or left it.
+/// Subjects that came into quarantine or left it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct QuarantineChanges {
-    /// Parts that left quarantine.
+    /// Subjects that left quarantine.
     pub lifted: Vec<QuarantineSubject>,
-    /// Parts that came into quarantine.
+    /// Subjects that came into quarantine.
     pub quarantined: Vec<QuarantineSubject>,
 }
 
@@ -55,7 +55,7 @@
 /// losses is convicted first, and its losses are no evidence against others.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineTable {
-    /// Parts with evidence, sorted by subject.
+    /// Subjects with evidence, sorted: parts first.
     rows: Vec<QuarantineRow>,
     /// Last service of subjects, sorted by subject.
     served: Vec<(QuarantineSubject, MonotonicTime)>,
@@ -273,9 +273,8 @@
 
     /// Counts the losses of a part that no quarantine accounts for.
     ///
-    /// A request in quarantine of which the part has not taken part in each loss does not contain
-    /// it, or requests with the part were served in between. Any other may contain the part. Alone
-    /// it explains the part's losses; if there are more, the part explains them better.
+    /// A request in quarantine accounts for its losses. But if the part has all losses of that
+    /// request and more, the request may be one of several with the part, and accounts for none.
     fn count_unexplained(&self, row: &QuarantineRow) -> usize {
         let (parts, requests) = self.rows.split_at(self.part_count());
         let (inside, outside): (Vec<&QuarantineRow>, Vec<&QuarantineRow>) = requests
--- a/crates/serving/src/quarantine_exchange.rs
+++ b/crates/serving/src/quarantine_exchange.rs
@@ -1,4 +1,4 @@
-//! Exchanges the knowledge of crashing prompt parts with other processes, by datagrams.
+//! Exchanges the knowledge of what ends engines with other processes, by datagrams.
 //!
 //! Entries and keepers tell sidecars and keepers, which tell all from which they hear. Datagrams may
 //! be lost or repeated: each holds records that merge in any order, news is repeated for some
