Crash simulation: no sound request is refused, red

A bound comes from the target, not from what was measured, and the rule asks for no refusal of a request that ends no engines.

--- a/tests/dispatch/quarantine.rs
+++ b/tests/dispatch/quarantine.rs
@@ -387,10 +387,8 @@
     for seed in 1..=20 {
         let mut simulation = CrashSimulation::new(seed);
         simulation.run(65_000, 0, mean_ms);
-        assert_eq!(simulation.sound.1, 0, "seed {seed}: sound requests were refused");
-        // Three engines that ended under a request convict it, whatever ended them.
-        let (came, lost_thrice) = (simulation.sound.0, simulation.lost_thrice);
-        assert!(lost_thrice * 500 <= came, "seed {seed}: {lost_thrice} of {came}");
+        let refused = simulation.sound.1 + simulation.lost_thrice;
+        assert_eq!(refused, 0, "seed {seed}: sound requests were refused");
     }
 }
 
