--- a/review/standin-2/lab.py
+++ b/review/standin-2/lab.py
@@ -309,7 +309,10 @@
 
 
 class Replica(HttpServer):
-    """A model replica: runs `slots` requests at once and streams numbered events."""
+    """A model replica: runs `slots` requests at once and streams numbered events.
+
+    `events` is the number of events of each run; with 0 it is one for each output token.
+    """
 
     QUEUE = 24
 
@@ -377,7 +380,8 @@
             f"Transfer-Encoding: chunked\r\n\r\n".encode()
         )
         first = int(request.header("Last-Event-Id") or 0) + 1
-        for event in range(first, self.events + 1):
+        events = self.events or int(request.header("Token-Count").split(",")[1])
+        for event in range(first, events + 1):
             if self.step_s:
                 await asyncio.sleep(self.step_s)
             text = f"id: {event}\ndata: {self.data(request_id, event)}\n\n".encode()
@@ -535,9 +539,12 @@
         while True:
             await asyncio.sleep(interval)
 
-    def close(self):
+    def stop_nodes(self):
         for node in self.nodes:
             node.stop()
+
+    def close(self):
+        self.stop_nodes()
         if os.environ.get("KEEP_LOGS") != "1":
             shutil.rmtree(self.folder, ignore_errors=True)
         else:
@@ -641,6 +648,15 @@
     return answer
 
 
+async def run_case(case, lab, record, trouble):
+    """Runs a case and ends its processes while the stand-ins still serve them."""
+    try:
+        return await asyncio.wait_for(case(lab, record, trouble), LONGEST_RUN_S)
+    finally:
+        lab.stop_nodes()
+        await asyncio.sleep(0.1)
+
+
 def play(case):
     """Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     folder = pathlib.Path(sys.argv[0]).resolve().parent
@@ -650,7 +666,7 @@
     lab = Lab(record)
     code = 2
     try:
-        broken = asyncio.run(asyncio.wait_for(case(lab, record, trouble), LONGEST_RUN_S))
+        broken = asyncio.run(run_case(case, lab, record, trouble))
         code = 1 if broken else 0
         for line in broken:
             record.write(f"BROKEN {line}")
