--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -1,6 +1,7 @@
 //! Tests of node processes, with stand-ins for the platform.
 
 mod batch_jobs;
+mod changed_routes;
 mod crashing_prompts;
 mod crashing_requests;
 mod customer_keys;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! and the state of batch jobs. This crate performs no I/O and reads no clock; the serving crate
 //! passes in events and times.
 
+mod accepted_route;
 mod admission_decision;
 mod admission_options;
 mod arrival_delay;
@@ -29,6 +30,7 @@
 mod grant_window;
 mod item_order;
 mod job_replication;
+mod job_route;
 mod job_tracker;
 mod keeper_set;
 mod load_report;
@@ -70,6 +72,7 @@
 mod zone_choice;
 mod zone_shares;
 
+pub use crate::accepted_route::AcceptedRoute;
 pub use crate::admission_decision::AdmissionDecision;
 pub use crate::admission_options::AdmissionOptions;
 pub use crate::arrival_delay::ArrivalDelay;
@@ -109,6 +112,7 @@
 pub use crate::job_replication::JobUpdate;
 pub use crate::job_replication::ProgressMark;
 pub use crate::job_replication::ReplicaProgress;
+pub use crate::job_route::JobRoute;
 pub use crate::job_tracker::ItemOutcome;
 pub use crate::job_tracker::ItemProgress;
 pub use crate::job_tracker::ItemResult;
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use crate::AcceptedRoute;
 use crate::CustomerRule;
 use crate::CustomerTable;
+use crate::JobRoute;
 
 /// Kind of the requests of a route, which decides whether they may be repeated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -185,10 +187,42 @@
     /// Finds the route of a host with the longest prefix of a path; a query string is ignored.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        self.matching(host, path).next()
+    }
+
+    /// Finds the batch route of a host with the longest prefix of a path, whether or not a route of
+    /// another kind has a longer one.
+    #[must_use]
+    pub fn find_batch(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        self.matching(host, path).find(|route| route.kind == RouteKind::Batch)
+    }
+
+    /// Returns the route that accepts a job submitted to a host and path; `None` if it is no batch
+    /// route.
+    #[must_use]
+    pub fn accepting_route(&self, host: &str, path: &str) -> Option<AcceptedRoute> {
+        let route = self.find(host, path).filter(|route| route.kind == RouteKind::Batch)?;
+        Some(AcceptedRoute::new(route, self.version))
+    }
+
+    /// Returns what this configuration says about the route that accepted a job.
+    #[must_use]
+    pub fn job_route(&self, accepted: &AcceptedRoute) -> JobRoute<'_> {
+        let is_accepted =
+            |route: &&RouteRule| route.kind == RouteKind::Batch && route.name == accepted.name;
+        match self.routes.iter().find(is_accepted) {
+            Some(route) => JobRoute::InForce(route),
+            None if self.version < accepted.config_version => JobRoute::Unknown,
+            None => JobRoute::Ended,
+        }
+    }
+
+    /// Returns the routes of a host whose prefixes begin a path, in order of descending length.
+    fn matching<'a>(&'a self, host: &str, path: &str) -> impl Iterator<Item = &'a RouteRule> {
         let first = self.routes.partition_point(|route| route.host.as_str() < host);
-        let of_host = self.routes[first..].iter().take_while(|route| route.host == host);
+        let of_host = self.routes[first..].iter().take_while(move |route| route.host == host);
         let path = path.split('?').next().unwrap_or(path);
-        of_host.into_iter().find(|route| path.starts_with(&route.prefix))
+        of_host.filter(move |route| path.starts_with(&route.prefix))
     }
 
     /// Returns whether any route has the host.
--- a/crates/serving/src/keeper/item_expiry.rs
+++ b/crates/serving/src/keeper/item_expiry.rs
@@ -1,7 +1,8 @@
-//! Gives up the items of jobs that are past their route's limit or have no route any more.
+//! Gives up the items of jobs that are past their route's limit or whose route has ended.
 
 use std::rc::Rc;
 
+use cv_dispatch::JobRoute;
 use cv_timeline::EventKind;
 use cv_timeline::LinePriority;
 
@@ -12,7 +13,10 @@
 
 /// Starts a task that gives up the items of all overdue jobs, unless one is running.
 pub(crate) fn start_expiry<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
-    let is_needed = state.jobs.all().iter().any(|job| has_overdue_items(state, job));
+    let is_needed =
+        state.jobs.all().iter().any(|job| {
+            has_open_items(job) && (is_overdue(state, job) || is_route_unknown(state, job))
+        });
     if !is_needed || state.is_expiring.replace(true) {
         return;
     }
@@ -25,14 +29,13 @@
 
 /// Gives up the waiting items of all jobs that are overdue under the store's configuration.
 ///
-/// The active configuration may be older than the one under which another process has accepted a
-/// job, and then lacks the job's route or has another limit.
+/// The active configuration may be older, and have a shorter limit or lack a route that is back.
 async fn expire_items<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
     if let Err(fault) = state.view.refresh_config::<P>(&state.store).await {
         return log::debug!("overdue items are not given up yet: {fault}");
     }
     for job in state.jobs.all() {
-        if has_overdue_items(state, &job) {
+        if has_open_items(&job) && is_overdue(state, &job) {
             give_up_items(state, &job);
         }
     }
@@ -44,9 +47,15 @@
     let job_id = job.tracker.borrow().spec().id.clone();
     state.view.log.record(LinePriority::Essential, EventKind::ItemEnded, &job_id, || {
         let version = state.view.routes().map_or(0, |routes| routes.version);
-        let limit = state.with_route(job, |route| route.abandon_after.as_millis());
+        let limit = state.with_route(job, |route| {
+            route.in_force().map(|rule| job.abandon_limit(rule).as_millis())
+        });
         let age = state.job_age(job).as_millis();
-        format!("given_up={} age_ms={age} limit_ms={limit:?} version={version}", waiting.len())
+        let route = job.route_name();
+        format!(
+            "given_up={} age_ms={age} limit_ms={limit:?} route={route:?} version={version}",
+            waiting.len()
+        )
     });
     for item in waiting {
         job.tracker.borrow_mut().dead_letter(item);
@@ -54,12 +63,22 @@
     start_commits(state, job);
 }
 
-/// Returns whether items of an owned job wait past the limit of its route, or without a route.
-fn has_overdue_items<P: PlatformAdapter>(state: &KeeperState<P>, job: &TrackedJob) -> bool {
-    if !job.is_active() || !job.results.get().is_loaded() {
-        return false;
-    }
-    let limit = state.with_route(job, |route| route.abandon_after);
-    let is_overdue = limit.is_none_or(|limit| state.job_age(job) > limit);
-    is_overdue && job.tracker.borrow().waiting_items().next().is_some()
+/// Returns whether this keeper may give up items of a job.
+fn has_open_items(job: &TrackedJob) -> bool {
+    let is_owned = job.is_active() && job.results.get().is_loaded();
+    is_owned && job.tracker.borrow().waiting_items().next().is_some()
+}
+
+/// Returns whether a job is past the limit of its route, or its route has ended.
+fn is_overdue<P: PlatformAdapter>(state: &KeeperState<P>, job: &TrackedJob) -> bool {
+    state.with_route(job, |route| match route {
+        JobRoute::InForce(rule) => state.job_age(job) > job.abandon_limit(rule),
+        JobRoute::Ended => true,
+        JobRoute::Unknown => false,
+    })
+}
+
+/// Returns whether the active configuration is too old to say anything about a job's route.
+fn is_route_unknown<P: PlatformAdapter>(state: &KeeperState<P>, job: &TrackedJob) -> bool {
+    state.with_route(job, |route| matches!(route, JobRoute::Unknown))
 }
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -90,8 +90,9 @@
         pass: &mut DispatchPass,
     ) -> bool {
         let random = state.view.random_number();
-        let picked = state.with_route(job, |route| route.pick_service(random).map(str::to_owned));
-        let Some(service) = picked.flatten().filter(|service| pass.may_have_room(service)) else {
+        let picked = state
+            .with_route(job, |route| route.in_force()?.pick_service(random).map(str::to_owned));
+        let Some(service) = picked.filter(|service| pass.may_have_room(service)) else {
             return false;
         };
         let headers = {
@@ -190,7 +191,9 @@
     /// Updates the job's tracker and the target by the run's outcome, and commits a final result.
     fn apply_outcome(&self, outcome: &RunOutcome) {
         let now = self.state.view.clock.now();
-        let max_attempts = self.state.with_route(&self.job, |route| route.max_attempts);
+        let max_attempts = self
+            .state
+            .with_route(&self.job, |route| route.in_force().map(|rule| rule.max_attempts));
         match outcome {
             RunOutcome::Completed => {
                 self.record_completion();
@@ -434,7 +437,7 @@
                 slots,
                 queue_timeout: Duration::ZERO,
                 reservation: None,
-                share: self.state.share_key(tracker.spec()),
+                share: self.state.share_key(&self.job),
                 is_trial: self.is_trial,
             };
             options.write(&mut headers);
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -7,7 +7,6 @@
 use cv_dispatch::CloseKnowledge;
 use cv_dispatch::DispatchPass;
 use cv_dispatch::ItemTurn;
-use cv_dispatch::JobSpec;
 use cv_dispatch::ResultsLoad;
 use cv_dispatch::ShareKey;
 use cv_dispatch::ThawDetector;
@@ -23,12 +22,14 @@
 use crate::StoreFault;
 use crate::StoreUpdate;
 use crate::WatchedPrefix;
+use crate::keeper::accepted_job::AcceptedJob;
 use crate::keeper::item_expiry::start_expiry;
 use crate::keeper::item_run::ItemRun;
 use crate::keeper::job_record::JobRecord;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::result_commits::load_results;
 use crate::keeper::result_commits::start_commits;
+use crate::keeper::route_record::settle_route;
 use crate::keeper::stored_keys::CLOSED_PREFIX;
 use crate::keeper::stored_keys::WORK_MARKER_KEY;
 use crate::keeper::stored_keys::WORK_PREFIX;
@@ -137,9 +138,9 @@
 fn add_job<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job_id: &str, value: &[u8]) {
     let record = match JobRecord::decode(value) {
         Ok(record) if record.is_split() => Some(record),
-        Ok(record) => match record.decode_spec() {
-            Ok(spec) => {
-                state.jobs.add(spec);
+        Ok(record) => match record.decode_job() {
+            Ok(job) => {
+                state.jobs.add(job);
                 return;
             }
             Err(_) => None,
@@ -166,8 +167,8 @@
             return;
         }
         match read {
-            Ok(Some(spec)) => {
-                state.jobs.add(spec);
+            Ok(Some(job)) => {
+                state.jobs.add(job);
                 return state.work_available.notify_one();
             }
             Ok(None) => return state.jobs.remove(job_id),
@@ -187,12 +188,12 @@
     state: &KeeperState<P>,
     job_id: &str,
     record: Option<&JobRecord>,
-) -> Result<Option<JobSpec>, StoreFault> {
+) -> Result<Option<AcceptedJob>, StoreFault> {
     if let Some(record) = record {
-        return record.read_spec(state, job_id).await.map(Some);
+        return record.read_job(state, job_id).await.map(Some);
     }
     match JobRecord::fetch(state, job_id).await? {
-        Some(record) => record.read_spec(state, job_id).await.map(Some),
+        Some(record) => record.read_job(state, job_id).await.map(Some),
         None => Ok(None),
     }
 }
@@ -216,6 +217,7 @@
 fn review_jobs<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
     let keeper_set = state.view.keepers();
     for job in state.jobs.all() {
+        settle_route(state, &job);
         let job_id = job.tracker.borrow().spec().id.clone();
         let is_owner = state.is_owner(&job_id);
         if job.is_owned.replace(is_owner) != is_owner {
@@ -341,9 +343,10 @@
             continue;
         }
         let due_after = state.with_route(&job, |route| {
-            let shares = route.services.iter().filter(|share| share.weight > 0);
+            let rule = route.in_force()?;
+            let shares = rule.services.iter().filter(|share| share.weight > 0);
             shares.for_each(|share| pass.add_service(&share.service));
-            route.due_after
+            Some(rule.due_after)
         });
         let Some(due_after) = due_after else {
             continue;
@@ -351,7 +354,7 @@
         owned += 1;
         let tracker = job.tracker.borrow();
         let due_ms = tracker.spec().submitted_ms + due_after.as_millis() as u64;
-        let key = state.share_key(tracker.spec());
+        let key = state.share_key(&job);
         for item in tracker.waiting_items() {
             let last_event = tracker.progress(item).last_event.unwrap_or(0);
             let expected_run =
--- a/crates/serving/src/keeper/job_record.rs
+++ b/crates/serving/src/keeper/job_record.rs
@@ -1,5 +1,6 @@
 //! A job's record in the store, split over several keys if it is large.
 
+use cv_dispatch::AcceptedRoute;
 use cv_dispatch::JobSpec;
 use serde::Deserialize;
 use serde::Serialize;
@@ -10,6 +11,7 @@
 use crate::StoreCommit;
 use crate::StoreFault;
 use crate::StorePut;
+use crate::keeper::accepted_job::AcceptedJob;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::stored_keys::job_key;
 use crate::keeper::stored_keys::overflow_key;
@@ -20,9 +22,20 @@
 /// a megabyte, in base64.
 const MAX_PART_BYTES: usize = 700_000;
 
-/// Value of a job's own key: the first part of the encoded job, and the number of overflow parts.
-#[derive(Debug, Deserialize, Serialize)]
+/// Value of a job's own key.
+///
+/// The route follows the job parts: versions that record no routes write only the parts, and ignore
+/// what follows them.
+#[derive(Debug)]
 pub(crate) struct JobRecord {
+    parts: JobParts,
+    /// The route that accepted the job, if it is recorded.
+    pub route: Option<AcceptedRoute>,
+}
+
+/// What a job's own key holds of the encoded job.
+#[derive(Debug, Deserialize, Serialize)]
+struct JobParts {
     /// First part of the encoded job.
     first: Vec<u8>,
     /// Number of overflow parts.
@@ -34,13 +47,15 @@
     ///
     /// # Errors
     /// The job cannot be encoded.
-    pub fn create_commit(spec: &JobSpec) -> Result<StoreCommit, postcard::Error> {
+    pub fn create_commit(job: &AcceptedJob) -> Result<StoreCommit, postcard::Error> {
+        let AcceptedJob { route, spec } = job;
         let bytes = postcard::to_stdvec(spec)?;
         let (first, overflow) = bytes.split_at(bytes.len().min(MAX_PART_BYTES));
         let overflow: Vec<&[u8]> = overflow.chunks(MAX_PART_BYTES).collect();
-        let record = Self { first: first.to_vec(), others: overflow.len() };
+        let parts = JobParts { first: first.to_vec(), others: overflow.len() };
+        let record = Self { parts, route: route.clone() };
         let put = |key: String, value: Vec<u8>| StorePut { key, lease: 0, value };
-        let mut puts = vec![put(job_key(&spec.id), postcard::to_stdvec(&record)?)];
+        let mut puts = vec![put(job_key(&spec.id), record.encode()?)];
         let numbered = overflow.iter().enumerate();
         puts.extend(
             numbered.map(|(part, value)| put(overflow_key(&spec.id, part), value.to_vec())),
@@ -54,7 +69,21 @@
     /// # Errors
     /// The value is not a job record.
     pub fn decode(value: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(value)
+        let (parts, rest) = postcard::take_from_bytes(value)?;
+        let route = if rest.is_empty() { None } else { Some(postcard::from_bytes(rest)?) };
+        Ok(Self { parts, route })
+    }
+
+    /// Encodes the value of a job's own key.
+    ///
+    /// # Errors
+    /// The record cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let mut value = postcard::to_stdvec(&self.parts)?;
+        if let Some(route) = &self.route {
+            value.extend(postcard::to_stdvec(route)?);
+        }
+        Ok(value)
     }
 
     /// Reads a job's record from the store; `None` if the job does not exist.
@@ -73,40 +102,45 @@
 
     /// Returns whether the job has overflow parts under other keys.
     pub fn is_split(&self) -> bool {
-        self.others > 0
+        self.parts.others > 0
     }
 
     /// Decodes the job of a record that is not split.
     ///
     /// # Errors
     /// The bytes are not a job.
-    pub fn decode_spec(&self) -> Result<JobSpec, postcard::Error> {
-        postcard::from_bytes(&self.first)
+    pub fn decode_job(&self) -> Result<AcceptedJob, postcard::Error> {
+        let spec: JobSpec = postcard::from_bytes(&self.parts.first)?;
+        Ok(AcceptedJob { route: self.route.clone(), spec })
     }
 
     /// Decodes the job, after reading its overflow parts from the store if it is split.
     ///
     /// # Errors
     /// Faults of the store; `Invalid` if parts are missing or the bytes are not a job.
-    pub async fn read_spec<P: PlatformAdapter>(
+    pub async fn read_job<P: PlatformAdapter>(
         &self,
         state: &KeeperState<P>,
         job_id: &str,
-    ) -> Result<JobSpec, StoreFault> {
-        let mut bytes = self.first.clone();
+    ) -> Result<AcceptedJob, StoreFault> {
+        let mut bytes = self.parts.first.clone();
         if self.is_split() {
             let snapshot = state
                 .view
                 .store_health
                 .observe(state.store.range(&overflow_prefix(job_id)).await)?;
-            if snapshot.items.len() != self.others {
+            if snapshot.items.len() != self.parts.others {
                 let found = snapshot.items.len();
-                let detail =
-                    format!("found {found} of {} overflow parts of job {job_id}", self.others);
+                let detail = format!(
+                    "found {found} of {} overflow parts of job {job_id}",
+                    self.parts.others
+                );
                 return Err(StoreFault::Invalid(detail));
             }
             bytes.extend(snapshot.items.into_iter().flat_map(|item| item.value));
         }
-        postcard::from_bytes(&bytes).map_err(|fault| StoreFault::Invalid(fault.to_string()))
+        let spec: JobSpec =
+            postcard::from_bytes(&bytes).map_err(|fault| StoreFault::Invalid(fault.to_string()))?;
+        Ok(AcceptedJob { route: self.route.clone(), spec })
     }
 }
--- a/crates/serving/src/keeper/job_requests.rs
+++ b/crates/serving/src/keeper/job_requests.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cv_dispatch::AcceptedRoute;
 use cv_dispatch::ItemResult;
+use cv_dispatch::JobRoute;
 use cv_dispatch::JobSpec;
 use cv_dispatch::RequestCaller;
 use cv_dispatch::ResultsLoad;
@@ -18,6 +20,7 @@
 use crate::PlatformAdapter;
 use crate::StoreCommit;
 use crate::StoreFault;
+use crate::keeper::accepted_job::AcceptedJob;
 use crate::keeper::close_notices::announce_close;
 use crate::keeper::job_dispatch::RETENTION;
 use crate::keeper::job_dispatch::mark_job_closed;
@@ -55,10 +58,13 @@
     if let Some(job) = state.jobs.get(&spec.id) {
         return repeated_submission(&spec.caller, job.tracker.borrow().spec());
     }
-    if state.is_draining.get() || !knows_route(state, &spec, config_version).await {
+    if state.is_draining.get() {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
-    if !fits_token_limit(state, &spec) {
+    let Some(route) = find_accepting_route(state, &spec, config_version).await else {
+        return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    if !fits_token_limit(state, &spec, &route) {
         // Another keeper may have accepted the job before.
         return match find_or_adopt_job(state, &spec.id).await {
             Ok(Some(accepted)) => repeated_submission(&spec.caller, &accepted),
@@ -66,8 +72,9 @@
             Err(_) => empty_response(StatusCode::SERVICE_UNAVAILABLE),
         };
     }
-    let id = spec.id.clone();
-    let commit = match JobRecord::create_commit(&spec) {
+    let (id, route_name) = (spec.id.clone(), route.name.clone());
+    let job = AcceptedJob { route: Some(route), spec };
+    let commit = match JobRecord::create_commit(&job) {
         Ok(commit) => commit,
         Err(fault) => {
             log::error!("cannot encode job {id}, which is not accepted: {fault}");
@@ -77,7 +84,7 @@
     let outcome = state.commit_with_retry(&commit, WRITE_TIMEOUT).await;
     let (status, how) = match outcome {
         Ok(CommitOutcome::Done) => {
-            let job = state.jobs.add(spec);
+            let job = state.jobs.add(job);
             // Only the owner's tracker stays up to date, since only the owner lists results.
             if state.is_owner(&id) {
                 job.is_owned.set(true);
@@ -87,7 +94,7 @@
             (StatusCode::ACCEPTED, "accepted")
         }
         Ok(_) => {
-            state.jobs.add(spec);
+            state.jobs.add(job);
             (StatusCode::ACCEPTED, "accepted before")
         }
         Err(StoreFault::Ambiguous(_)) => (StatusCode::INTERNAL_SERVER_ERROR, "unknown"),
@@ -96,7 +103,8 @@
     let kind =
         if status == StatusCode::ACCEPTED { EventKind::JobAccepted } else { EventKind::JobRefused };
     state.view.log.record(LinePriority::Essential, kind, &id, || {
-        format!("outcome={how:?} store_up={}", state.view.store_health.is_up())
+        let is_up = state.view.store_health.is_up();
+        format!("outcome={how:?} route={route_name:?} store_up={is_up}")
     });
     state.work_available.notify_one();
     (status, Bytes::new())
@@ -283,13 +291,14 @@
         None => Ok(None),
         Some(item) => match JobRecord::decode(&item.value) {
             Ok(record) => {
-                let spec = record.read_spec(state, job_id).await?;
+                let job = record.read_job(state, job_id).await?;
+                let spec = job.spec.clone();
                 if state.age_since(spec.submitted_ms) <= RETENTION {
                     let close = state.store.get(&closed_key(job_id)).await;
                     if state.view.store_health.observe(close)?.is_some() {
                         mark_job_closed(state, job_id);
                     }
-                    state.jobs.add(spec.clone());
+                    state.jobs.add(job);
                     state.work_available.notify_one();
                 }
                 Ok(Some(spec))
@@ -299,51 +308,52 @@
     }
 }
 
-/// Returns whether a job's route is known, from a configuration at least as new as `config_version`.
-/// Reads the configuration from the store if the active one is older or lacks the route.
-async fn knows_route<P: PlatformAdapter>(
+/// Finds the route that accepts a job, in a configuration at least as new as `config_version`. Reads
+/// the configuration from the store if the active one is older or lacks the route.
+async fn find_accepting_route<P: PlatformAdapter>(
     state: &KeeperState<P>,
     spec: &JobSpec,
     config_version: u64,
-) -> bool {
-    let is_current = || {
-        state.view.routes().is_some_and(|routes| {
-            let has_route = routes.find(&spec.host, &spec.path).is_some();
-            has_route && routes.version >= config_version
-        })
+) -> Option<AcceptedRoute> {
+    let find_active = || {
+        let routes = state.view.routes().filter(|routes| routes.version >= config_version)?;
+        routes.accepting_route(&spec.host, &spec.path)
     };
-    if is_current() {
-        return true;
+    if let Some(route) = find_active() {
+        return Some(route);
     }
     if let Err(fault) = state.view.refresh_config::<P>(&state.store).await {
         state.view.log.record(LinePriority::Essential, EventKind::JobRefused, &spec.id, || {
             format!("outcome=\"not accepted\" route unknown: {fault}")
         });
-        return false;
+        return None;
     }
-    is_current()
+    find_active()
 }
 
-/// Returns whether a job's tokens and the unfinished tokens of its customer on its route stay within
-/// the route's limit, where 0 means no limit. Callers that are no customers share one limit.
-fn fits_token_limit<P: PlatformAdapter>(state: &KeeperState<P>, spec: &JobSpec) -> bool {
+/// Returns whether a job's tokens and the unfinished tokens of its customer on the route that accepts
+/// it stay within the route's limit, where 0 means no limit. Callers that are no customers share one
+/// limit.
+fn fits_token_limit<P: PlatformAdapter>(
+    state: &KeeperState<P>,
+    spec: &JobSpec,
+    route: &AcceptedRoute,
+) -> bool {
     let Some(routes) = state.view.routes() else {
         return false;
     };
-    let Some(route) = routes.find(&spec.host, &spec.path) else {
+    let JobRoute::InForce(rule) = routes.job_route(route) else {
         return false;
     };
-    if route.max_queued_tokens == 0 {
+    if rule.max_queued_tokens == 0 {
         return true;
     }
     let jobs = state.jobs.all();
     let counted_jobs = jobs.iter().filter(|job| {
-        let tracker = job.tracker.borrow();
-        let other = tracker.spec();
-        other.caller.customer() == spec.caller.customer()
-            && routes.find(&other.host, &other.path).is_some_and(|rule| rule.name == route.name)
+        let is_on_route = job.route.borrow().as_ref().is_some_and(|other| other.name == route.name);
+        is_on_route && job.tracker.borrow().spec().caller.customer() == spec.caller.customer()
     });
     let unfinished: u64 = counted_jobs.map(|job| job.tracker.borrow().unfinished_tokens()).sum();
     let added: u64 = spec.items.iter().map(|item| item.tokens).sum();
-    unfinished + added <= route.max_queued_tokens
+    unfinished + added <= rule.max_queued_tokens
 }
--- a/crates/serving/src/keeper/job_table.rs
+++ b/crates/serving/src/keeper/job_table.rs
@@ -3,8 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use cv_dispatch::JobSpec;
-
+use crate::keeper::accepted_job::AcceptedJob;
 use crate::keeper::tracked_job::TrackedJob;
 
 /// Known jobs, whether owned or not, and jobs known to be closed.
@@ -28,14 +27,14 @@
 
     /// Adds a job unless it is known, and returns it. A job already known to be closed is added
     /// as closed.
-    pub fn add(&self, spec: JobSpec) -> Rc<TrackedJob> {
-        self.unread.borrow_mut().retain(|id| *id != spec.id);
+    pub fn add(&self, job: AcceptedJob) -> Rc<TrackedJob> {
+        self.unread.borrow_mut().retain(|id| *id != job.spec.id);
         let mut rows = self.rows.borrow_mut();
-        match rows.binary_search_by(|(id, _)| id.as_str().cmp(&spec.id)) {
+        match rows.binary_search_by(|(id, _)| id.as_str().cmp(&job.spec.id)) {
             Ok(position) => Rc::clone(&rows[position].1),
             Err(position) => {
-                let id = spec.id.clone();
-                let job = Rc::new(TrackedJob::new(spec));
+                let id = job.spec.id.clone();
+                let job = Rc::new(TrackedJob::new(job));
                 if self.closed.borrow().binary_search(&id).is_ok() {
                     job.tracker.borrow_mut().close();
                 }
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -8,11 +8,9 @@
 
 use cv_dispatch::CloseKnowledge;
 use cv_dispatch::ItemOrder;
-use cv_dispatch::JobSpec;
+use cv_dispatch::JobRoute;
 use cv_dispatch::RequestRank;
 use cv_dispatch::ResultsLoad;
-use cv_dispatch::RouteKind;
-use cv_dispatch::RouteRule;
 use cv_dispatch::RunEstimate;
 use cv_dispatch::RunId;
 use cv_dispatch::RunSchedule;
@@ -161,26 +159,31 @@
         }
     }
 
-    /// Calls a function with the route of a job; `None` if the configuration has no batch route for
-    /// it any more.
-    pub fn with_route<T>(&self, job: &TrackedJob, body: impl FnOnce(&RouteRule) -> T) -> Option<T> {
-        let routes = self.view.routes()?;
+    /// Calls a function with what the active configuration says about the route of a job.
+    pub fn with_route<T>(&self, job: &TrackedJob, body: impl FnOnce(JobRoute<'_>) -> T) -> T {
+        let Some(routes) = self.view.routes() else {
+            return body(JobRoute::Unknown);
+        };
+        if let Some(accepted) = job.route.borrow().as_ref() {
+            return body(routes.job_route(accepted));
+        }
         let tracker = job.tracker.borrow();
-        let spec = tracker.spec();
-        let route = routes.find(&spec.host, &spec.path)?;
-        (route.kind == RouteKind::Batch).then(|| body(route))
+        let rule = routes.find_batch(&tracker.spec().host, &tracker.spec().path);
+        body(rule.map_or(JobRoute::Ended, JobRoute::InForce))
     }
 
     /// Returns the key by which queues share slots between the submitters of jobs, with the current
     /// priority of the job's customer.
-    pub fn share_key(&self, spec: &JobSpec) -> ShareKey {
+    pub fn share_key(&self, job: &TrackedJob) -> ShareKey {
         let Some(routes) = self.view.routes() else {
             return ShareKey::default();
         };
         let customers = routes.customers.as_ref();
+        let tracker = job.tracker.borrow();
+        let spec = tracker.spec();
         let customer = spec.caller.customer().and_then(|name| customers?.by_name(name));
-        let route = routes.find(&spec.host, &spec.path);
-        let rank = RequestRank::new(customer, route.map_or(0, |route| route.priority));
+        let priority = |route: JobRoute<'_>| route.in_force().map_or(0, |rule| rule.priority);
+        let rank = RequestRank::new(customer, self.with_route(job, priority));
         spec.caller.share_key(rank)
     }
 
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -1,6 +1,7 @@
 //! The keeper: the process that accepts batch jobs, stores them in the coordination store and runs
 //! their items.
 
+mod accepted_job;
 mod close_notices;
 mod item_expiry;
 mod item_run;
@@ -18,6 +19,7 @@
 mod progress_replication;
 mod quota_desk;
 mod result_commits;
+mod route_record;
 mod run_outcome;
 mod stored_keys;
 mod stored_quarantines;
--- a/crates/serving/src/keeper/wait_review.rs
+++ b/crates/serving/src/keeper/wait_review.rs
@@ -96,7 +96,7 @@
     for item in tracker.waiting_items() {
         let cause = if !state.closes.get().is_known() && !state.is_outage_confirmed.get() {
             WaitCause::ClosesUnknown
-        } else if state.with_route(job, |_| ()).is_none() {
+        } else if state.with_route(job, |route| route.in_force().is_none()) {
             WaitCause::RouteMissing
         } else if has_quarantines && is_quarantined(state, job, item) {
             WaitCause::Quarantined
--- a/tests/support/node_fleet.rs
+++ b/tests/support/node_fleet.rs
@@ -455,7 +455,12 @@
     }
 
     /// Writes the configuration of [`Self::write_config`] after a change to it.
-    fn write_config_with(&self, version: u64, max_attempts: u32, change: impl FnOnce(&mut Value)) {
+    pub fn write_config_with(
+        &self,
+        version: u64,
+        max_attempts: u32,
+        change: impl FnOnce(&mut Value),
+    ) {
         let route = |name: &str, kind: &str, service: &str| {
             json!({
                 "name": name, "host": "growers.example", "prefix": format!("/{name}/"),
