--- a/crates/clementinevale/tests/nodes/changed_routes.rs
+++ b/crates/clementinevale/tests/nodes/changed_routes.rs
@@ -180,6 +180,32 @@
     }
 }
 
+// Guards against a keeper that takes what is submitted again, by a later configuration and at a later
+// time, for the job that another keeper has accepted.
+#[test]
+fn a_repeated_submission_does_not_replace_the_accepted_job() {
+    const JOBS: usize = 6;
+    let jobs: Vec<String> = (0..JOBS).map(|job| format!("job{job}")).collect();
+    let mut fleet = small_fleet();
+    // After this job the keepers wait before they watch for others.
+    submit(&fleet, "plans", "first", 1, EVENTS_PER_ITEM);
+    std::thread::sleep(WATCH_TIME);
+    for job in &jobs {
+        submit(&fleet, "plans/season", job, 2, EVENTS);
+    }
+    let keeper = fleet.nodes.iter_mut().find(|node| node.name.starts_with("keeper"));
+    keeper.expect("the fleet has a keeper").kill();
+    let below = json!({ "maxQueueS": 1, "service": "nightly" });
+    write_routes(&fleet, 2, |routes| add_route_below(routes, &below));
+    std::thread::sleep(WATCH_TIME);
+    for job in &jobs {
+        submit(&fleet, "plans/season", job, 2, EVENTS);
+    }
+    for job in &jobs {
+        check_done(&fleet, job, 2, EVENTS);
+    }
+}
+
 // Guards against a job that does not follow its own route.
 #[test]
 fn items_run_at_the_service_to_which_their_route_is_moved() {
--- a/crates/serving/src/keeper/job_requests.rs
+++ b/crates/serving/src/keeper/job_requests.rs
@@ -93,10 +93,14 @@
             state.metrics.jobs_accepted.inc();
             (StatusCode::ACCEPTED, "accepted")
         }
-        Ok(_) => {
-            state.jobs.add(job);
-            (StatusCode::ACCEPTED, "accepted before")
-        }
+        // The stored job may differ from this submission in its route and its time.
+        Ok(_) => match find_or_adopt_job(state, &id).await {
+            Ok(Some(accepted)) => {
+                let (status, _) = repeated_submission(&job.spec.caller, &accepted);
+                (status, "accepted before")
+            }
+            Ok(None) | Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, "unknown"),
+        },
         Err(StoreFault::Ambiguous(_)) => (StatusCode::INTERNAL_SERVER_ERROR, "unknown"),
         Err(_) => (StatusCode::SERVICE_UNAVAILABLE, "not accepted"),
     };
