--- a/crates/clementinevale/tests/nodes/changed_routes.rs
+++ b/crates/clementinevale/tests/nodes/changed_routes.rs
@@ -10,6 +10,7 @@
 use cv_tests::node_caller::CallerOutcome;
 use cv_tests::node_caller::DEFAULT_BODY;
 use cv_tests::node_caller::read_results;
+use cv_tests::node_caller::request_stream;
 use cv_tests::node_caller::submit_job;
 use cv_tests::node_caller::submit_job_to_route;
 use rstest::rstest;
@@ -206,6 +207,46 @@
     }
 }
 
+/// A change after which the path of a job leads to no batch route.
+#[derive(Clone, Copy, Debug)]
+enum PathChange {
+    /// The job's route is removed.
+    Removed,
+    /// A streaming route is added below.
+    Streaming,
+}
+
+// Guards against a caller who repeats an accepted job and is told that there is no such route, or
+// whose job is sent to an engine as a request.
+#[rstest]
+#[case(PathChange::Removed)]
+#[case(PathChange::Streaming)]
+fn an_accepted_job_is_confirmed_when_its_path_leads_elsewhere(#[case] change: PathChange) {
+    let fleet = small_fleet();
+    let entries = fleet.entry_addresses();
+    submit(&fleet, "plans/season", "job", ITEMS, EVENTS);
+    write_routes(&fleet, 2, |routes| match change {
+        PathChange::Removed => drop(routes.remove(PLANS)),
+        PathChange::Streaming => add_route_below(routes, &json!({ "kind": "streaming" })),
+    });
+    std::thread::sleep(PROPAGATION_TIME);
+    let send = |job: &'static str| {
+        let entry = entries[1];
+        block_on(async move {
+            submit_job_to_route(entry, "plans/season", job, ITEMS, EVENTS, DEFAULT_BODY).await
+        })
+        .expect("the runtime starts")
+    };
+    assert_eq!(send("job"), CallerOutcome::Completed);
+    assert_ne!(send("other"), CallerOutcome::Completed, "a job is accepted without a route");
+    let runs = fleet.target_log.runs();
+    assert!(runs.iter().all(|run| run.request_id != "job"), "an engine got the job itself");
+    if matches!(change, PathChange::Streaming) {
+        let stream = block_on(request_stream(entries[0], "plans/season", "stream", 5));
+        assert_eq!(stream.expect("the runtime starts"), CallerOutcome::Completed);
+    }
+}
+
 // Guards against a job that does not follow its own route.
 #[test]
 fn items_run_at_the_service_to_which_their_route_is_moved() {
--- a/crates/serving/src/entry/entry_handler.rs
+++ b/crates/serving/src/entry/entry_handler.rs
@@ -31,6 +31,7 @@
 use crate::call_log::CallLog;
 use crate::entry::entry_metrics::EntryMetrics;
 use crate::entry::identified_caller::IdentifiedCaller;
+use crate::entry::job_confirmation::may_submit_job;
 use crate::entry::job_relay::JobCall;
 use crate::entry::job_relay::JobRelay;
 use crate::entry::long_bodies::LongBodies;
@@ -113,6 +114,12 @@
         }
         let path = exchange.head().uri.path().to_owned();
         let Some(route) = routes.find(&host, &path) else {
+            if may_submit_job(exchange.head()) {
+                let body = exchange.read_body(routes.limits.max_body_bytes).await?;
+                if self.confirm_job(exchange, &routes, &host, &body).await? {
+                    return Ok(());
+                }
+            }
             return self.respond_unrouted(exchange, &host, &path).await;
         };
         let headers = &exchange.head().headers;
@@ -126,6 +133,12 @@
             let call = JobCall { caller: &identified.caller, is_submission: true, job: &job };
             return self.relay_job(exchange, call, body).await;
         }
+        if may_submit_job(exchange.head())
+            && routes.find_batch(&host, &path).is_some()
+            && self.confirm_job(exchange, &routes, &host, &body).await?
+        {
+            return Ok(());
+        }
         // Only now, so that a body that arrives slowly holds no credit.
         let credit = match self.quota.admit(&routes, &identified.caller).await {
             Ok(credit) => credit,
@@ -196,7 +209,7 @@
     }
 
     /// Returns whether the process lives long enough for a call to the keepers.
-    fn has_time_for_jobs(&self) -> bool {
+    pub fn has_time_for_jobs(&self) -> bool {
         self.gate.grace_left().is_none_or(|left| left >= JOB_CALL_TIME)
     }
 
--- a/crates/serving/src/entry/job_relay.rs
+++ b/crates/serving/src/entry/job_relay.rs
@@ -23,6 +23,7 @@
 use crate::internal_headers::strip_internal_headers;
 use crate::internal_headers::write_caller;
 use crate::internal_headers::write_config_version;
+use crate::internal_headers::write_confirmation;
 
 /// Longest time to connect to a keeper.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -71,34 +72,17 @@
         if let Some(routes) = self.view.routes().filter(|_| is_submission) {
             write_config_version(&mut request.headers, routes.version);
         }
-        let keepers = self.view.keepers();
         let mut is_ambiguous = false;
-        for keeper in keepers.ranking_for(job) {
-            let response = monoio::select! {
-                response = self.send_to(keeper.address, &request, &mut is_ambiguous) => response,
-                () = exchange.closed() => return Err(HttpFault::Closed),
-            };
-            let Some(mut response) = response else {
-                continue;
-            };
-            match response.status {
-                StatusCode::SERVICE_UNAVAILABLE => {}
-                StatusCode::INTERNAL_SERVER_ERROR => is_ambiguous = true,
-                // A refusal by one keeper says nothing about what another one has received.
-                StatusCode::TOO_MANY_REQUESTS if is_ambiguous => {}
-                _ => {
-                    strip_hop_by_hop(&mut response.headers);
-                    return exchange
-                        .respond(response.status, &response.headers, &response.body)
-                        .await;
-                }
-            }
+        let response = self.ask_keepers(exchange, job, &request, &mut is_ambiguous).await?;
+        if let Some(mut response) = response {
+            strip_hop_by_hop(&mut response.headers);
+            return exchange.respond(response.status, &response.headers, &response.body).await;
         }
         // Status 503 would say that the job was refused, which is wrong for a submission that a
         // keeper may have accepted.
         let is_unknown = is_submission && is_ambiguous;
         self.view.log.record(LinePriority::Essential, EventKind::JobRefused, job, || {
-            let keeper_count = keepers.keepers().len();
+            let keeper_count = self.view.keepers().keepers().len();
             format!("keepers={keeper_count} submission={is_submission} unknown={is_unknown}")
         });
         let status = if is_unknown {
@@ -109,6 +93,54 @@
         exchange.respond(status, &HeaderMap::new(), &Bytes::new()).await
     }
 
+    /// Asks the keepers to confirm a submission of an accepted job; `None` if none can say whether it
+    /// has been accepted.
+    ///
+    /// # Errors
+    /// Faults of the caller's connection.
+    pub async fn confirm<P: PlatformAdapter>(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        caller: &RequestCaller,
+        job: &str,
+    ) -> Result<Option<StatusCode>, HttpFault> {
+        let mut request = keeper_request::<P>(exchange, caller, Bytes::new());
+        write_confirmation(&mut request.headers);
+        let response = self.ask_keepers(exchange, job, &request, &mut false).await?;
+        Ok(response.map(|response| response.status))
+    }
+
+    /// Sends a request to the job's owner, then to other keepers until one handles it; `None` if none
+    /// does. Sets `is_ambiguous` if the request may have taken effect all the same.
+    ///
+    /// # Errors
+    /// Faults of the caller's connection.
+    async fn ask_keepers(
+        &self,
+        exchange: &mut ServerExchange<'_>,
+        job: &str,
+        request: &ClientRequest,
+        is_ambiguous: &mut bool,
+    ) -> Result<Option<ClientResponse>, HttpFault> {
+        for keeper in self.view.keepers().ranking_for(job) {
+            let response = monoio::select! {
+                response = self.send_to(keeper.address, request, is_ambiguous) => response,
+                () = exchange.closed() => return Err(HttpFault::Closed),
+            };
+            let Some(response) = response else {
+                continue;
+            };
+            match response.status {
+                StatusCode::SERVICE_UNAVAILABLE => {}
+                StatusCode::INTERNAL_SERVER_ERROR => *is_ambiguous = true,
+                // A refusal by one keeper says nothing about what another one has received.
+                StatusCode::TOO_MANY_REQUESTS if *is_ambiguous => {}
+                _ => return Ok(Some(response)),
+            }
+        }
+        Ok(None)
+    }
+
     /// Sends a request to one keeper; `None` if there is no response. Sets `is_ambiguous` if the
     /// request may have taken effect all the same.
     async fn send_to(
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod entry_node;
 mod identified_caller;
 mod in_flight_guard;
+mod job_confirmation;
 mod job_relay;
 mod long_bodies;
 mod online_request;
--- a/crates/serving/src/internal_headers.rs
+++ b/crates/serving/src/internal_headers.rs
@@ -19,6 +19,9 @@
 /// Version of the configuration by which an entry has routed a job's submission.
 const CONFIG_VERSION: HeaderName = HeaderName::from_static("cv-config-version");
 
+/// Marks a submission that a keeper only confirms if it has accepted the job before.
+const CONFIRMATION: HeaderName = HeaderName::from_static("cv-confirmation");
+
 /// Name of the customer whose key a call about a job carried, as the entry has identified it.
 const CUSTOMER: HeaderName = HeaderName::from_static("cv-customer");
 
@@ -253,6 +256,16 @@
     value.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0)
 }
 
+/// Marks a submission that a keeper only confirms if it has accepted the job before.
+pub(crate) fn write_confirmation(headers: &mut HeaderMap) {
+    headers.insert(CONFIRMATION, HeaderValue::from_static("1"));
+}
+
+/// Returns whether a submission is only to be confirmed.
+pub(crate) fn is_confirmation(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONFIRMATION)
+}
+
 /// Adds who sends a call about a job, as the entry has identified the caller.
 pub(crate) fn write_caller(headers: &mut HeaderMap, caller: &RequestCaller) {
     match caller {
--- a/crates/serving/src/keeper/job_requests.rs
+++ b/crates/serving/src/keeper/job_requests.rs
@@ -123,6 +123,19 @@
     }
 }
 
+/// Confirms a submission if its job has been accepted before, and accepts nothing.
+pub(crate) async fn confirm_job<P: PlatformAdapter>(
+    state: &Rc<KeeperState<P>>,
+    caller: &RequestCaller,
+    job_id: &str,
+) -> CallResponse {
+    empty_response(match find_job_of(state, caller, job_id).await {
+        Ok(Some(_)) => StatusCode::ACCEPTED,
+        Ok(None) => StatusCode::NOT_FOUND,
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE,
+    })
+}
+
 /// Reads results from a position; waits up to `max_wait` if there are none yet.
 ///
 /// Reads are answered from memory while this keeper certainly owns the job, and from the store
--- a/crates/serving/src/keeper/keeper_handler.rs
+++ b/crates/serving/src/keeper/keeper_handler.rs
@@ -19,12 +19,14 @@
 use crate::PlatformAdapter;
 use crate::internal_handler::METRICS_PATH;
 use crate::internal_handler::respond_metrics;
+use crate::internal_headers::is_confirmation;
 use crate::internal_headers::read_caller;
 use crate::internal_headers::read_config_version;
 use crate::keeper::close_notices::CLOSED_PATH;
 use crate::keeper::close_notices::receive_close;
 use crate::keeper::job_requests::CallResponse;
 use crate::keeper::job_requests::close_job;
+use crate::keeper::job_requests::confirm_job;
 use crate::keeper::job_requests::read_item;
 use crate::keeper::job_requests::read_results;
 use crate::keeper::job_requests::submit_job;
@@ -88,6 +90,10 @@
         }
         let caller = read_caller(&exchange.head().headers);
         let (status, body) = match P::classify(exchange.head()) {
+            CallerRequest::Routed if is_confirmation(&exchange.head().headers) => {
+                let job = P::request_options(&exchange.head().headers).request_id;
+                confirm_job(&self.state, &caller, &job.unwrap_or_default()).await
+            }
             CallerRequest::Routed => {
                 exchange.hold_memory(body.len() * DECODED_FACTOR).await?;
                 self.submit(exchange, caller, &body).await
--- a/tests/support/node_caller.rs
+++ b/tests/support/node_caller.rs
@@ -245,7 +245,9 @@
         .collect();
     let body = json!({ "items": rows }).to_string();
     let path = format!("/{route}/job");
-    match call(address, &build_request(Method::POST, &path, job, body)).await {
+    let request = build_request(Method::POST, &path, job, body)
+        .with_header("content-type", "application/json");
+    match call(address, &request).await {
         Ok((StatusCode::ACCEPTED, _)) => CallerOutcome::Completed,
         other => failure_outcome(other),
     }
