--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -26,5 +26,6 @@
 mod stalled_items;
 mod stopped_hand_overs;
 mod stray_responses;
+mod unlucky_items;
 mod unreadable_values;
 mod zone_choice;
--- a/crates/dispatch/src/quarantine_row.rs
+++ b/crates/dispatch/src/quarantine_row.rs
@@ -133,9 +133,14 @@
     }
 
     /// Returns when the next request with the subject may be tried: soon after a trial that brought no
-    /// verdict, and ever later after those that ended their engines.
+    /// verdict, and ever later after those that ended their engines. Items are tried again as soon as the
+    /// last trial must have had its verdict.
     pub fn trial_due(&self) -> Option<MonotonicTime> {
         let since = self.quarantined_at?;
+        // An accepted item is owed, however many engines have ended under it.
+        if self.subject.is_item_part() {
+            return Some(self.tried_at.max(Some(since))? + VERDICT_TIME);
+        }
         if self.subject.is_request() && self.trials - self.withdrawn >= MAX_REQUEST_TRIALS {
             return Some(self.last_event() + REQUEST_LIFETIME);
         }
@@ -204,8 +209,10 @@
         let limit = match (self.subject, self.was_quarantined, self.was_served()) {
             (QuarantineSubject::Request(_), true, _) => MAX_LOSSES_IF_RELAPSED,
             (QuarantineSubject::Request(_), false, _) => MAX_REQUEST_LOSSES,
-            (QuarantineSubject::Part(_), _, true) => MAX_LOSSES_IF_SERVED,
-            (QuarantineSubject::Part(_), _, false) => MAX_LOSSES,
+            (QuarantineSubject::Part(_) | QuarantineSubject::ItemPart(_), _, true) => {
+                MAX_LOSSES_IF_SERVED
+            }
+            (QuarantineSubject::Part(_) | QuarantineSubject::ItemPart(_), _, false) => MAX_LOSSES,
         };
         losses >= limit
     }
--- a/crates/dispatch/src/quarantine_table.rs
+++ b/crates/dispatch/src/quarantine_table.rs
@@ -1,5 +1,6 @@
 //! Quarantine of requests and parts of prompts that end the engines that they run on.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use cv_policy::MonotonicTime;
@@ -8,6 +9,7 @@
 use crate::QuarantineRecord;
 use crate::QuarantineSubject;
 use crate::quarantine_row::QuarantineRow;
+use crate::quarantine_subject::SubjectKind;
 
 /// Time after its last change for which a row without evidence is kept, so that peers learn of it.
 const ROW_LIFETIME: Duration = Duration::from_secs(30);
@@ -15,7 +17,7 @@
 /// Time for which news of a subject is repeated to other processes.
 const NEWS_LIFETIME: Duration = Duration::from_secs(2);
 
-/// Most parts with evidence that are kept.
+/// Most parts with evidence that are kept, of online requests and of items each.
 const MAX_PARTS: usize = 128;
 
 /// Most requests with evidence that are kept.
@@ -53,9 +55,12 @@
 /// An engine that ends takes innocent runs with it. A subject is convicted by several losses without a
 /// single response in between that an engine survived. Requests share subjects, so the subject with most
 /// losses is convicted first, and its losses are no evidence against others.
+///
+/// Online requests and items are judged apart, so that neither is refused for what the other does. Items
+/// are owed: those with a part in quarantine run one at a time and never wait for longer than one trial.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineTable {
-    /// Subjects with evidence, sorted: parts first.
+    /// Subjects with evidence, sorted, so that those of a kind follow each other.
     rows: Vec<QuarantineRow>,
     /// Last service of subjects, sorted by subject.
     served: Vec<(QuarantineSubject, MonotonicTime)>,
@@ -190,9 +195,9 @@
     /// there are many.
     #[must_use]
     pub fn records(&self, now: MonotonicTime, is_full: bool) -> Vec<QuarantineRecord> {
-        let (parts, requests) = self.rows.split_at(self.part_count());
         // What requests explain is known before the losses of their parts.
-        let told = [requests, parts].into_iter().flat_map(|rows| told_rows(rows, now, is_full));
+        let kinds = [SubjectKind::Request, SubjectKind::Part, SubjectKind::ItemPart];
+        let told = kinds.into_iter().flat_map(|kind| told_rows(self.rows(kind), now, is_full));
         told.map(|row| row.record(now)).collect()
     }
 
@@ -240,9 +245,23 @@
     /// Puts subjects into quarantine as long as the evidence suffices for one; returns them.
     fn convict(&mut self, now: MonotonicTime) -> Vec<QuarantineSubject> {
         let mut convicted = self.convict_requests(now);
-        let part_count = self.part_count();
+        self.convict_parts(SubjectKind::Part, now, &mut convicted);
+        // Last, since what ends engines in online requests explains their losses under items.
+        self.convict_parts(SubjectKind::ItemPart, now, &mut convicted);
+        convicted
+    }
+
+    /// Puts parts of a kind into quarantine as long as the evidence suffices for one, and adds them to
+    /// `convicted`.
+    fn convict_parts(
+        &mut self,
+        kind: SubjectKind,
+        now: MonotonicTime,
+        convicted: &mut Vec<QuarantineSubject>,
+    ) {
+        let range = self.range(kind);
         loop {
-            let candidates = self.rows[..part_count].iter().enumerate();
+            let candidates = self.rows.iter().enumerate().skip(range.start).take(range.len());
             let candidates = candidates.filter(|(_, row)| !row.is_in_quarantine());
             let counted = candidates.map(|(index, row)| {
                 (self.count_unexplained(row), !row.was_served(), row.position, index)
@@ -250,7 +269,7 @@
             let guilty =
                 counted.filter(|(losses, _, _, index)| self.rows[*index].is_convicted_by(*losses));
             let Some((_, _, _, index)) = guilty.max() else {
-                return convicted;
+                return;
             };
             self.rows[index].quarantine(now);
             convicted.push(self.rows[index].subject);
@@ -261,8 +280,8 @@
     /// its losses: a mistake costs the one request, and one too few an engine with each repetition.
     fn convict_requests(&mut self, now: MonotonicTime) -> Vec<QuarantineSubject> {
         let mut convicted = Vec::new();
-        let part_count = self.part_count();
-        for row in self.rows[part_count..].iter_mut().filter(|row| !row.is_in_quarantine()) {
+        let range = self.range(SubjectKind::Request);
+        for row in self.rows[range].iter_mut().filter(|row| !row.is_in_quarantine()) {
             if row.is_convicted_by(row.count_losses(|_| false)) {
                 row.quarantine(now);
                 convicted.push(row.subject);
@@ -274,14 +293,21 @@
     /// Counts the losses of a part that no quarantine accounts for.
     ///
     /// A request in quarantine accounts for its losses. But if the part has all losses of that
-    /// request and more, the request may be one of several with the part, and accounts for none.
+    /// request and more, the request may be one of several with the part, and accounts for none. Items
+    /// account for no loss of an online request, and whatever is in quarantine accounts for theirs.
     fn count_unexplained(&self, row: &QuarantineRow) -> usize {
-        let (parts, requests) = self.rows.split_at(self.part_count());
-        let (inside, outside): (Vec<&QuarantineRow>, Vec<&QuarantineRow>) = requests
+        if row.subject.is_item_part() {
+            let is_cause = |cause: &QuarantineRow, loss: &EngineLoss| {
+                cause.is_in_quarantine() && cause.has_loss(loss)
+            };
+            return row.count_losses(|loss| self.rows.iter().any(|cause| is_cause(cause, loss)));
+        }
+        let (inside, outside): (Vec<&QuarantineRow>, Vec<&QuarantineRow>) = self
+            .rows(SubjectKind::Request)
             .iter()
             .filter(|request| request.is_in_quarantine())
             .partition(|request| request.losses().iter().all(|loss| row.has_loss(loss)));
-        let parts = parts.iter().filter(|part| part.is_in_quarantine());
+        let parts = self.rows(SubjectKind::Part).iter().filter(|part| part.is_in_quarantine());
         let causes: Vec<&QuarantineRow> = parts.chain(outside).collect();
         let is_explained = |loss: &EngineLoss| causes.iter().any(|cause| cause.has_loss(loss));
         let left: Vec<&EngineLoss> =
@@ -292,9 +318,15 @@
         row.count_losses(is_explained)
     }
 
-    /// Returns the number of parts, whose rows come before those of requests.
-    fn part_count(&self) -> usize {
-        self.rows.partition_point(|row| !row.subject.is_request())
+    /// Returns the indices of the rows of a kind.
+    fn range(&self, kind: SubjectKind) -> Range<usize> {
+        let begin = self.rows.partition_point(|row| row.subject.kind() < kind);
+        begin..self.rows.partition_point(|row| row.subject.kind() <= kind)
+    }
+
+    /// Returns the rows of a kind.
+    fn rows(&self, kind: SubjectKind) -> &[QuarantineRow] {
+        &self.rows[self.range(kind)]
     }
 
     /// Remembers the last service of a subject, at the cost of those served longest ago.
@@ -316,21 +348,22 @@
 
     /// Removes the rows with the least evidence beyond [`MAX_PARTS`] and [`MAX_REQUESTS`].
     fn limit_rows(&mut self) {
-        let part_count = self.part_count();
-        let request_count = self.rows.len() - part_count;
-        for _ in MAX_REQUESTS..request_count {
-            self.remove_least(part_count);
-        }
-        for _ in MAX_PARTS..part_count {
-            let requests = self.rows.split_off(self.part_count());
-            self.remove_least(0);
-            self.rows.extend(requests);
+        let limits = [
+            (SubjectKind::Part, MAX_PARTS),
+            (SubjectKind::Request, MAX_REQUESTS),
+            (SubjectKind::ItemPart, MAX_PARTS),
+        ];
+        for (kind, maximum) in limits {
+            for _ in maximum..self.range(kind).len() {
+                self.remove_least(kind);
+            }
         }
     }
 
-    /// Removes the row with the least evidence of those from an index on.
-    fn remove_least(&mut self, begin: usize) {
-        let rows = self.rows.iter().enumerate().skip(begin);
+    /// Removes the row of a kind with the least evidence.
+    fn remove_least(&mut self, kind: SubjectKind) {
+        let range = self.range(kind);
+        let rows = self.rows.iter().enumerate().skip(range.start).take(range.len());
         if let Some((position, _)) = rows.min_by_key(|(_, row)| row.retention()) {
             self.rows.remove(position);
         }
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -37,7 +37,7 @@
 use crate::keeper::result_commits::start_commits;
 use crate::keeper::run_outcome::RunOutcome;
 use crate::keeper::tracked_job::TrackedJob;
-use crate::platform_adapter::part_subjects;
+use crate::platform_adapter::item_subjects;
 use crate::target_call::HeadWait;
 use crate::target_call::TargetCall;
 use crate::target_call::TargetFault;
@@ -100,7 +100,7 @@
             P::item_headers(&tracker.spec().host, &tracker.spec().items[item])
         };
         let (subjects, max_events) =
-            (part_subjects::<P>(&headers), P::request_options(&headers).max_events);
+            (item_subjects::<P>(&headers), P::request_options(&headers).max_events);
         let now = state.view.clock.now();
         let zone = &state.identity.zone;
         let seed = state.view.random_number();
@@ -114,7 +114,10 @@
                 }
                 QuarantineDecision::Try(subject) => {
                     let turn = state.view.quarantine.trial_turn(subject);
-                    PlacementPolicy.choose_for_trial(targets, now, &service, subject, turn)?
+                    // Without any sidecar, the keeper runs the trial at any target.
+                    PlacementPolicy
+                        .choose_for_trial(targets, now, &service, subject, turn)
+                        .or_else(|| state.schedule.borrow().choose_target(targets, now, &request))?
                 }
                 QuarantineDecision::Refuse(..) => return None,
             };
@@ -128,6 +131,9 @@
             return false;
         };
         let is_trial = decision != QuarantineDecision::Admit;
+        if is_trial && !target.through_sidecar {
+            state.view.quarantine.begin_trial(&subjects);
+        }
         let id = if target.through_sidecar {
             state.schedule.borrow_mut().begin_run(&target.id, turn.due_ms, now)
         } else {
--- a/crates/serving/src/keeper/stored_quarantines.rs
+++ b/crates/serving/src/keeper/stored_quarantines.rs
@@ -114,7 +114,9 @@
         return;
     }
     let is_responsible = |subject: &QuarantineSubject| state.is_owner(&quarantine_key(*subject));
-    let quarantined = state.view.quarantine.quarantined();
+    let mut quarantined = state.view.quarantine.quarantined();
+    // Those of items are so short that nothing is gained by one that outlasts all processes.
+    quarantined.retain(|(subject, _)| !subject.is_item_part());
     let is_quarantined = |subject: &QuarantineSubject| {
         quarantined.binary_search_by_key(subject, |(subject, _)| *subject).is_ok()
     };
--- a/crates/serving/src/keeper/wait_review.rs
+++ b/crates/serving/src/keeper/wait_review.rs
@@ -15,7 +15,7 @@
 use crate::PlatformAdapter;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::tracked_job::TrackedJob;
-use crate::platform_adapter::part_subjects;
+use crate::platform_adapter::item_subjects;
 
 /// Time between two reviews.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -116,7 +116,7 @@
 ) -> bool {
     let tracker = job.tracker.borrow();
     let headers = P::item_headers(&tracker.spec().host, &tracker.spec().items[item]);
-    let decision = state.view.quarantine.decide(&part_subjects::<P>(&headers));
+    let decision = state.view.quarantine.decide(&item_subjects::<P>(&headers));
     decision != QuarantineDecision::Admit
 }
 
--- a/crates/serving/src/platform_adapter.rs
+++ b/crates/serving/src/platform_adapter.rs
@@ -198,7 +198,12 @@
     fn retire_status(instance: &str, is_done: bool) -> (String, Vec<u8>);
 }
 
-/// Returns the parts of a request's prompt as subjects of a quarantine, in order.
+/// Returns the parts of an online request's prompt as subjects of a quarantine, in order.
 pub(crate) fn part_subjects<P: PlatformAdapter>(headers: &HeaderMap) -> Vec<QuarantineSubject> {
     P::prompt_parts(headers).into_iter().map(QuarantineSubject::Part).collect()
 }
+
+/// Returns the parts of an item's prompt as subjects of a quarantine, in order.
+pub(crate) fn item_subjects<P: PlatformAdapter>(headers: &HeaderMap) -> Vec<QuarantineSubject> {
+    P::prompt_parts(headers).into_iter().map(QuarantineSubject::ItemPart).collect()
+}
--- a/crates/serving/src/quarantine_exchange.rs
+++ b/crates/serving/src/quarantine_exchange.rs
@@ -209,9 +209,13 @@
         let _ = self.socket.send_to(datagram, peer).await;
     }
 
-    /// Encodes records into datagrams.
+    /// Encodes records into datagrams. Those of items get datagrams of their own, since versions that do
+    /// not know them cannot decode any record of a datagram with one.
     fn encode(&self, records: &[QuarantineRecord]) -> Vec<Vec<u8>> {
-        records.chunks(MAX_RECORDS).map(|records| self.encode_records(records)).collect()
+        let is_item = |record: &QuarantineRecord| record.subject.is_item_part();
+        let groups = records.chunk_by(|left, right| is_item(left) == is_item(right));
+        let datagrams = groups.flat_map(|records| records.chunks(MAX_RECORDS));
+        datagrams.map(|records| self.encode_records(records)).collect()
     }
 
     /// Encodes a few records into one datagram.
--- a/crates/serving/src/sidecar/sidecar_handler.rs
+++ b/crates/serving/src/sidecar/sidecar_handler.rs
@@ -39,6 +39,7 @@
 use crate::internal_headers::WAITING_COMMENT;
 use crate::internal_headers::strip_hop_by_hop;
 use crate::internal_headers::strip_internal_headers;
+use crate::platform_adapter::item_subjects;
 use crate::platform_adapter::part_subjects;
 use crate::quarantine_desk::QuarantineDesk;
 use crate::sidecar::batch_relay::BatchRelay;
@@ -130,7 +131,10 @@
         let options = QueueOptions::read(&headers);
         let request_options = P::request_options(&headers);
         strip_internal_headers(&mut headers);
-        let mut subjects = part_subjects::<P>(&headers);
+        let mut subjects = match options.class {
+            WorkClass::Online => part_subjects::<P>(&headers),
+            WorkClass::Batch => item_subjects::<P>(&headers),
+        };
         subjects.extend(options.digest.map(QuarantineSubject::Request));
         let request = SidecarRequest {
             received_at: Instant::now(),
--- a/tests/dispatch/quarantine.rs
+++ b/tests/dispatch/quarantine.rs
@@ -10,6 +10,7 @@
 use cv_dispatch::QuarantineDecision;
 use cv_dispatch::QuarantineSubject;
 use cv_dispatch::QuarantineTable;
+use cv_dispatch::RequestDigest;
 use cv_dispatch::RunWatch;
 use cv_dispatch::ThawDetector;
 use cv_policy::MonotonicTime;
@@ -405,3 +406,64 @@
         "{decision:?}"
     );
 }
+
+/// A part of the prompts of items.
+const fn item_part(id: u64) -> QuarantineSubject {
+    QuarantineSubject::ItemPart(PromptPart(id))
+}
+
+// Guards against items that wait ever longer in calm, since engines ended under each of their trials.
+#[test]
+fn an_item_waits_for_no_more_than_one_trial() {
+    /// Times at which engines end in three bursts, in milliseconds.
+    const BURSTS: [u64; 3] = [5_000, 11_000, 17_000];
+    let (mut table, prompt) = (QuarantineTable::default(), [item_part(1), item_part(2)]);
+    let crashes = BURSTS.iter().flat_map(|burst| (0..5).map(move |crash| burst + 400 * crash));
+    let mut last = 0;
+    for (engine, crash) in (1..).zip(crashes) {
+        // A run that is allowed begins in time to be a suspect.
+        match table.decide(&prompt, at(crash - 100)) {
+            QuarantineDecision::Admit => {}
+            QuarantineDecision::Try(_) => table.begin_trial(&prompt, at(crash - 100)),
+            QuarantineDecision::Refuse(..) => continue,
+        }
+        lose(&mut table, engine, crash, &[&prompt]);
+        last = crash;
+    }
+    assert!(!is_admitted(&table, &prompt, last), "engines have ended under the item");
+    let decision = table.decide(&prompt, at(last + 3_000));
+    assert!(matches!(decision, QuarantineDecision::Try(_)), "{decision:?}");
+}
+
+#[test]
+fn items_and_online_requests_are_judged_apart() {
+    let mut table = QuarantineTable::default();
+    for engine in 1..=8 {
+        lose(&mut table, engine, 200 * u64::from(engine), &[&[item_part(0xbad)]]);
+    }
+    assert!(!is_admitted(&table, &[item_part(0xbad)], 2_000));
+    assert!(is_admitted(&table, &[CRASHING], 2_000), "items accuse online requests");
+    let mut table = convicted_table();
+    assert!(is_admitted(&table, &[item_part(0xbad)], 1_000), "an item is refused for others");
+    table.record_served(&[item_part(0xbad)], at(1_500));
+    assert!(!is_admitted(&table, &[CRASHING], 1_600), "an item ends the quarantine of others");
+}
+
+#[test]
+fn items_beside_a_crashing_prompt_neither_excuse_it_nor_are_refused() {
+    let (mut table, neighbour) = (QuarantineTable::default(), [item_part(5), item_part(6)]);
+    for engine in 1..=4 {
+        let prompts: [&[QuarantineSubject]; 2] = [&neighbour, &[COMMON, CRASHING]];
+        lose(&mut table, engine, 200 * u64::from(engine), &prompts);
+    }
+    assert!(!is_admitted(&table, &[CRASHING], 900));
+    assert!(is_admitted(&table, &neighbour, 900));
+}
+
+#[test]
+fn a_subject_is_read_from_its_displayed_form() {
+    let request = QuarantineSubject::Request(RequestDigest(7));
+    for subject in [CRASHING, item_part(0xbad), request] {
+        assert_eq!(QuarantineSubject::parse(&subject.to_string()), subject);
+    }
+}
