--- a/crates/clementinevale/tests/nodes/unlucky_items.rs
+++ b/crates/clementinevale/tests/nodes/unlucky_items.rs
@@ -85,6 +85,26 @@
     assert!(ended_at.elapsed() < FINISH_TIME, "done after {:?}", ended_at.elapsed());
 }
 
+// Guards against items that wait for the whole run of the one that is tried.
+#[test]
+fn all_items_are_placed_again_once_an_engine_survives_one() {
+    /// Number of events of each item, for which a run lasts longer than [`CALM_TIME`].
+    const LONG_EVENTS: u64 = 1_000;
+    let fleet = ending_fleet();
+    let entries = fleet.entry_addresses();
+    let submit = |job: &'static str, prompts: &'static [&'static str]| {
+        let submitted = block_on(submit_prompts(entries[0], job, prompts, LONG_EVENTS));
+        assert_eq!(submitted.expect("the runtime starts"), CallerOutcome::Completed);
+    };
+    submit("first", &["a1:9,b1:9,c1:9"]);
+    end_engines(&fleet, &item_id("first", 0), 5);
+    submit("second", &["a1:9,b1:9,c1:9"; 2]);
+    let waiting = [item_id("second", 0), item_id("second", 1)];
+    let have_begun =
+        |fleet: &NodeFleet| waiting.iter().all(|item| !runs_of(fleet, item).is_empty());
+    assert!(fleet.wait_for(CALM_TIME, have_begun), "items wait {CALM_TIME:?} in calm");
+}
+
 // Guards against online requests that are refused because engines ended under sound items with a part
 // of their prompts.
 #[test]
--- a/crates/dispatch/src/run_watch.rs
+++ b/crates/dispatch/src/run_watch.rs
@@ -34,6 +34,8 @@
     pub request_id: String,
     ended: Option<(MonotonicTime, bool)>,
     id: WatchedRunId,
+    /// Whether the run of an item has been taken as survived while it goes on.
+    is_taken: bool,
 }
 
 /// Tracks the runs of one engine.
@@ -65,6 +67,7 @@
             request_id: request_id.to_owned(),
             ended: None,
             id,
+            is_taken: false,
         });
         id
     }
@@ -126,6 +129,18 @@
         self.ended.clear();
     }
 
+    /// Returns the runs of items in progress that cannot be the cause of a loss any more, each once.
+    ///
+    /// Items run for long. Those with the same parts need not wait until one of them is complete.
+    pub fn take_outlasted_items(&mut self, now: MonotonicTime) -> Vec<WatchedRun> {
+        let outlasted = self.running.iter_mut().filter(|run| !run.is_taken);
+        let outlasted = outlasted.filter(|run| run.is_outlasted_item(now)).map(|run| {
+            run.is_taken = true;
+            run.clone()
+        });
+        outlasted.collect()
+    }
+
     /// Removes the runs whose end the engine has survived, and returns the complete ones.
     pub fn take_survived(&mut self, now: MonotonicTime) -> Vec<WatchedRun> {
         let has_survived = |run: &WatchedRun| {
@@ -139,6 +154,14 @@
 }
 
 impl WatchedRun {
+    /// Returns whether the run is that of an item, and its engine has outlasted the time in which it
+    /// could be the cause of a loss.
+    fn is_outlasted_item(&self, now: MonotonicTime) -> bool {
+        let is_outlasted =
+            self.answered_at.is_some_and(|at| now.since(at) > SUSPECT_WINDOW + SURVIVAL_TIME);
+        is_outlasted && self.subjects.iter().any(|subject| subject.is_item_part())
+    }
+
     /// Returns whether the run may be the cause if its engine is lost now.
     fn is_suspect(&self, now: MonotonicTime) -> bool {
         let has_ended = self.ended.is_some_and(|(at, _)| now.since(at) > SURVIVAL_TIME);
--- a/crates/serving/src/sidecar/engine_watch.rs
+++ b/crates/serving/src/sidecar/engine_watch.rs
@@ -23,7 +23,7 @@
 use crate::sidecar::engine_responses::EngineResponses;
 use crate::sidecar::slot_gate::SlotGate;
 
-/// Time between two checks for runs whose end the engine has survived.
+/// Time between two checks for runs that the engine has survived.
 const SURVIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Watches the runs of one engine.
@@ -90,7 +90,8 @@
         monoio::spawn(async move {
             loop {
                 let now = ticks.next().await;
-                let survived = checking.runs.borrow_mut().take_survived(now);
+                let mut survived = checking.runs.borrow_mut().take_survived(now);
+                survived.extend(checking.runs.borrow_mut().take_outlasted_items(now));
                 for run in survived.iter().filter(|run| !run.subjects.is_empty()) {
                     checking.desk.record_served(&run.subjects);
                 }
--- a/tests/dispatch/quarantine.rs
+++ b/tests/dispatch/quarantine.rs
@@ -467,3 +467,18 @@
         assert_eq!(QuarantineSubject::parse(&subject.to_string()), subject);
     }
 }
+
+#[test]
+fn an_engine_survives_an_item_before_its_run_is_complete() {
+    let mut watch = RunWatch::default();
+    let item = watch.begin("item", &[item_part(1)], at(0));
+    let online = watch.begin("online", &[part(1)], at(0));
+    watch.begin("waiting", &[item_part(2)], at(0));
+    watch.answer(item, at(50));
+    watch.answer(online, at(50));
+    assert!(watch.take_outlasted_items(at(600)).is_empty());
+    let taken = watch.take_outlasted_items(at(700));
+    let ids: Vec<&str> = taken.iter().map(|run| run.request_id.as_str()).collect();
+    assert_eq!(ids, ["item"]);
+    assert!(watch.take_outlasted_items(at(800)).is_empty(), "a run is taken twice");
+}
