--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -29,6 +29,7 @@
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::result_commits::load_results;
 use crate::keeper::result_commits::start_commits;
+use crate::keeper::route_record::record_next_route;
 use crate::keeper::route_record::settle_route;
 use crate::keeper::stored_keys::CLOSED_PREFIX;
 use crate::keeper::stored_keys::WORK_MARKER_KEY;
@@ -243,6 +244,7 @@
         }
         start_commits_if_needed(state, &job);
     }
+    record_next_route(state);
     start_expiry(state);
 }
 
--- a/crates/serving/src/keeper/route_record.rs
+++ b/crates/serving/src/keeper/route_record.rs
@@ -15,33 +15,46 @@
 use crate::keeper::stored_keys::job_key;
 use crate::keeper::tracked_job::TrackedJob;
 
-/// Chooses the route of a job whose record names none, and starts to record it if this keeper owns the
-/// job. Later changes of the configuration then leave the job with this route.
-pub(crate) fn settle_route<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job: &Rc<TrackedJob>) {
-    if job.is_route_recorded.get() {
+/// Chooses the route of a job whose record names none, so that later changes of the configuration leave
+/// the job with it.
+pub(crate) fn settle_route<P: PlatformAdapter>(state: &KeeperState<P>, job: &TrackedJob) {
+    if job.route.borrow().is_some() {
         return;
     }
-    if job.route.borrow().is_none() {
-        let Some(routes) = state.view.routes() else {
-            return;
-        };
+    if let Some(routes) = state.view.routes() {
         let tracker = job.tracker.borrow();
         let rule = routes.find_batch(&tracker.spec().host, &tracker.spec().path);
-        *job.route.borrow_mut() = rule.map(|rule| AcceptedRoute::new(rule, routes.version));
+        job.route.replace(rule.map(|rule| AcceptedRoute::new(rule, routes.version)));
     }
-    let route = job.route.borrow().clone();
-    let Some(route) = route.filter(|_| job.is_active()) else {
+}
+
+/// Starts to record the route of one job that has none in its record.
+///
+/// One at each review: after an upgrade the store holds the jobs of minutes.
+pub(crate) fn record_next_route<P: PlatformAdapter>(state: &Rc<KeeperState<P>>) {
+    let mut jobs = state.jobs.all();
+    jobs.retain(|job| needs_record(job));
+    let Some(index) = state.view.random_number().checked_rem(jobs.len() as u64) else {
+        return;
+    };
+    let job = jobs.swap_remove(index as usize);
+    let Some(route) = job.route.borrow().clone() else {
         return;
     };
     job.is_route_recorded.set(true);
-    let (state, job) = (Rc::clone(state), Rc::clone(job));
+    let state = Rc::clone(state);
     monoio::spawn(async move {
         let recorded = record_route(&state, &job, route).await;
-        // The next review tries again.
         job.is_route_recorded.set(recorded.is_ok_and(|is_recorded| is_recorded));
     });
 }
 
+/// Returns whether a job goes on at this keeper by a route that the store does not know.
+fn needs_record(job: &TrackedJob) -> bool {
+    let is_settled = !job.is_route_recorded.get() && job.route.borrow().is_some();
+    is_settled && job.is_active() && job.results.get().is_loaded() && !job.is_over()
+}
+
 /// Adds the route to a job's record, or takes over the one that another keeper has added; returns
 /// whether the record names the job's route now.
 ///
