--- a/crates/clementinevale/tests/nodes/changed_routes.rs
+++ b/crates/clementinevale/tests/nodes/changed_routes.rs
@@ -32,6 +32,9 @@
 /// Longest time for which the items of a removed route stay open.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after a change of the configuration from which no request is handled by the one before.
+const APPLY_TIME: Duration = Duration::from_secs(2);
+
 /// Index of the batch route `plans` in the fleet's configuration.
 const PLANS: usize = 2;
 
@@ -257,6 +260,39 @@
     check_done(&fleet, "job", 4, EVENTS_PER_ITEM);
 }
 
+// Guards against items that wait at an engine and start there after their route has left its service.
+#[rstest]
+#[case::removed(|routes: &mut Vec<Value>| drop(routes.remove(PLANS)))]
+#[case::moved(|routes: &mut Vec<Value>| routes[PLANS]["service"] = json!("nightly"))]
+fn items_that_wait_at_an_engine_do_not_start_after_a_change(#[case] change: fn(&mut Vec<Value>)) {
+    /// Number of events of the streams that take all slots; they last for four and a half seconds.
+    const STREAM_EVENTS: u64 = 560;
+    let fleet = small_fleet();
+    let entries = fleet.entry_addresses();
+    let streams: Vec<_> = (0..8)
+        .map(|number| {
+            let entry = entries[number % entries.len()];
+            std::thread::spawn(move || {
+                let id = format!("stream{number}");
+                block_on(async move { request_stream(entry, "hints", &id, STREAM_EVENTS).await })
+            })
+        })
+        .collect();
+    std::thread::sleep(PROPAGATION_TIME);
+    submit(&fleet, "plans", "job", 4, EVENTS_PER_ITEM);
+    std::thread::sleep(PROPAGATION_TIME);
+    write_routes(&fleet, 2, change);
+    std::thread::sleep(APPLY_TIME);
+    let runs_before = fleet.target_log.runs().len();
+    for stream in streams {
+        // They only have to take the slots, on a slow machine until their deadline.
+        let _ = stream.join();
+    }
+    std::thread::sleep(APPLY_TIME);
+    let runs = fleet.target_log.runs().len() - runs_before;
+    assert_eq!(runs, 0, "items start at a service that their route has left");
+}
+
 // Guards against items that are given up sooner than the configuration promised that accepted them.
 #[test]
 fn a_shortened_time_limit_of_a_route_does_not_apply_to_accepted_items() {
--- a/crates/dispatch/src/run_schedule.rs
+++ b/crates/dispatch/src/run_schedule.rs
@@ -145,6 +145,13 @@
         }
     }
 
+    /// Returns whether a run counts as waiting, since it has produced no output for a while.
+    #[must_use]
+    pub fn is_waiting(&self, run: RunId, now: MonotonicTime) -> bool {
+        let position = self.runs.binary_search_by_key(&run, |active| active.id);
+        position.is_ok_and(|position| self.runs[position].is_waiting(now))
+    }
+
     /// Returns whether a run counts as lost, so that its item restarts elsewhere.
     ///
     /// A run lives as long as it produces output or the sidecar that it goes through reports; that
@@ -199,7 +206,7 @@
     /// runs in all that wait according to the load reports.
     #[must_use]
     pub fn plan_moves(&self, targets: &TargetTable, now: MonotonicTime) -> Vec<RunId> {
-        let silent = self.runs.iter().filter(|run| now.since(run.last_output) >= QUEUED_OUTPUT_GAP);
+        let silent = self.runs.iter().filter(|run| run.is_waiting(now));
         let (listed, unlisted): (Vec<&ActiveRun>, Vec<&ActiveRun>) =
             silent.partition(|run| targets.get(&run.target).is_some());
         let is_queued = |run: &&ActiveRun| {
@@ -235,6 +242,13 @@
     }
 }
 
+impl ActiveRun {
+    /// Returns whether the run has produced no output for so long that it counts as waiting.
+    fn is_waiting(&self, now: MonotonicTime) -> bool {
+        now.since(self.last_output) >= QUEUED_OUTPUT_GAP
+    }
+}
+
 /// Returns the most items that one keeper may have at a target.
 fn item_limit(row: &TargetRow, now: MonotonicTime) -> u32 {
     if row.has_sidecar(now) {
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -34,6 +34,7 @@
 use crate::SidecarVerdict;
 use crate::internal_headers::WAITING_COMMENT;
 use crate::keeper::keeper_state::KeeperState;
+use crate::keeper::placed_run::PlacedRun;
 use crate::keeper::result_commits::start_commits;
 use crate::keeper::run_outcome::RunOutcome;
 use crate::keeper::tracked_job::TrackedJob;
@@ -142,7 +143,12 @@
         job.tracker.borrow_mut().start(item);
         let withdrawn = Rc::new(Notify::new());
         // Run ids increase, so pushing at the end keeps the list sorted.
-        state.withdrawals.borrow_mut().push((id, Rc::clone(&withdrawn)));
+        state.placed_runs.borrow_mut().push(PlacedRun {
+            id,
+            job: Rc::clone(job),
+            service,
+            withdrawn: Rc::clone(&withdrawn),
+        });
         let (job, state) = (Rc::clone(job), Rc::clone(state));
         let run = Self {
             job,
@@ -186,7 +192,7 @@
         }
         self.state.schedule.borrow_mut().end_run(self.id);
         self.state.view.with_targets(|targets| targets.end_item(&self.target.id));
-        self.state.withdrawals.borrow_mut().retain(|(id, _)| *id != self.id);
+        self.state.placed_runs.borrow_mut().retain(|run| run.id != self.id);
         self.apply_outcome(&outcome);
         if outcome.has_not_run() {
             self.state.item_order.borrow_mut().refund(&self.turn);
--- a/crates/serving/src/keeper/job_dispatch.rs
+++ b/crates/serving/src/keeper/job_dispatch.rs
@@ -7,6 +7,7 @@
 use cv_dispatch::CloseKnowledge;
 use cv_dispatch::DispatchPass;
 use cv_dispatch::ItemTurn;
+use cv_dispatch::JobRoute;
 use cv_dispatch::ResultsLoad;
 use cv_dispatch::ShareKey;
 use cv_dispatch::ThawDetector;
@@ -27,6 +28,7 @@
 use crate::keeper::item_run::ItemRun;
 use crate::keeper::job_record::JobRecord;
 use crate::keeper::keeper_state::KeeperState;
+use crate::keeper::placed_run::PlacedRun;
 use crate::keeper::result_commits::load_results;
 use crate::keeper::result_commits::start_commits;
 use crate::keeper::route_record::record_next_route;
@@ -248,19 +250,29 @@
     start_expiry(state);
 }
 
-/// Withdraws runs that wait at their target while another has room; their items restart there.
+/// Withdraws runs that wait at their target while another has room, or although their job's route does
+/// not lead there any more; their items restart elsewhere.
 fn withdraw_runs<P: PlatformAdapter>(state: &KeeperState<P>) {
     let now = state.view.clock.now();
-    let withdrawn =
-        state.view.with_targets(|targets| state.schedule.borrow().plan_moves(targets, now));
-    let withdrawals = state.withdrawals.borrow();
-    for run in withdrawn {
-        if let Ok(position) = withdrawals.binary_search_by_key(&run, |(id, _)| *id) {
-            withdrawals[position].1.notify_one();
+    let schedule = state.schedule.borrow();
+    let moved = state.view.with_targets(|targets| schedule.plan_moves(targets, now));
+    for run in state.placed_runs.borrow().iter() {
+        let is_misplaced = || schedule.is_waiting(run.id, now) && !leads_to_target(state, run);
+        if moved.contains(&run.id) || is_misplaced() {
+            run.withdrawn.notify_one();
         }
     }
 }
 
+/// Returns whether the route of a run's job leads to the service of its target.
+fn leads_to_target<P: PlatformAdapter>(state: &KeeperState<P>, run: &PlacedRun) -> bool {
+    state.with_route(&run.job, |route| match route {
+        JobRoute::InForce(rule) => rule.uses_service(&run.service),
+        JobRoute::Ended => false,
+        JobRoute::Unknown => true,
+    })
+}
+
 /// Starts a commit if the job has results that are not listed yet.
 fn start_commits_if_needed<P: PlatformAdapter>(state: &Rc<KeeperState<P>>, job: &Rc<TrackedJob>) {
     let is_loaded = job.results.get().is_loaded();
--- a/crates/serving/src/keeper/keeper_node.rs
+++ b/crates/serving/src/keeper/keeper_node.rs
@@ -151,7 +151,7 @@
             store,
             unclaimed: RefCell::new(UnclaimedJobs::default()),
             view,
-            withdrawals: RefCell::default(),
+            placed_runs: RefCell::default(),
             work_available: Notify::new(),
             work_loaded: LoadGate::default(),
         });
--- a/crates/serving/src/keeper/keeper_state.rs
+++ b/crates/serving/src/keeper/keeper_state.rs
@@ -12,7 +12,6 @@
 use cv_dispatch::RequestRank;
 use cv_dispatch::ResultsLoad;
 use cv_dispatch::RunEstimate;
-use cv_dispatch::RunId;
 use cv_dispatch::RunSchedule;
 use cv_dispatch::ShareKey;
 use cv_dispatch::UnclaimedJobs;
@@ -31,6 +30,7 @@
 use crate::keeper::job_table::JobTable;
 use crate::keeper::keeper_metrics::KeeperMetrics;
 use crate::keeper::load_gate::LoadGate;
+use crate::keeper::placed_run::PlacedRun;
 use crate::keeper::stored_quarantines::StoredQuarantines;
 use crate::keeper::tracked_job::TrackedJob;
 
@@ -93,8 +93,8 @@
     pub view: Rc<FleetView>,
     /// Jobs whose owner has not confirmed that it owns them.
     pub unclaimed: RefCell<UnclaimedJobs>,
-    /// Signals that withdraw runs from their targets, sorted by run id.
-    pub withdrawals: RefCell<Vec<(RunId, Rc<Notify>)>>,
+    /// Runs at their targets, sorted by id.
+    pub placed_runs: RefCell<Vec<PlacedRun>>,
     /// Notified when an item may be waiting for a run or a target may have room.
     pub work_available: Notify,
     /// Open once all jobs have been read for the first time.
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -16,6 +16,7 @@
 mod keeper_state;
 mod load_gate;
 mod owner_check;
+mod placed_run;
 mod progress_replication;
 mod quota_desk;
 mod result_commits;
