--- a/crates/clementinevale/tests/nodes/changed_routes.rs
+++ b/crates/clementinevale/tests/nodes/changed_routes.rs
@@ -225,7 +225,7 @@
 #[case(PathChange::Removed)]
 #[case(PathChange::Streaming)]
 fn an_accepted_job_is_confirmed_when_its_path_leads_elsewhere(#[case] change: PathChange) {
-    let fleet = small_fleet();
+    let mut fleet = small_fleet();
     let entries = fleet.entry_addresses();
     submit(&fleet, "plans/season", "job", ITEMS, EVENTS);
     write_routes(&fleet, 2, |routes| match change {
@@ -248,6 +248,10 @@
         let stream = block_on(request_stream(entries[0], "plans/season", "stream", 5));
         assert_eq!(stream.expect("the runtime starts"), CallerOutcome::Completed);
     }
+    kill_keepers(&mut fleet);
+    let outcome = send("job");
+    let is_unknown = matches!(outcome, CallerOutcome::Unknown(_));
+    assert!(is_unknown, "without keepers nobody knows whether the job runs: {outcome:?}");
 }
 
 // Guards against a job that does not follow its own route.
--- a/crates/serving/src/entry/job_confirmation.rs
+++ b/crates/serving/src/entry/job_confirmation.rs
@@ -3,12 +3,12 @@
 //! Callers repeat a submission whose response they have not received. The job may have been accepted
 //! although its path leads to no batch route any more.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use cv_dispatch::RouteTable;
 use cv_http::HttpFault;
 use cv_http::ServerExchange;
+use cv_timeline::EventKind;
+use cv_timeline::LinePriority;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -20,9 +20,6 @@
 use crate::entry::entry_handler::EntryHandler;
 use crate::entry::identified_caller::IdentifiedCaller;
 
-/// Retry delay of callers when no keeper can say whether their job has been accepted.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
-
 /// Returns whether a request that leads to no batch route may be a submission, by its head.
 pub(crate) fn may_submit_job(head: &RequestHead) -> bool {
     let content_type = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
@@ -62,7 +59,12 @@
             }
             Some(_) => Ok(false),
             None => {
-                self.refuse(exchange, RETRY_DELAY, "job_unknown", "").await?;
+                self.view.log.record(LinePriority::Essential, EventKind::Refused, &job, || {
+                    "reason=job_unknown".to_owned()
+                });
+                // Status 503 would say that the job does not run, and it may have been accepted.
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                exchange.respond(status, &HeaderMap::new(), &Bytes::new()).await?;
                 Ok(true)
             }
         }
