--- a/crates/dispatch/src/job_route.rs
+++ b/crates/dispatch/src/job_route.rs
@@ -9,7 +9,8 @@
     InForce(&'a RouteRule),
     /// The operator has removed the route, or made it one of another kind.
     Ended,
-    /// The configuration lacks the route, but is older than the one that accepted the job.
+    /// The configuration lacks the route, but is older than the one that accepted the job, or none has
+    /// been received yet.
     Unknown,
 }
 
--- a/crates/dispatch/src/quarantine_subject.rs
+++ b/crates/dispatch/src/quarantine_subject.rs
@@ -14,7 +14,8 @@
 /// Prefix of the displayed form of a part of items.
 const ITEM_PART_PREFIX: &str = "item-part-";
 
-/// Kind of a subject, in the order of the subjects.
+/// Kind of a subject. The kinds have the order of the subjects, so that sorted subjects of one kind
+/// follow each other.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum SubjectKind {
     /// A part of the prompts of online requests.
--- a/crates/serving/src/entry/entry_handler.rs
+++ b/crates/serving/src/entry/entry_handler.rs
@@ -114,6 +114,7 @@
         }
         let path = exchange.head().uri.path().to_owned();
         let Some(route) = routes.find(&host, &path) else {
+            // An accepted job outlives its route.
             if may_submit_job(exchange.head()) {
                 let body = exchange.read_body(routes.limits.max_body_bytes).await?;
                 if self.confirm_job(exchange, &routes, &host, &body).await? {
@@ -133,6 +134,7 @@
             let call = JobCall { caller: &identified.caller, is_submission: true, job: &job };
             return self.relay_job(exchange, call, body).await;
         }
+        // The route may have been added below that of an accepted job.
         if may_submit_job(exchange.head())
             && routes.find_batch(&host, &path).is_some()
             && self.confirm_job(exchange, &routes, &host, &body).await?
--- a/crates/serving/src/keeper/item_run.rs
+++ b/crates/serving/src/keeper/item_run.rs
@@ -132,6 +132,7 @@
             return false;
         };
         let is_trial = decision != QuarantineDecision::Admit;
+        // Otherwise the sidecar begins the trial, once the item has a slot.
         if is_trial && !target.through_sidecar {
             state.view.quarantine.begin_trial(&subjects);
         }
