--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -12,6 +12,7 @@
 mod failing_engines;
 mod faulty_responses;
 mod faulty_targets;
+mod foreign_entries;
 mod frozen_keepers;
 mod job_checks;
 mod keeper_matrix;
--- a/tests/adapter/store_client.rs
+++ b/tests/adapter/store_client.rs
@@ -12,6 +12,7 @@
 use cv_serving::CoordinationStore;
 use cv_serving::PlatformAdapter;
 use futures::future::join;
+use rstest::rstest;
 use serde_json::json;
 
 #[test]
@@ -77,6 +78,49 @@
     .expect("a runtime");
 }
 
+#[rstest]
+#[case::ampersand("&")]
+#[case::plus("+")]
+#[case::number_sign("#")]
+#[case::percent_encoding("%2e")]
+#[case::percent_sign("%")]
+#[case::blank(" ")]
+#[case::equals_sign("=")]
+#[case::question_mark("?")]
+#[case::slash("/")]
+#[case::quote("\"")]
+#[case::backslash("\\")]
+#[case::line_end("\r\n")]
+#[case::control_character("\u{0}")]
+#[case::non_ascii("\u{e4}")]
+fn a_key_may_hold_any_character(#[case] characters: &str) {
+    let store = PlatformStore::default();
+    store.set_page_keys(1);
+    let odd_key = format!("many/0{characters}1");
+    let mut keys = ["many/0", odd_key.as_str(), "many/0\u{e4}2", "many/1"];
+    for key in keys {
+        store.write(key, &json!(key));
+    }
+    keys.sort_unstable();
+    let thread = store.start(SocketAddr::from(([127, 0, 0, 1], 0))).expect("the store listens");
+    block_on(async {
+        let client = GrowersPlatform::store(thread.address);
+        let read = monoio::time::timeout(Duration::from_secs(5), client.range("many/")).await;
+        let read = read.expect("the range ends").expect("the store responds");
+        let read_keys: Vec<&str> = read.items.iter().map(|item| item.key.as_str()).collect();
+        assert_eq!(read_keys, keys);
+        let item = client.get(&odd_key).await.expect("the store responds").expect("the key exists");
+        assert_eq!(item.key, odd_key);
+        let below = client.range(&odd_key).await.expect("the store responds");
+        assert_eq!(below.items, [item]);
+        let watched = client.watch(&odd_key, 0, Duration::ZERO).await.expect("the store responds");
+        assert_eq!(watched.changes.len(), 1);
+        let newest = read.items.iter().map(|item| item.revision).max();
+        assert_eq!(client.recent_revision("many/").await.ok(), newest);
+    })
+    .expect("a runtime");
+}
+
 #[test]
 fn slow_reads_succeed_beside_quick_calls() {
     let store = PlatformStore::default();
