A value that is not base64 no longer hides the other items

Callers would see what they saw with an odd name: no list of targets after a restart, so almost no request is served. Found by reading the places where one entry can fail a whole answer; the operators did not report it, and a store that encodes each value itself never sends such an item.

Cause: the decoder of a range, a watch and a conflict gave up the whole answer at the first value that is not base64.

Change: such a value reads as empty, and the key stays listed, so that nothing counts as removed.

--- a/tests/adapter/store_client.rs
+++ b/tests/adapter/store_client.rs
@@ -121,6 +121,23 @@
     .expect("a runtime");
 }
 
+#[test]
+fn a_value_that_is_not_base64_leaves_the_others_readable() {
+    let (store, thread) = paged_store();
+    store.write_encoded("many/3", "not base64!");
+    block_on(async {
+        let client = GrowersPlatform::store(thread.address);
+        let read = client.range("many/").await.expect("the other values can be read");
+        let values: Vec<&[u8]> = read.items.iter().map(|item| item.value.as_slice()).collect();
+        assert_eq!(values, [&b"0"[..], b"1", b"2", b"", b"4", b"5"]);
+        let watched = client.watch("many/", 0, Duration::ZERO).await.expect("the store responds");
+        assert_eq!(watched.changes.len(), 7);
+        let item = client.get("many/3").await.expect("the store responds");
+        assert!(item.is_some_and(|item| item.value.is_empty()));
+    })
+    .expect("a runtime");
+}
+
 #[test]
 fn slow_reads_succeed_beside_quick_calls() {
     let store = PlatformStore::default();
