A target's entry needs all its fields, each of its type

Callers would see requests fail that were sent to an address which no target has stated.

Cause: only the five fields that are used were checked; `version`, `coldLeftMs`, `callSeq` and `born` were ignored.

--- a/tests/adapter/directory.rs
+++ b/tests/adapter/directory.rs
@@ -4,6 +4,8 @@
 use cv_dispatch::TargetState;
 use cv_serving::PlatformAdapter;
 use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
 
 /// A registration as the platform documents it, with fields that the product does not know.
 const RECORD: &str = r#"{"service":"llm","address":"10.128.0.9:8080","zone":"fraser-a","version":"v1",
@@ -21,12 +23,32 @@
     assert_eq!(record.state, TargetState::Draining);
 }
 
+#[rstest]
+fn a_registration_without_a_field_is_rejected(
+    #[values("service", "address", "zone", "version", "slots", "state", "coldLeftMs", "callSeq")]
+    name: &str,
+    #[values(None, Some(Value::Null), Some(json!({})))] other: Option<Value>,
+) {
+    let mut record: Value = serde_json::from_str(RECORD).expect("the record is JSON");
+    let fields = record.as_object_mut().expect("the record has fields");
+    match other {
+        Some(value) => fields.insert(name.to_owned(), value),
+        None => fields.remove(name),
+    };
+    assert!(GrowersPlatform::decode_target("i-1", record.to_string().as_bytes()).is_err());
+}
+
 #[rstest]
 #[case(RECORD.replace("\"slots\":8,", ""))]
 #[case(RECORD.replace("\"slots\":8", "\"slots\":\"8\""))]
 #[case(RECORD.replace("ready", "asleep"))]
 #[case(RECORD.replace("10.128.0.9:8080", "nowhere"))]
 #[case(RECORD.replace("\"zone\":\"fraser-a\"", "\"zone\":7"))]
+#[case(RECORD.replace("\"version\":\"v1\"", "\"version\":1"))]
+#[case(RECORD.replace("\"coldLeftMs\":0", "\"coldLeftMs\":\"0\""))]
+#[case(RECORD.replace("\"callSeq\":4", "\"callSeq\":\"4\""))]
+#[case(RECORD.replace("\"callSeq\":4", "\"callSeq\":-4"))]
+#[case(RECORD.replace("\"born\":1", "\"born\":\"1\""))]
 #[case("not even close".to_owned())]
 fn a_malformed_registration_is_rejected(#[case] text: String) {
     assert!(GrowersPlatform::decode_target("i-1", text.as_bytes()).is_err());
