Job ids are percent-encoded in the paths between keepers

Cause: a keeper that has taken over a job asks the others for the output of its unfinished items at `/cv/copies/ID`. With the id `job?x` the peer reads `?x` as a query and answers for `job`; the answer names its job, which nobody compared, and the items resume behind the other job's output.

Change: the ids are percent-encoded in these paths, those of close notices included, and decoded by the receiver; an answer for another job is ignored.

--- a/crates/clementinevale/tests/nodes/main.rs
+++ b/crates/clementinevale/tests/nodes/main.rs
@@ -8,6 +8,7 @@
 mod customer_quotas;
 mod cut_heads;
 mod early_resets;
+mod encoded_job_ids;
 mod endless_bytes;
 mod failing_engines;
 mod faulty_responses;
--- a/crates/serving/src/keeper/close_notices.rs
+++ b/crates/serving/src/keeper/close_notices.rs
@@ -12,6 +12,7 @@
 
 use crate::PlatformAdapter;
 use crate::keeper::job_dispatch::mark_job_closed;
+use crate::keeper::job_path::job_path;
 use crate::keeper::job_requests::CallResponse;
 use crate::keeper::keeper_registration::MAX_PEER_RESPONSE_BYTES;
 use crate::keeper::keeper_registration::PEER_QUERY_TIMEOUT;
@@ -27,7 +28,7 @@
         let keeper_set = state.view.keepers();
         let own_name = &state.identity.name;
         let others = keeper_set.keepers().iter().filter(|keeper| keeper.name != *own_name);
-        let request = ClientRequest::new(Method::POST, format!("{CLOSED_PATH}{job_id}"), "");
+        let request = ClientRequest::new(Method::POST, job_path(CLOSED_PATH, &job_id), "");
         let (pool, request) = (&state.pool, &request);
         let notices = others.map(|keeper| async move {
             let timeout = PEER_QUERY_TIMEOUT;
--- a/crates/serving/src/keeper/keeper_handler.rs
+++ b/crates/serving/src/keeper/keeper_handler.rs
@@ -24,6 +24,7 @@
 use crate::internal_headers::read_config_version;
 use crate::keeper::close_notices::CLOSED_PATH;
 use crate::keeper::close_notices::receive_close;
+use crate::keeper::job_path::job_of_path;
 use crate::keeper::job_requests::CallResponse;
 use crate::keeper::job_requests::close_job;
 use crate::keeper::job_requests::confirm_job;
@@ -76,15 +77,15 @@
             let (status, body) = respond_owned(&self.state, &body);
             return exchange.respond(status, &HeaderMap::new(), &body).await;
         }
-        if let Some(job) = exchange.head().uri.path().strip_prefix(CLOSED_PATH) {
-            let (status, body) = receive_close(&self.state, job);
+        if let Some(job) = job_of_path(CLOSED_PATH, exchange.head().uri.path()) {
+            let (status, body) = receive_close(&self.state, &job);
             return exchange.respond(status, &HeaderMap::new(), &body).await;
         }
-        if let Some(job) = exchange.head().uri.path().strip_prefix(UPDATES_PATH) {
+        if let Some(job) = job_of_path(UPDATES_PATH, exchange.head().uri.path()) {
             let (status, body) = if job.is_empty() {
                 receive_updates(&self.state, &body)
             } else {
-                read_updates(&self.state, job)
+                read_updates(&self.state, &job)
             };
             return exchange.respond(status, &HeaderMap::new(), &body).await;
         }
--- a/crates/serving/src/keeper/mod.rs
+++ b/crates/serving/src/keeper/mod.rs
@@ -6,6 +6,7 @@
 mod item_expiry;
 mod item_run;
 mod job_dispatch;
+mod job_path;
 mod job_record;
 mod job_requests;
 mod job_table;
--- a/crates/serving/src/keeper/progress_replication.rs
+++ b/crates/serving/src/keeper/progress_replication.rs
@@ -14,6 +14,7 @@
 use http::StatusCode;
 
 use crate::PlatformAdapter;
+use crate::keeper::job_path::job_path;
 use crate::keeper::job_requests::CallResponse;
 use crate::keeper::keeper_state::KeeperState;
 use crate::keeper::tracked_job::TrackedJob;
@@ -184,15 +185,19 @@
     address: SocketAddr,
     job_id: &str,
 ) -> Option<JobUpdate> {
-    let request = ClientRequest::new(Method::GET, format!("{UPDATES_PATH}{job_id}"), "");
+    let request = ClientRequest::new(Method::GET, job_path(UPDATES_PATH, job_id), "");
     let result = state.pool.exchange(address, &request, PEER_CALL_TIMEOUT, MAX_UPDATE_BYTES).await;
     let response = result
         .inspect_err(|fault| {
             log::debug!("cannot fetch progress of job {job_id} from {address}: {fault}");
         })
         .ok()?;
-    match postcard::from_bytes(&response.body) {
-        Ok(update) => Some(update),
+    match postcard::from_bytes::<JobUpdate>(&response.body) {
+        Ok(update) if update.job == job_id => Some(update),
+        Ok(update) => {
+            log::error!("{address} sent progress of job {} for that of {job_id}", update.job);
+            None
+        }
         Err(fault) => {
             log::error!(
                 "cannot decode progress of job {job_id} from {address}, which is ignored: {fault}"
