--- a/crates/serving/src/keeper/job_path.rs
+++ b/crates/serving/src/keeper/job_path.rs
@@ -1,5 +1,7 @@
 //! Job ids in the paths of calls between keepers.
 
+use std::borrow::Cow;
+
 use percent_encoding::AsciiSet;
 use percent_encoding::CONTROLS;
 use percent_encoding::percent_decode_str;
@@ -32,5 +34,5 @@
 /// not encode text.
 pub(crate) fn job_of_path(prefix: &str, path: &str) -> Option<String> {
     let encoded = path.strip_prefix(prefix)?;
-    percent_decode_str(encoded).decode_utf8().ok().map(std::borrow::Cow::into_owned)
+    percent_decode_str(encoded).decode_utf8().ok().map(Cow::into_owned)
 }
