--- a/crates/clementinevale/tests/nodes/encoded_job_ids.rs
+++ b/crates/clementinevale/tests/nodes/encoded_job_ids.rs
@@ -8,8 +8,10 @@
 use cv_runtime::block_on;
 use cv_tests::NodeFleet;
 use cv_tests::NodeFleetSize;
+use cv_tests::node_caller::CallerOutcome;
 use cv_tests::node_caller::expected_output;
 use cv_tests::node_caller::item_id;
+use cv_tests::node_caller::submit_job_with_body;
 
 use crate::job_checks::EVENTS_PER_ITEM;
 use crate::job_checks::JOB_TIMEOUT;
@@ -22,7 +24,16 @@
     NodeFleet::start(env!("CARGO_BIN_EXE_clementinevale"), size)
 }
 
-// Guards against the key of a job that, sent unencoded in a query, names keys of another job, or none.
+/// Kills all keepers and starts them again.
+fn restart_keepers(fleet: &mut NodeFleet) {
+    for node in fleet.nodes.iter_mut().filter(|node| node.name.starts_with("keeper")) {
+        node.kill();
+        node.start();
+    }
+}
+
+// Guards against the key of a job that, sent unencoded in a query, names keys of another job, or none:
+// its results are then listed among those of the other, or a repeated submission runs anew.
 #[test]
 fn a_restarted_keeper_lists_each_result_under_its_own_job() {
     let mut fleet = small_fleet();
@@ -38,19 +49,46 @@
         })
         .expect("the runtime starts")
     };
+    let submit_jobs = || {
+        block_on(async {
+            for job in jobs {
+                submit_until_accepted(&entries, job, 3, EVENTS_PER_ITEM).await;
+            }
+        })
+        .expect("the runtime starts");
+    };
+    submit_jobs();
+    let results = read_jobs();
+    restart_keepers(&mut fleet);
+    submit_jobs();
+    assert_eq!(read_jobs(), results);
+    assert_eq!(fleet.target_log.runs().len(), 12, "an item has run again");
+}
+
+// Guards against the prefix of a large job's parts that, sent unencoded in a query, names those of
+// another job as well: a restarted keeper can then not read the job, whose items never run.
+#[test]
+fn a_restarted_keeper_runs_large_jobs_whose_ids_share_a_beginning() {
+    const ITEMS: u64 = 60;
+    let mut fleet = small_fleet();
+    let entries = fleet.entry_addresses();
+    let jobs = ["large", "large&x", "large+x"];
+    let body = "q83v".repeat(10_000);
     block_on(async {
         for job in jobs {
-            submit_until_accepted(&entries, job, 3, EVENTS_PER_ITEM).await;
+            let outcome =
+                submit_job_with_body(entries[0], job, ITEMS, EVENTS_PER_ITEM, &body).await;
+            assert_eq!(outcome, CallerOutcome::Completed);
+        }
+    })
+    .expect("the runtime starts");
+    restart_keepers(&mut fleet);
+    block_on(async {
+        for job in jobs {
+            read_all_results(&entries, job, ITEMS).await;
         }
     })
     .expect("the runtime starts");
-    let results = read_jobs();
-    for node in fleet.nodes.iter_mut().filter(|node| node.name.starts_with("keeper")) {
-        node.kill();
-        node.start();
-    }
-    assert_eq!(read_jobs(), results);
-    assert_eq!(fleet.target_log.runs().len(), 12, "an item has run again");
 }
 
 // Guards against a job id that, sent unencoded in the path of a call between keepers, names another job.
--- a/tests/adapter/directory.rs
+++ b/tests/adapter/directory.rs
@@ -23,6 +23,7 @@
     assert_eq!(record.state, TargetState::Draining);
 }
 
+// Guards against requests to an address that another writer, and no target, has stated.
 #[rstest]
 fn a_registration_without_a_field_is_rejected(
     #[values("service", "address", "zone", "version", "slots", "state", "coldLeftMs", "callSeq")]
--- a/tests/adapter/store_client.rs
+++ b/tests/adapter/store_client.rs
@@ -78,6 +78,8 @@
     .expect("a runtime");
 }
 
+// Guards against a key that, sent unencoded, cuts the query short, reads as another key, or makes the
+// call malformed.
 #[rstest]
 #[case::ampersand("&")]
 #[case::plus("+")]
@@ -121,6 +123,7 @@
     .expect("a runtime");
 }
 
+// Guards against one unreadable value that makes the answers about all other keys unreadable.
 #[test]
 fn a_value_that_is_not_base64_leaves_the_others_readable() {
     let (store, thread) = paged_store();
