--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -165,7 +165,7 @@
         self.revision = 1
         self.items, self.changes, self.leases = {}, [], {}
         self.changed = asyncio.Condition()
-        self.is_down = False
+        self.turned_away = set()
         self.writers = {}
 
     async def listen(self, host, port, machine):
@@ -203,8 +203,6 @@
     async def expire_leases(self):
         while True:
             await asyncio.sleep(0.02)
-            if self.is_down:
-                continue
             for lease, (until, _) in list(self.leases.items()):
                 if until <= now():
                     await self.end_lease(lease)
@@ -219,7 +217,7 @@
 
     async def handle(self, machine, request, writer):
         await asyncio.sleep(self.latency_s)
-        if self.is_down:
+        if machine in self.turned_away:
             writer.write(response(503))
             return True
         status, body = await self.execute(machine, request, writer)
@@ -306,22 +304,16 @@
         finally:
             waiting.discard(writer)
 
-    def go_down(self):
-        """Answers 503 to every call of the system from now on; waiting watches are cut. Leases pause."""
-        self.is_down = True
-        self.down_since = now()
-        self.cut_watches()
+    def turn_away(self, machines):
+        """Answers 503 to every call of these machines from now on; their waiting watches are cut."""
+        self.turned_away = set(machines)
+        self.cut_watches(self.turned_away)
 
-    def come_back(self):
-        if self.is_down:
-            self.is_down = False
-            paused = now() - self.down_since
-            self.leases = {lease: (until + paused, ttl) for lease, (until, ttl) in self.leases.items()}
-
-    def cut_watches(self):
-        """Cuts all watches that wait, as PROTOCOL allows at any time; returns how many."""
+    def cut_watches(self, machines=None):
+        """Cuts the watches that wait, of all machines or of some, as PROTOCOL allows at any time; returns how
+        many."""
         cut = 0
-        for waiting in self.writers.values():
+        for waiting in [self.writers.get(machine, set()) for machine in machines or list(self.writers)]:
             for writer in list(waiting):
                 writer.close()
                 cut += 1
