--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -333,6 +333,7 @@
         self.running = self.waiting = 0
         self.freed = asyncio.Condition()
         self.arrivals, self.started, self.finished = [], [], set()
+        self.tenants = {}
         self.servers, self.writers = [], set()
         # Whether it is leaving, which it says in all its answers.
         self.leaving = False
@@ -414,6 +415,7 @@
         total = max(1, output // self.stride)
         first = int(request.headers.get("last-event-id", 0)) + 1
         self.started.append(request_id)
+        self.tenants[request_id] = request.headers.get("tenant")
         self.record.line(f"{self.name}: {request_id} runs from event {first} of {total}")
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked",
                  f"Server-Seal: seal.{self.name}.{request_id}"]
@@ -597,7 +599,7 @@
                 "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                            "idleTimeoutMs": 15000}}
 
-    async def start(self, config):
+    async def start(self, config, key_headers=()):
         for index, node in enumerate(self.nodes):
             port = 8200 + index
             await self.store.listen(self.ip(10), port, node.name)
@@ -613,7 +615,7 @@
         for _ in range(300):
             await asyncio.sleep(0.1)
             ready = [await call((node.ip, READY_PORT), "GET", "/ready", timeout=1.0) for node in self.entries]
-            known = [await call((node.ip, FRONT_PORT), "GET", "/lots/none?after=0", timeout=3.0)
+            known = [await call((node.ip, FRONT_PORT), "GET", "/lots/none?after=0", key_headers, timeout=3.0)
                      for node in self.entries]
             if (all(status == 200 for status, _, _ in ready) and all(status == 404 for status, _, _ in known)
                     and len(self.store.keys("cv/keeper/")) == len(self.keepers)):
